--- /dev/null
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -0,0 +1,307 @@
+//! The words of the wire: lines to events, actions to lines.
+
+use std::io::{self, Write};
+use std::str::FromStr;
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use pondlb::{Action, Arrival, Entry, Event, Load, Outcome, Stage, Tenths, Terms};
+use pondlb::{ceil_from_ns, floor_from_ns, to_ns};
+
+use crate::config;
+
+/// What is wrong with a line, in plain words.
+pub type Fault = String;
+
+pub const BATCH_END: &str = "EOF_BATCH";
+pub const PAGES: usize = 16;
+
+/// Where in a load report the values stand that the balancer reads.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReportOrder {
+    pub held: Option<usize>,
+    pub service: Option<usize>,
+}
+
+pub enum Form {
+    Changes,
+    Whole,
+    Remembered,
+    Lost,
+}
+
+pub enum Line {
+    Ledger { page: usize, members: usize },
+    Start { who: u64, seed: u64, terms: Box<Terms>, report: ReportOrder },
+    Kill { who: u64 },
+    View { who: u64, form: Form, page: Option<usize> },
+    Event { who: u64, event: Event },
+}
+
+pub fn unknown(who: u64) -> Fault {
+    format!("instance {who} is not running")
+}
+
+/// A panic's text may hold line ends, which would break the frame.
+pub fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// The fields of one line in any order. Few enough that a scan beats a map.
+struct Fields<'a> {
+    kind: &'a str,
+    pairs: [(&'a str, &'a str); 16],
+    count: usize,
+}
+
+impl<'a> Fields<'a> {
+    /// A field named Config or Text runs to the end of the line.
+    fn split(kind: &'a str, mut rest: &'a str) -> Result<Self, Fault> {
+        let mut fields = Fields { kind, pairs: [("", ""); 16], count: 0 };
+        while !rest.is_empty() {
+            let to_end = rest.starts_with("Config=") || rest.starts_with("Text=");
+            let (pair, after) = if to_end { (rest, "") } else { rest.split_once(' ').unwrap_or((rest, "")) };
+            rest = after;
+            let (name, value) =
+                pair.split_once('=').ok_or_else(|| format!("{kind}: {pair:?} is no field"))?;
+            let slot =
+                fields.pairs.get_mut(fields.count).ok_or_else(|| format!("{kind} has too many fields"))?;
+            *slot = (name, value);
+            fields.count += 1;
+        }
+        Ok(fields)
+    }
+
+    fn get(&self, name: &str) -> Option<&'a str> {
+        self.pairs[..self.count].iter().find(|(n, _)| *n == name).map(|(_, value)| *value)
+    }
+
+    fn word(&self, name: &str) -> Result<&'a str, Fault> {
+        self.get(name).ok_or_else(|| format!("{} lacks {name}", self.kind))
+    }
+
+    fn bad(&self, name: &str, value: &str) -> Fault {
+        format!("{}: {name}={value} cannot be read", self.kind)
+    }
+
+    fn parse<T: FromStr>(&self, name: &str, value: &str) -> Result<T, Fault> {
+        value.parse().map_err(|_| self.bad(name, value))
+    }
+
+    fn number<T: FromStr>(&self, name: &str) -> Result<T, Fault> {
+        self.parse(name, self.word(name)?)
+    }
+
+    fn optional<T: FromStr>(&self, name: &str) -> Result<Option<T>, Fault> {
+        self.get(name).map(|value| self.parse(name, value)).transpose()
+    }
+
+    fn flag(&self, name: &str) -> Result<bool, Fault> {
+        match self.get(name) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(value) => Err(self.bad(name, value)),
+        }
+    }
+
+    fn outcome(&self) -> Result<Outcome, Fault> {
+        Ok(match self.word("Rc")? {
+            "0" => Outcome::Ok,
+            "13" => Outcome::Error,
+            "8" => Outcome::Full,
+            "4" => Outcome::TimedOut,
+            "14" => Outcome::ConnectFailed,
+            "10" => Outcome::Reset,
+            "1" => Outcome::Cancelled,
+            "9" => Outcome::Moot,
+            value => return Err(self.bad("Rc", value)),
+        })
+    }
+
+    fn took(&self) -> Result<Tenths, Fault> {
+        self.number("DurationNs").map(ceil_from_ns)
+    }
+
+    fn load(&self, order: ReportOrder) -> Result<Load, Fault> {
+        let Some(row) = self.get("HealthInfo") else {
+            return Ok(Load::default());
+        };
+        let value = |at: Option<usize>| -> Result<Option<f64>, Fault> {
+            let Some(text) = at.and_then(|at| row.split(',').nth(at)) else {
+                return Ok(None);
+            };
+            text.parse().map(Some).map_err(|_| self.bad("HealthInfo", row))
+        };
+        let service = value(order.service)?.map(|ms| (ms * 10.0).max(0.0).round() as Tenths);
+        Ok(Load { held: value(order.held)?, service })
+    }
+}
+
+fn split_kind(line: &str) -> (&str, &str) {
+    line.split_once(' ').unwrap_or((line, ""))
+}
+
+pub fn tick(line: &str) -> Result<(Tenths, u64), Fault> {
+    let (kind, rest) = split_kind(line);
+    if kind != "TICK" {
+        return Err(format!("{kind:?} stands where TICK opens a batch"));
+    }
+    let fields = Fields::split(kind, rest)?;
+    Ok((floor_from_ns(fields.number("TimeNs")?), fields.number("serial")?))
+}
+
+pub fn member(line: &str) -> Result<Entry, Fault> {
+    let (kind, rest) = split_kind(line);
+    if kind != "M" {
+        return Err(format!("{kind:?} stands where an entry of the LEDGER is due"));
+    }
+    let fields = Fields::split(kind, rest)?;
+    let size: f64 = fields.number("Size")?;
+    if !(size.is_finite() && size >= 0.0) {
+        return Err(fields.bad("Size", &size.to_string()));
+    }
+    Ok(Entry {
+        upstream: fields.word("Upstream")?.into(),
+        cell: fields.number("Pod")?,
+        started: fields.optional("LastStartNs")?.filter(|at| *at > 0).map(ceil_from_ns),
+        size,
+        zone: fields.number("Area")?,
+        stage: match fields.word("StageState")? {
+            "live" => Stage::Live,
+            "quiescing" => Stage::Draining,
+            "dead" => Stage::Gone,
+            value => return Err(fields.bad("StageState", value)),
+        },
+    })
+}
+
+/// Any line inside a batch. `order` tells how a running instance's load reports are laid out.
+pub fn line(line: &str, order: impl Fn(u64) -> Option<ReportOrder>) -> Result<Line, Fault> {
+    let (kind, rest) = split_kind(line);
+    let fields = Fields::split(kind, rest)?;
+    if kind == "LEDGER" {
+        return Ok(Line::Ledger { page: page(&fields)?, members: fields.number("Members")? });
+    }
+    if !matches!(
+        kind,
+        "UP" | "POWER_OFF"
+            | "VIEW"
+            | "KNOCK"
+            | "REPLY"
+            | "ELAPSED"
+            | "ABORTED"
+            | "FIRST_BYTE"
+            | "HEALTH"
+            | "HEARD"
+    ) {
+        return Err(format!("{kind:?} is no event"));
+    }
+    let who = fields.number("Who")?;
+    if kind == "UP" {
+        let (terms, report) = config::decode(fields.word("Config")?)?;
+        return Ok(Line::Start { who, seed: fields.number("Salt")?, terms: Box::new(terms), report });
+    }
+    let order = order(who).ok_or_else(|| unknown(who))?;
+    let event = match kind {
+        "POWER_OFF" => return Ok(Line::Kill { who }),
+        "VIEW" => {
+            let form = match fields.word("Form")? {
+                "incr" => Form::Changes,
+                "total" => Form::Whole,
+                "warm_copy" => Form::Remembered,
+                "lost" => Form::Lost,
+                value => return Err(fields.bad("Form", value)),
+            };
+            let page = fields.get("Page").map(|_| page(&fields)).transpose()?;
+            return Ok(Line::View { who, form, page });
+        }
+        "KNOCK" => Event::Arrived(Arrival {
+            txn: fields.word("OpId")?.into(),
+            scheme: fields.number("Priority")?,
+            tenant: fields.optional("Account")?.unwrap_or(0),
+            key: match fields.get("PathKey") {
+                None => None,
+                Some(hex) => Some(u64::from_str_radix(hex, 16).map_err(|_| fields.bad("PathKey", hex))?),
+            },
+            left: floor_from_ns(fields.number("GraceNs")?),
+            cost: fields.optional("WorkNs")?.map(ceil_from_ns),
+            repeat: fields.flag("Resent")?,
+            write: fields.flag("Write")?,
+        }),
+        "REPLY" => Event::Ended {
+            txn: fields.word("OpId")?.into(),
+            posting: fields.number("Go")?,
+            upstream: fields.word("Upstream")?.into(),
+            outcome: fields.outcome()?,
+            took: fields.took()?,
+            settled: fields.flag("Settled")?,
+            load: fields.load(order)?,
+        },
+        "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
+        "ABORTED" => Event::Left { txn: fields.word("OpId")?.into() },
+        "FIRST_BYTE" => Event::Streaming {
+            txn: fields.word("OpId")?.into(),
+            posting: fields.number("Go")?,
+            upstream: fields.word("Upstream")?.into(),
+            took: fields.took()?,
+        },
+        "HEALTH" => Event::Probed {
+            upstream: fields.word("Upstream")?.into(),
+            outcome: fields.outcome()?,
+            took: fields.took()?,
+            load: fields.load(order)?,
+        },
+        _ => Event::Heard { peer: fields.number("OriginPeer")?, note: bytes(&fields)? },
+    };
+    Ok(Line::Event { who, event })
+}
+
+fn page(fields: &Fields) -> Result<usize, Fault> {
+    let page = fields.number("Page")?;
+    if page < PAGES { Ok(page) } else { Err(fields.bad("Page", &page.to_string())) }
+}
+
+fn bytes(fields: &Fields) -> Result<Vec<u8>, Fault> {
+    match fields.word("Blob")? {
+        "-" => Ok(Vec::new()),
+        text => BASE64_STANDARD.decode(text).map_err(|_| fields.bad("Blob", text)),
+    }
+}
+
+pub fn write(out: &mut impl Write, who: u64, action: &Action) -> io::Result<()> {
+    match action {
+        Action::Post { txn, upstream, timeout } => {
+            write!(out, "DISPATCH Who={who} OpId={txn} Upstream={upstream}")?;
+            optional(out, "TimeoutNs", *timeout)
+        }
+        Action::Probe { upstream } => writeln!(out, "TOUCH Who={who} Upstream={upstream}"),
+        Action::Tell { peer, note } => {
+            write!(out, "SAY Who={who} Addressee=")?;
+            match peer {
+                Some(peer) => write!(out, "{peer}")?,
+                None => write!(out, "*")?,
+            }
+            let blob = if note.is_empty() { "-".into() } else { BASE64_STANDARD.encode(note) };
+            writeln!(out, " Blob={blob}")
+        }
+        Action::Watch { on } => writeln!(out, "KEEP_INFORMED Who={who} Enable={}", u8::from(*on)),
+        Action::Refetch => writeln!(out, "REFRESH Who={who}"),
+        Action::Recall { txn, posting } => writeln!(out, "CALL_OFF Who={who} OpId={txn} Go={posting}"),
+        Action::Reverse { txn } => writeln!(out, "RESPOND_ERROR Who={who} OpId={txn}"),
+        Action::Decline { txn, cool_down } => {
+            write!(out, "REJECT Who={who} OpId={txn}")?;
+            optional(out, "CoolDownNs", *cool_down)
+        }
+        Action::CloseIdle { upstream } => writeln!(out, "DROP_CONNS Who={who} Upstream={upstream}"),
+        Action::Log { text } => writeln!(out, "DEBUG Who={who} Text={}", one_line(text)),
+        Action::Wake { token, after } => {
+            writeln!(out, "TIMER Who={who} Token={token} SleepForNs={}", to_ns(*after))
+        }
+    }
+}
+
+fn optional(out: &mut impl Write, name: &str, span: Option<Tenths>) -> io::Result<()> {
+    match span {
+        Some(span) => writeln!(out, " {name}={}", to_ns(span)),
+        None => writeln!(out),
+    }
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,1039 @@
+//! All decisions of the balancer, in one module.
+//!
+//! Callers make a [`Balancer`] from its [`Terms`] and a seed, hand it each batch of [`Event`]s with the time
+//! they happened at, and carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the
+//! same events bring the same actions. The interface is `Balancer::new` and `Balancer::handle`, next below.
+//!
+//! Inside are four kinds of parts: the desk (txns), one actor for each upstream, the gauge (the pooled window)
+//! and the roster (following the list). They talk only by notes in inboxes, which `Balancer::settle` empties.
+//! docs/design.md tells what of the design is kept, what was changed, and when each exception acts.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+
+use histogram::Histogram;
+use nanorand::{Rng, WyRand};
+
+use crate::{
+    Action, Arrival, Effect, Entry, Event, Listing, Outcome, Scope, Stage, Tenths, Terms, TxnId, UpstreamId,
+};
+
+const MS: Tenths = 10;
+const SECOND: Tenths = 1000 * MS;
+
+/// The percentile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
+const TP_PERCENTILE: f64 = 0.95;
+const RELIABILITY: f64 = 0.99;
+/// tp before any answer has come, as a part of the tightest SLA time.
+const FIRST_TP_PART: u64 = 2;
+/// A txn is hopeless when fewer of the pooled answers than this would come within its time left.
+const HOPELESS_PERCENTILE: f64 = 0.1;
+const WINDOW_OUTCOMES: u32 = 1000;
+const WINDOW: Tenths = 5 * SECOND;
+
+const FIRST_CAP: f64 = 4.0;
+const COLD_CAP: f64 = 1.0;
+const LARGEST_CAP: f64 = 64.0;
+
+/// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
+const FADE: Tenths = 4 * SECOND;
+const DOUBT: f64 = 1.0;
+const BENCHED: f64 = 2.0;
+
+/// Further postings while one is out, for each txn settled in time, and how many may be saved up.
+const EXTRA_SHARE: f64 = 0.1;
+const EXTRA_SAVED: f64 = 10.0;
+
+/// How much of the load that would push a cold upstream over this balancer's part may reach.
+const COLD_MARGIN: f64 = 0.5;
+
+pub struct Balancer {
+    inboxes: Inboxes,
+    desk: Desk,
+    gauge: Gauge,
+    roster: Roster,
+    upstreams: Vec<Upstream>,
+    names: HashMap<UpstreamId, usize>,
+}
+
+impl Balancer {
+    pub fn new(terms: Terms, seed: u64) -> Self {
+        let terms = Rc::new(terms);
+        Balancer {
+            inboxes: Inboxes::default(),
+            gauge: Gauge::new(&terms),
+            roster: Roster { must_ask: terms.must_ask, asked: false, failures: 0, ask_at: None },
+            desk: Desk::new(terms, WyRand::new_seed(seed)),
+            upstreams: Vec::new(),
+            names: HashMap::new(),
+        }
+    }
+
+    pub fn handle(&mut self, now: Tenths, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
+        for event in events {
+            self.sort_in(now, event);
+            self.settle(now, out);
+        }
+        self.roster.follow(now, &mut self.desk.rng, out);
+        self.desk.ring(now, &mut self.inboxes, out);
+        self.settle(now, out);
+        while self.desk.release(now, &mut self.inboxes, out) {
+            self.settle(now, out);
+        }
+        self.desk.set_wake(now, self.roster.ask_at, out);
+    }
+
+    fn sort_in(&mut self, now: Tenths, event: Event) {
+        let inboxes = &mut self.inboxes;
+        match event {
+            Event::Arrived(arrival) => inboxes.desk.push_back(DeskNote::Arrived(arrival)),
+            Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
+                let Some(&up) = self.names.get(&upstream) else {
+                    return;
+                };
+                let timely = took <= self.desk.measure.tp;
+                inboxes.upstream(up, UpstreamNote::Ended { outcome, timely, sent: now.saturating_sub(took) });
+                inboxes.gauge.push_back(GaugeNote::Ended { outcome, took });
+                inboxes.desk.push_back(DeskNote::Ended { txn, posting, outcome, settled });
+            }
+            Event::Streaming { txn, posting, .. } => {
+                inboxes.desk.push_back(DeskNote::Streaming { txn, posting })
+            }
+            Event::Left { txn } => inboxes.desk.push_back(DeskNote::Left { txn }),
+            Event::Listed(listing) => self.list(now, listing),
+            Event::Woke { .. } => self.desk.woke(now),
+            // Neither probes nor talk with peers are used: own outcomes tell as much and cost nothing.
+            Event::Probed { .. } | Event::Heard { .. } => {}
+        }
+    }
+
+    fn list(&mut self, now: Tenths, listing: Listing) {
+        let (entries, whole) = match &listing {
+            Listing::Lost => return self.roster.lost(now, &mut self.desk.rng),
+            Listing::Changes(entries) => (entries, false),
+            Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
+        };
+        if !matches!(listing, Listing::Remembered(_)) {
+            self.roster.failures = 0;
+        }
+        let mut named = vec![!whole; self.upstreams.len()];
+        for entry in entries.iter() {
+            let up = *self.names.entry(entry.upstream.clone()).or_insert_with(|| {
+                self.upstreams.push(Upstream::new(entry));
+                self.inboxes.upstreams.push(VecDeque::new());
+                named.push(true);
+                self.upstreams.len() - 1
+            });
+            named[up] = true;
+            self.inboxes.upstream(up, UpstreamNote::Listed(entry.clone()));
+        }
+        for (up, _) in named.iter().enumerate().filter(|(_, named)| !**named) {
+            self.inboxes.upstream(up, UpstreamNote::Unlisted);
+        }
+    }
+
+    /// Empties the inboxes, which may fill others, until nobody has anything left to read.
+    fn settle(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        let inboxes = &mut self.inboxes;
+        loop {
+            if let Some(up) = inboxes.ready.pop_front() {
+                while let Some(note) = inboxes.upstreams[up].pop_front() {
+                    self.upstreams[up].receive(now, note, &self.desk.terms);
+                }
+                let standing = self.upstreams[up].standing();
+                inboxes.desk.push_back(DeskNote::Standing(up, standing));
+            } else if let Some(note) = inboxes.gauge.pop_front() {
+                self.gauge.receive(now, note, &mut inboxes.desk);
+            } else if let Some(note) = inboxes.desk.pop_front() {
+                self.desk.receive(now, note, out);
+            } else {
+                return;
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Inboxes {
+    upstreams: Vec<VecDeque<UpstreamNote>>,
+    ready: VecDeque<usize>,
+    gauge: VecDeque<GaugeNote>,
+    desk: VecDeque<DeskNote>,
+}
+
+impl Inboxes {
+    fn upstream(&mut self, up: usize, note: UpstreamNote) {
+        if self.upstreams[up].is_empty() {
+            self.ready.push_back(up);
+        }
+        self.upstreams[up].push_back(note);
+    }
+}
+
+enum UpstreamNote {
+    Listed(Entry),
+    Unlisted,
+    Posted { cost: f64 },
+    Ended { outcome: Outcome, timely: bool, sent: Tenths },
+    Overdue { sent: Tenths },
+}
+
+enum GaugeNote {
+    Waited(Tenths),
+    Ended { outcome: Outcome, took: Tenths },
+}
+
+enum DeskNote {
+    Arrived(Arrival),
+    Ended { txn: TxnId, posting: u32, outcome: Outcome, settled: bool },
+    Streaming { txn: TxnId, posting: u32 },
+    Left { txn: TxnId },
+    Standing(usize, Standing),
+    Measure(Measure),
+}
+
+/// Follows the list of upstreams where it must be asked for.
+struct Roster {
+    must_ask: bool,
+    asked: bool,
+    failures: u32,
+    ask_at: Option<Tenths>,
+}
+
+impl Roster {
+    fn follow(&mut self, now: Tenths, rng: &mut WyRand, out: &mut Vec<Action>) {
+        if !self.must_ask {
+            return;
+        }
+        if !self.asked {
+            // Balancers restarted in step would all ask in the same instant and fail each other's calls.
+            self.asked = true;
+            self.ask_at = Some(now + rng.generate_range(0..300 * MS));
+        }
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask_at = None;
+            out.push(Action::Watch { on: true });
+        }
+    }
+
+    /// The waits grow and differ, against a bank of balancers keeping a slow list service down by asking.
+    fn lost(&mut self, now: Tenths, rng: &mut WyRand) {
+        let longest = (500 * MS) << self.failures.min(4);
+        self.failures += 1;
+        self.ask_at = Some(now + longest / 2 + rng.generate_range(0..longest));
+    }
+}
+
+/// The pooled window: response times of all upstreams together, and the mean wait before first postings.
+struct Gauge {
+    took: Histogram,
+    waited: f64,
+    waits: f64,
+    since: u32,
+    halved: Tenths,
+    measure: Measure,
+}
+
+/// What the desk plans with.
+#[derive(Clone, Copy)]
+struct Measure {
+    tp: Tenths,
+    wait: Tenths,
+    needed: u64,
+    /// Less time left than this makes a txn hopeless.
+    quick: Tenths,
+}
+
+impl Gauge {
+    fn new(terms: &Terms) -> Self {
+        let tightest = terms.schemes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
+        let measure = Measure { tp: (tightest / FIRST_TP_PART).max(1), wait: 0, needed: 1, quick: 0 };
+        let took = Histogram::new(3, 20).expect("the bins are fixed");
+        Gauge { took, waited: 0.0, waits: 0.0, since: 0, halved: 0, measure }
+    }
+
+    fn receive(&mut self, now: Tenths, note: GaugeNote, desk: &mut VecDeque<DeskNote>) {
+        match note {
+            GaugeNote::Waited(span) => {
+                self.waited += span as f64;
+                self.waits += 1.0;
+                return;
+            }
+            GaugeNote::Ended { outcome: Outcome::Ok | Outcome::TimedOut, took } => {
+                // A time beyond the last bin counts in it.
+                let _beyond = self.took.increment(took.min((1 << 20) - 1));
+            }
+            GaugeNote::Ended { .. } => return,
+        }
+        self.since += 1;
+        if self.since >= WINDOW_OUTCOMES || now >= self.halved + WINDOW {
+            self.took.as_mut_slice().iter_mut().for_each(|bin| *bin = bin.div_ceil(2) - (*bin & 1));
+            self.waited /= 2.0;
+            self.waits /= 2.0;
+            self.since = 0;
+            self.halved = now;
+        }
+        if self.since.is_multiple_of(16) {
+            self.measure_again();
+            desk.push_back(DeskNote::Measure(self.measure));
+        }
+    }
+
+    fn measure_again(&mut self) {
+        let all: u64 = self.took.as_slice().iter().sum();
+        if all < 16 {
+            return;
+        }
+        let (mut below, mut quick, mut tp, mut p_tp) = (0, None, None, 1.0_f64);
+        for bin in &self.took {
+            below += bin.count();
+            let part = below as f64 / all as f64;
+            if quick.is_none() && part >= HOPELESS_PERCENTILE {
+                quick = Some(bin.start());
+            }
+            if part >= TP_PERCENTILE {
+                (tp, p_tp) = (Some(bin.end()), part);
+                break;
+            }
+        }
+        let missed = (1.0 - p_tp).max(1e-6);
+        self.measure = Measure {
+            tp: tp.unwrap_or(SECOND).max(1),
+            wait: if self.waits > 0.0 { (self.waited / self.waits) as Tenths } else { 0 },
+            needed: ((1.0 - RELIABILITY).ln() / missed.ln()).ceil().max(1.0) as u64,
+            quick: quick.unwrap_or(0),
+        };
+    }
+}
+
+/// One upstream as this balancer knows it.
+struct Upstream {
+    entry: Entry,
+    in_flight: u32,
+    cap: f64,
+    halved: Tenths,
+    answered: Tenths,
+    distrust: f64,
+    faded: Tenths,
+    /// Work posted of late while cold.
+    cold_work: VecDeque<(Tenths, f64)>,
+    cold_sum: f64,
+}
+
+/// What an upstream lets the desk know.
+#[derive(Clone)]
+struct Standing {
+    id: UpstreamId,
+    stage: Stage,
+    zone: u32,
+    cell: u32,
+    size: f64,
+    started: Option<Tenths>,
+    in_flight: u32,
+    cap: u32,
+    distrust: f64,
+    faded: Tenths,
+    cold_sum: f64,
+    order: u64,
+}
+
+fn fade(score: f64, span: Tenths) -> f64 {
+    score * (-(span as f64) / FADE as f64).exp2()
+}
+
+impl Upstream {
+    fn new(entry: &Entry) -> Self {
+        Upstream {
+            entry: Entry { started: None, stage: Stage::Gone, ..entry.clone() },
+            in_flight: 0,
+            cap: FIRST_CAP,
+            halved: 0,
+            answered: 0,
+            distrust: 0.0,
+            faded: 0,
+            cold_work: VecDeque::new(),
+            cold_sum: 0.0,
+        }
+    }
+
+    fn receive(&mut self, now: Tenths, note: UpstreamNote, terms: &Terms) {
+        self.distrust = fade(self.distrust, now.saturating_sub(self.faded));
+        self.faded = now;
+        while let Some(&(at, cost)) = self.cold_work.front().filter(|(at, _)| at + terms.cold.window <= now) {
+            debug_assert!(at <= now);
+            self.cold_work.pop_front();
+            self.cold_sum -= cost;
+        }
+        match note {
+            UpstreamNote::Listed(entry) => {
+                if entry.started.is_some_and(|at| at + terms.cold.warm_within > now)
+                    && entry.started != self.entry.started
+                {
+                    // A new process: what was known of the old one would send it too much too soon.
+                    self.cap = COLD_CAP;
+                    self.distrust = 0.0;
+                }
+                self.entry = entry;
+            }
+            UpstreamNote::Unlisted => self.entry.stage = Stage::Gone,
+            UpstreamNote::Posted { cost } => {
+                self.in_flight += 1;
+                if self.entry.started.is_some_and(|at| at + terms.cold.warm_within > now) {
+                    self.cold_work.push_back((now, cost));
+                    self.cold_sum += cost;
+                }
+            }
+            UpstreamNote::Ended { outcome, timely, sent } => {
+                self.in_flight = self.in_flight.saturating_sub(1);
+                match outcome {
+                    Outcome::Ok => {
+                        self.answered = now;
+                        self.distrust *= 0.7;
+                        if timely {
+                            self.cap = (self.cap + 1.0 / self.cap).min(LARGEST_CAP);
+                        }
+                    }
+                    Outcome::Full => self.halve(now, sent),
+                    Outcome::TimedOut => {
+                        self.halve(now, sent);
+                        self.doubt(1.0);
+                    }
+                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(1.0),
+                    Outcome::Cancelled | Outcome::Moot => {}
+                }
+            }
+            UpstreamNote::Overdue { sent } => {
+                self.halve(now, sent);
+                // Silent since that posting left: perhaps it takes txns and answers none.
+                if self.answered < sent {
+                    self.doubt(1.0);
+                }
+            }
+        }
+    }
+
+    /// Halves the cap once for all postings that were out together, against one pause counting many times.
+    fn halve(&mut self, now: Tenths, sent: Tenths) {
+        if sent >= self.halved {
+            self.cap = (self.cap / 2.0).max(1.0);
+            self.halved = now;
+        }
+    }
+
+    /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
+    fn doubt(&mut self, amount: f64) {
+        self.distrust = (self.distrust * 1.5 + amount).min(4.0 * BENCHED);
+    }
+
+    fn standing(&self) -> Standing {
+        Standing {
+            id: self.entry.upstream.clone(),
+            stage: self.entry.stage,
+            zone: self.entry.zone,
+            cell: self.entry.cell,
+            size: self.entry.size.max(0.01),
+            started: self.entry.started,
+            in_flight: self.in_flight,
+            cap: self.cap as u32,
+            distrust: self.distrust,
+            faded: self.faded,
+            cold_sum: self.cold_sum,
+            order: mix(self.entry.upstream.bytes().fold(0, |h, b| mix(h ^ u64::from(b)))),
+        }
+    }
+}
+
+/// Spreads the bits of a number; equal at every balancer, so that all draw the same order of upstreams.
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[derive(Clone, Copy, PartialEq)]
+struct Posting {
+    up: usize,
+    sent: Tenths,
+    out: bool,
+    may_have_run: bool,
+}
+
+struct Txn {
+    id: TxnId,
+    scheme: usize,
+    cost: f64,
+    key: Option<u64>,
+    heavy: bool,
+    arrived: Tenths,
+    deadline: Tenths,
+    expiry: Tenths,
+    rank: u64,
+    held: Option<Tenths>,
+    streaming: bool,
+    postings: Vec<Posting>,
+}
+
+impl Txn {
+    fn out(&self) -> bool {
+        self.postings.iter().any(|p| p.out)
+    }
+
+    fn never_ran(&self) -> bool {
+        self.postings.iter().all(|p| !p.out && !p.may_have_run)
+    }
+}
+
+/// What an alarm is for.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    /// The time left of a held txn has become too short.
+    LastChance,
+    Overdue(u32),
+}
+
+/// Holds the txns, and gives each its postings and its final answer.
+struct Desk {
+    terms: Rc<Terms>,
+    rng: WyRand,
+    measure: Measure,
+    board: Vec<Standing>,
+    /// Live upstreams in lane order, and how many of them make up the light lane.
+    lanes: Vec<usize>,
+    light: usize,
+    txns: BTreeMap<u64, Txn>,
+    numbers: HashMap<TxnId, u64>,
+    next: u64,
+    held: [BTreeSet<(Tenths, u64)>; 2],
+    by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
+    held_cost: f64,
+    alarms: BinaryHeap<Reverse<(Tenths, u64, Alarm)>>,
+    wake: Option<Tenths>,
+    costs: Histogram,
+    cost_sums: [f64; 2],
+    cost_count: u32,
+    median_cost: f64,
+    extra: f64,
+    flow: f64,
+    flow_at: Tenths,
+    best_flow: f64,
+    quotas: Vec<(f64, Tenths)>,
+}
+
+impl Desk {
+    fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
+        let quotas = terms.tenants.iter().map(|t| (t.quota / f64::from(terms.balancers.max(1)), 0)).collect();
+        Desk {
+            measure: Gauge::new(&terms).measure,
+            terms,
+            rng,
+            board: Vec::new(),
+            lanes: Vec::new(),
+            light: 0,
+            txns: BTreeMap::new(),
+            numbers: HashMap::new(),
+            next: 0,
+            held: Default::default(),
+            by_rank: BTreeSet::new(),
+            held_cost: 0.0,
+            alarms: BinaryHeap::new(),
+            wake: None,
+            costs: Histogram::new(3, 24).expect("the bins are fixed"),
+            cost_sums: [0.0; 2],
+            cost_count: 0,
+            median_cost: 0.0,
+            extra: EXTRA_SAVED,
+            flow: 0.0,
+            flow_at: 0,
+            best_flow: 0.0,
+            quotas,
+        }
+    }
+
+    fn receive(&mut self, now: Tenths, note: DeskNote, out: &mut Vec<Action>) {
+        match note {
+            DeskNote::Arrived(arrival) => self.arrive(now, arrival, out),
+            DeskNote::Ended { txn, posting, outcome, settled } => {
+                let Some(&number) = self.numbers.get(&txn) else {
+                    return;
+                };
+                if settled {
+                    self.settled(now, number, posting, outcome, out);
+                } else {
+                    self.failed(now, number, posting, outcome, out);
+                }
+            }
+            DeskNote::Streaming { txn, posting } => {
+                let Some(&number) = self.numbers.get(&txn) else {
+                    return;
+                };
+                self.unhold(number);
+                let Some(txn) = self.txns.get_mut(&number) else {
+                    return;
+                };
+                txn.streaming = true;
+                self.recall(number, Some(posting), out);
+            }
+            DeskNote::Left { txn } => {
+                if let Some(&number) = self.numbers.get(&txn) {
+                    self.close(number, out);
+                }
+            }
+            DeskNote::Standing(up, standing) => {
+                if up < self.board.len() {
+                    let moved =
+                        self.board[up].stage != standing.stage || self.board[up].size != standing.size;
+                    self.board[up] = standing;
+                    if moved {
+                        self.lay_lanes();
+                    }
+                } else {
+                    self.board.push(standing);
+                    self.lay_lanes();
+                }
+            }
+            DeskNote::Measure(measure) => self.measure = measure,
+        }
+    }
+
+    fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
+        let number = self.next;
+        self.next += 1;
+        let scheme_at = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
+        let scheme = &self.terms.schemes[scheme_at];
+        let mut value = scheme.value;
+        let deadline = now + scheme.sla.min(arrival.left);
+        let cost = arrival.cost.unwrap_or(1).max(1) as f64;
+        if self.over_share(now, arrival.tenant as usize) {
+            value *= self.terms.excess_value;
+        }
+        let heavy = self.weigh(cost);
+        let txn = Txn {
+            id: arrival.txn.clone(),
+            scheme: scheme_at,
+            cost,
+            key: arrival.key,
+            heavy,
+            arrived: now,
+            deadline,
+            expiry: now + arrival.left,
+            rank: value.max(0.0).to_bits(),
+            held: None,
+            streaming: false,
+            postings: Vec::new(),
+        };
+        self.numbers.insert(arrival.txn, number);
+        self.txns.insert(number, txn);
+        if self.lanes.is_empty() {
+            // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
+            return self.give_up(number, out);
+        }
+        self.hold(now, number);
+        self.shed(now, out);
+    }
+
+    /// A tenant's share of this balancer, as a bucket of one second.
+    fn over_share(&mut self, now: Tenths, tenant: usize) -> bool {
+        let quota = self.terms.tenants.get(tenant).map(|t| t.quota / f64::from(self.terms.balancers.max(1)));
+        let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else {
+            return false;
+        };
+        *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(quota.max(1.0));
+        *at = now;
+        let over = *left < 1.0;
+        if !over {
+            *left -= 1.0;
+        }
+        over
+    }
+
+    /// Notes the cost and tells whether it belongs to the heavy lane.
+    fn weigh(&mut self, cost: f64) -> bool {
+        let heavy = self.cost_count > 0 && cost > self.median_cost;
+        let _beyond = self.costs.increment((cost as u64).min((1 << 24) - 1));
+        self.cost_sums[usize::from(heavy)] += cost;
+        self.cost_count += 1;
+        if self.cost_count.is_power_of_two() || self.cost_count.is_multiple_of(256) {
+            if let Ok(Some(bin)) = self.costs.quantile_bucket(0.5) {
+                self.median_cost = bin.end() as f64;
+            }
+            self.lay_lanes();
+        }
+        if self.cost_count >= 2 * WINDOW_OUTCOMES {
+            self.costs.as_mut_slice().iter_mut().for_each(|bin| *bin /= 2);
+            self.cost_sums.iter_mut().for_each(|sum| *sum /= 2.0);
+            self.cost_count = WINDOW_OUTCOMES;
+        }
+        heavy
+    }
+
+    /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
+    fn lay_lanes(&mut self) {
+        let board = &self.board;
+        self.lanes = (0..board.len()).filter(|up| board[*up].stage == Stage::Live).collect();
+        self.lanes.sort_by_key(|up| board[*up].order);
+        let all: f64 = self.lanes.iter().map(|up| board[*up].size).sum();
+        let cost: f64 = self.cost_sums.iter().sum();
+        let mut part = if cost > 0.0 { all * self.cost_sums[0] / cost } else { all / 2.0 };
+        self.light = 0;
+        for up in &self.lanes {
+            if part < board[*up].size / 2.0 {
+                break;
+            }
+            part -= board[*up].size;
+            self.light += 1;
+        }
+        self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
+    }
+
+    /// The design's send-by time, and whether any slot is left before the deadline.
+    fn plan(&self, now: Tenths, deadline: Tenths) -> (Tenths, bool) {
+        let span = self.measure.wait + self.measure.tp;
+        let slots = deadline.saturating_sub(now) / span;
+        let tries = slots.min(self.measure.needed);
+        let early = if tries == 0 { self.measure.tp } else { tries * span };
+        (deadline.saturating_sub(early), slots > 0)
+    }
+
+    fn hold(&mut self, now: Tenths, number: u64) {
+        let deadline = self.txns[&number].deadline;
+        let (send_by, _) = self.plan(now, deadline);
+        let last = deadline.saturating_sub(self.measure.quick).max(now + 1);
+        let Some(txn) = self.txns.get_mut(&number) else {
+            return;
+        };
+        txn.held = Some(send_by);
+        self.held[usize::from(txn.heavy)].insert((send_by, number));
+        self.by_rank.insert((txn.rank, Reverse(send_by), number));
+        self.held_cost += txn.cost;
+        self.alarms.push(Reverse((last, number, Alarm::LastChance)));
+    }
+
+    fn unhold(&mut self, number: u64) {
+        let Some(txn) = self.txns.get_mut(&number) else {
+            return;
+        };
+        let Some(send_by) = txn.held.take() else { return };
+        self.held[usize::from(txn.heavy)].remove(&(send_by, number));
+        self.by_rank.remove(&(txn.rank, Reverse(send_by), number));
+        self.held_cost -= txn.cost;
+    }
+
+    /// In a jam the txns of least value give way, at once rather than at the end of a hopeless wait.
+    fn shed(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        while let Some(&(_, _, number)) = self.by_rank.first() {
+            let txn = &self.txns[&number];
+            let wait = self.held_cost / self.best_flow.max(1e-9);
+            let slack = txn.deadline.saturating_sub(self.measure.tp).saturating_sub(now);
+            if self.best_flow == 0.0 || wait <= slack as f64 || self.by_rank.len() < 4 {
+                return;
+            }
+            if txn.out() {
+                self.unhold(number);
+            } else {
+                self.give_up(number, out);
+            }
+        }
+    }
+
+    /// One posting, or one txn given up; false when nothing more can leave.
+    fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
+        let heads = [self.held[0].first().copied(), self.held[1].first().copied()];
+        let mut heads: Vec<(Tenths, u64)> = heads.into_iter().flatten().collect();
+        heads.sort_unstable();
+        for (_, number) in heads {
+            if self.lanes.is_empty() {
+                if self.txns[&number].out() {
+                    self.unhold(number)
+                } else {
+                    self.give_up(number, out)
+                }
+                return true;
+            }
+            if let Some(up) = self.pick(now, number) {
+                self.unhold(number);
+                self.post(now, number, up, inboxes, out);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The lesser loaded of two random upstreams of the lane that are under their caps.
+    fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
+        let txn = &self.txns[&number];
+        let split = self.light.min(self.lanes.len());
+        let (mut own, mut other) = self.lanes.split_at(split);
+        if txn.heavy && !other.is_empty() {
+            (own, other) = (other, own);
+        }
+        let scheme = &self.terms.schemes[txn.scheme];
+        let pinned = match scheme.effect {
+            Effect::Referenced { scope, memory } => {
+                let first = txn.postings.iter().find(|p| p.out || p.may_have_run);
+                if first.is_some_and(|p| p.sent + memory <= now + 1) {
+                    return None;
+                }
+                first.map(|p| (scope, &self.board[p.up]))
+            }
+            Effect::Repeatable | Effect::OnceOnly => None,
+        };
+        let flow = self.flow_by_size();
+        let fit = |up: &usize, careful: bool| {
+            let s = &self.board[*up];
+            let distrust = fade(s.distrust, now.saturating_sub(s.faded));
+            let cap = if careful && distrust >= DOUBT { 1 } else { s.cap };
+            let in_group = pinned.is_none_or(|(scope, first)| match scope {
+                Scope::All => true,
+                Scope::Zone => first.zone == s.zone,
+                Scope::Cell => first.cell == s.cell,
+            });
+            in_group
+                && s.in_flight < cap
+                && !(careful && distrust >= BENCHED)
+                && !(careful && distrust >= DOUBT && scheme.effect == Effect::OnceOnly)
+                && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
+                && self.cold_room(now, s, txn.cost, flow)
+        };
+        let mut fitting: Vec<usize> = own.iter().copied().filter(|up| fit(up, true)).collect();
+        if fitting.is_empty() {
+            fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
+        }
+        if fitting.is_empty() {
+            let trusted =
+                |up: &&usize| fade(self.board[**up].distrust, now - self.board[**up].faded) < BENCHED;
+            if self.lanes.iter().any(|up| trusted(&up)) {
+                return None;
+            }
+            // All look bad: the fault may be ours, and traffic still has to flow.
+            fitting.extend(self.lanes.iter().copied().filter(|up| fit(up, false)));
+        }
+        let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
+            (0, _) => return None,
+            (1, _) => (fitting[0], fitting[0]),
+            // The key draws the two in place of chance, the same two at every balancer: they know the key.
+            (_, Some(key)) => {
+                fitting.sort_unstable_by_key(|up| mix(key ^ self.board[*up].order));
+                (fitting[0], fitting[1])
+            }
+            (n, None) => {
+                let a = self.rng.generate_range(0..n);
+                (fitting[a], fitting[(a + self.rng.generate_range(1..n)) % n])
+            }
+        };
+        Some(if self.load(now, b) < self.load(now, a) { b } else { a })
+    }
+
+    fn load(&self, now: Tenths, up: usize) -> f64 {
+        let s = &self.board[up];
+        let distrust = fade(s.distrust, now.saturating_sub(s.faded));
+        let away = if s.zone == self.terms.own_zone { 0.0 } else { 1.0 };
+        (f64::from(s.in_flight) + 1.0 + away) / s.size * (1.0 + distrust)
+    }
+
+    /// Settled cost a tenth, by unit of size of the live upstreams.
+    fn flow_by_size(&self) -> f64 {
+        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size).sum();
+        self.best_flow / size.max(0.01)
+    }
+
+    /// A cold upstream may get its part of what warm ones are seen to bear, in every window of the rule: a burst
+    /// right after its start would push it over though the rate looks harmless later.
+    fn cold_room(&self, now: Tenths, s: &Standing, cost: f64, flow: f64) -> bool {
+        let cold = &self.terms.cold;
+        let Some(age) = s.started.map(|at| now.saturating_sub(at)).filter(|age| *age < cold.warm_within)
+        else {
+            return true;
+        };
+        let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
+        let budget = COLD_MARGIN * cold.multiple * share * flow * s.size * cold.window as f64;
+        s.cold_sum == 0.0 || s.cold_sum + cost <= budget
+    }
+
+    fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
+        let deadline = self.txns[&number].deadline;
+        let (_, slot) = self.plan(now, deadline);
+        let tp = self.measure.tp;
+        let Some(txn) = self.txns.get_mut(&number) else {
+            return;
+        };
+        let repeatable = self.terms.schemes[txn.scheme].effect == Effect::Repeatable;
+        let first = txn.postings.is_empty();
+        if first {
+            inboxes.gauge.push_back(GaugeNote::Waited(now - txn.arrived));
+        } else if txn.out() {
+            self.extra -= 1.0;
+        }
+        // Where two may not be out together, the first ends at tp to make room for the next.
+        let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
+        let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(tp);
+        let posting = txn.postings.len() as u32;
+        txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
+        out.push(Action::Post { txn: txn.id.clone(), upstream: self.board[up].id.clone(), timeout });
+        inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
+        self.alarms.push(Reverse((now + tp, number, Alarm::Overdue(posting))));
+        if first && !slot && now < deadline {
+            self.copy(now, number);
+        }
+    }
+
+    /// Holds a txn for a further posting while one is out; only as many as what settled in time pays for,
+    /// against copies that feed the slowdown they were meant to hide.
+    fn copy(&mut self, now: Tenths, number: u64) {
+        let txn = &self.txns[&number];
+        let repeatable = match self.terms.schemes[txn.scheme].effect {
+            Effect::Repeatable | Effect::Referenced { .. } => true,
+            Effect::OnceOnly => false,
+        };
+        let left = txn.postings.len() < self.terms.max_postings as usize;
+        if repeatable
+            && left
+            && self.terms.second_copies
+            && txn.held.is_none()
+            && self.extra >= 1.0
+            && !txn.streaming
+        {
+            self.hold(now, number);
+        }
+    }
+
+    fn settled(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(txn) = self.txns.get_mut(&number) else {
+            return;
+        };
+        if let Some(p) = txn.postings.get_mut(posting as usize) {
+            p.out = false;
+        }
+        if outcome == Outcome::Ok {
+            let (cost, in_time) = (txn.cost, now <= txn.deadline);
+            if in_time {
+                self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_SAVED);
+            }
+            let span = (now - self.flow_at) as f64;
+            self.flow = self.flow * (-span / SECOND as f64).exp() + cost / SECOND as f64;
+            self.best_flow = (self.best_flow * (-span / (10 * SECOND) as f64).exp()).max(self.flow);
+            self.flow_at = now;
+        }
+        self.close(number, out);
+    }
+
+    fn failed(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(txn) = self.txns.get_mut(&number) else {
+            return;
+        };
+        if let Some(p) = txn.postings.get_mut(posting as usize) {
+            p.out = false;
+            p.may_have_run = !outcome.never_ran();
+        }
+        if txn.held.is_some() || txn.out() {
+            return;
+        }
+        let may_repeat = match self.terms.schemes[txn.scheme].effect {
+            Effect::Repeatable | Effect::Referenced { .. } => true,
+            Effect::OnceOnly => txn.never_ran(),
+        };
+        let time_left = now + self.measure.quick < txn.deadline;
+        if may_repeat && time_left && txn.postings.len() < self.terms.max_postings as usize {
+            self.hold(now, number);
+        } else {
+            self.give_up(number, out);
+        }
+    }
+
+    /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
+    fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
+        let txn = &self.txns[&number];
+        let may_decline = match self.terms.schemes[txn.scheme].effect {
+            Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
+            Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
+        };
+        let id = txn.id.clone();
+        let longest = self.terms.cool_down;
+        out.push(if may_decline {
+            // Apart from each other, against all those declined coming back in one wave.
+            let cool_down = longest.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
+            Action::Decline { txn: id, cool_down }
+        } else {
+            Action::Reverse { txn: id }
+        });
+        self.close(number, out);
+    }
+
+    fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
+        let Some(txn) = self.txns.get(&number).filter(|_| self.terms.cancelling) else {
+            return;
+        };
+        let outs = (0u32..).zip(&txn.postings).filter(|(posting, p)| p.out && Some(*posting) != keep);
+        out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
+    }
+
+    fn close(&mut self, number: u64, out: &mut Vec<Action>) {
+        self.unhold(number);
+        self.recall(number, None, out);
+        if let Some(txn) = self.txns.remove(&number) {
+            self.numbers.remove(&txn.id);
+        }
+    }
+
+    fn ring(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
+        while let Some(&Reverse((at, number, alarm))) = self.alarms.peek() {
+            if at > now {
+                return;
+            }
+            self.alarms.pop();
+            let Some(txn) = self.txns.get_mut(&number) else {
+                continue;
+            };
+            match alarm {
+                Alarm::LastChance if txn.held.is_some() => {
+                    let late_value = self.terms.schemes[txn.scheme].late_value;
+                    if now + self.measure.quick < txn.deadline {
+                        let last = txn.deadline.saturating_sub(self.measure.quick).max(now + 1);
+                        self.alarms.push(Reverse((last, number, alarm)));
+                    } else if txn.out() {
+                        self.unhold(number);
+                    } else if late_value > 0.0 && txn.deadline < txn.expiry {
+                        // Too late for the SLA time but worth something until the expiry: behind all others.
+                        let rank = (f64::from_bits(txn.rank) * late_value).to_bits();
+                        let expiry = txn.expiry;
+                        self.unhold(number);
+                        if let Some(txn) = self.txns.get_mut(&number) {
+                            (txn.rank, txn.deadline) = (rank, expiry);
+                        }
+                        self.hold(now, number);
+                    } else {
+                        self.give_up(number, out);
+                    }
+                }
+                Alarm::Overdue(posting) => {
+                    let Some(p) = txn.postings.get(posting as usize).filter(|p| p.out).copied() else {
+                        continue;
+                    };
+                    if txn.streaming {
+                        continue;
+                    }
+                    inboxes.upstream(p.up, UpstreamNote::Overdue { sent: p.sent });
+                    if now + self.measure.quick < txn.deadline {
+                        self.copy(now, number);
+                    }
+                }
+                Alarm::LastChance => {}
+            }
+        }
+    }
+
+    fn woke(&mut self, now: Tenths) {
+        self.wake = self.wake.filter(|at| *at > now);
+    }
+
+    fn set_wake(&mut self, now: Tenths, ask_at: Option<Tenths>, out: &mut Vec<Action>) {
+        let alarm = self.alarms.peek().map(|Reverse((at, ..))| *at);
+        let Some(next) = alarm.into_iter().chain(ask_at).min() else {
+            return;
+        };
+        if self.wake.is_none_or(|at| next < at) {
+            self.wake = Some(next);
+            out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
+        }
+    }
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,128 @@
+use std::rc::Rc;
+
+use crate::Tenths;
+
+pub type TxnId = Rc<str>;
+pub type UpstreamId = Rc<str>;
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Listed(Listing),
+    Arrived(Arrival),
+    /// The answer of a streamed txn has begun: the posting belongs to the client from here on.
+    Streaming {
+        txn: TxnId,
+        posting: u32,
+        upstream: UpstreamId,
+        took: Tenths,
+    },
+    Ended {
+        txn: TxnId,
+        posting: u32,
+        upstream: UpstreamId,
+        outcome: Outcome,
+        took: Tenths,
+        /// The txn has had its final answer, by this outcome or earlier.
+        settled: bool,
+        load: Load,
+    },
+    /// The client has left; nothing is owed any more.
+    Left {
+        txn: TxnId,
+    },
+    Probed {
+        upstream: UpstreamId,
+        outcome: Outcome,
+        took: Tenths,
+        load: Load,
+    },
+    Woke {
+        token: String,
+    },
+    Heard {
+        peer: u32,
+        note: Vec<u8>,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub txn: TxnId,
+    pub scheme: u32,
+    pub tenant: u32,
+    pub key: Option<u64>,
+    pub left: Tenths,
+    /// The expected work, in time of a standard core.
+    pub cost: Option<Tenths>,
+    pub repeat: bool,
+    pub write: bool,
+}
+
+#[derive(Clone, Debug)]
+pub enum Listing {
+    Changes(Rc<[Entry]>),
+    Whole(Rc<[Entry]>),
+    /// The list as this balancer last held it before its start; it may be old.
+    Remembered(Rc<[Entry]>),
+    /// An ask failed or a watch broke; the last list stays in force.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub upstream: UpstreamId,
+    pub cell: u32,
+    pub started: Option<Tenths>,
+    pub size: f64,
+    pub zone: u32,
+    pub stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Live,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the posting is known never to have run.
+    pub const fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What an upstream says of itself; late and noisy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub held: Option<f64>,
+    /// Its recent time of service, waiting left out.
+    pub service: Option<Tenths>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Post { txn: TxnId, upstream: UpstreamId, timeout: Option<Tenths> },
+    Probe { upstream: UpstreamId },
+    Tell { peer: Option<u32>, note: Vec<u8> },
+    Watch { on: bool },
+    Refetch,
+    Recall { txn: TxnId, posting: u32 },
+    Reverse { txn: TxnId },
+    Decline { txn: TxnId, cool_down: Option<Tenths> },
+    CloseIdle { upstream: UpstreamId },
+    Log { text: String },
+    Wake { token: &'static str, after: Tenths },
+}
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,64 @@
+use crate::Tenths;
+
+/// What a balancer is told once, at its start. Only what the decisions read is here.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub balancers: u32,
+    pub own_zone: u32,
+    pub must_ask: bool,
+    pub schemes: Vec<Scheme>,
+    pub tenants: Vec<Tenant>,
+    /// The value of a txn beyond its tenant's share, as a fraction.
+    pub excess_value: f64,
+    /// An upstream that met a key lately has less work with it.
+    pub warm_keys: bool,
+    pub max_postings: u32,
+    pub second_copies: bool,
+    pub cancelling: bool,
+    /// The longest cool-down that clients heed; none where no advice is passed on.
+    pub cool_down: Option<Tenths>,
+    pub cold: ColdTerms,
+}
+
+#[derive(Clone, Debug)]
+pub struct Scheme {
+    pub sla: Tenths,
+    pub expiry: Tenths,
+    pub late_value: f64,
+    pub value: f64,
+    pub effect: Effect,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// A repeat is dropped inside the scope for as long as the mark is remembered.
+    Referenced {
+        scope: Scope,
+        memory: Tenths,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Txns a second within its share, over all balancers.
+    pub quota: f64,
+}
+
+/// A cold upstream falls over when all balancers together send it more than `multiple` of its present
+/// capacity for `window`.
+#[derive(Clone, Debug)]
+pub struct ColdTerms {
+    pub share: f64,
+    pub warm_within: Tenths,
+    pub multiple: f64,
+    pub window: Tenths,
+}
