Caps judged by pace against the best seen, with floors split over the balancers

A cap now grows only while answers come near the best pace per cost, halves when they come slower than thrice that, and may fall below one so that all balancers together stay near one for each upstream.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -35,6 +35,15 @@
 const FIRST_CAP: f64 = 4.0;
 const COLD_CAP: f64 = 1.0;
 const LARGEST_CAP: f64 = 64.0;
+/// Caps may fall below one: together they bound what is out, so that many balancers don't crowd few upstreams.
+const SMALLEST_CAP: f64 = 1.0;
+const GROWTH: f64 = 0.5;
+/// Times the best pace: below the first a cap may grow, above the second it is halved.
+const EASY: f64 = 2.0;
+const CROWDED: f64 = 3.0;
+const PACE_ANSWERS: f64 = 8.0;
+const BEST_DRIFT: f64 = 1.001;
+const REST_PACE: f64 = 2.5;
 
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
 const FADE: Tenths = 4 * SECOND;
@@ -48,6 +57,13 @@
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.5;
 
+impl Terms {
+    /// This balancer's part of a figure that all balancers together should keep to.
+    fn part(&self, whole: f64) -> f64 {
+        whole / f64::from(self.balancers.max(1))
+    }
+}
+
 pub struct Balancer {
     inboxes: Inboxes,
     desk: Desk,
@@ -92,10 +108,8 @@
                 let Some(&up) = self.names.get(&upstream) else {
                     return;
                 };
-                let timely = took <= self.desk.measure.tp;
-                inboxes.upstream(up, UpstreamNote::Ended { outcome, timely, sent: now.saturating_sub(took) });
                 inboxes.gauge.push_back(GaugeNote::Ended { outcome, took });
-                inboxes.desk.push_back(DeskNote::Ended { txn, posting, outcome, settled });
+                inboxes.desk.push_back(DeskNote::Ended { txn, posting, up, outcome, took, settled });
             }
             Event::Streaming { txn, posting, .. } => {
                 inboxes.desk.push_back(DeskNote::Streaming { txn, posting })
@@ -120,7 +134,7 @@
         let mut named = vec![!whole; self.upstreams.len()];
         for entry in entries.iter() {
             let up = *self.names.entry(entry.upstream.clone()).or_insert_with(|| {
-                self.upstreams.push(Upstream::new(entry));
+                self.upstreams.push(Upstream::new(entry, &self.desk.terms));
                 self.inboxes.upstreams.push(VecDeque::new());
                 named.push(true);
                 self.upstreams.len() - 1
@@ -146,7 +160,7 @@
             } else if let Some(note) = inboxes.gauge.pop_front() {
                 self.gauge.receive(now, note, &mut inboxes.desk);
             } else if let Some(note) = inboxes.desk.pop_front() {
-                self.desk.receive(now, note, out);
+                self.desk.receive(now, note, inboxes, out);
             } else {
                 return;
             }
@@ -175,7 +189,7 @@
     Listed(Entry),
     Unlisted,
     Posted { cost: f64 },
-    Ended { outcome: Outcome, timely: bool, sent: Tenths },
+    Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths },
     Overdue { sent: Tenths },
 }
 
@@ -186,7 +200,7 @@
 
 enum DeskNote {
     Arrived(Arrival),
-    Ended { txn: TxnId, posting: u32, outcome: Outcome, settled: bool },
+    Ended { txn: TxnId, posting: u32, up: usize, outcome: Outcome, took: Tenths, settled: bool },
     Streaming { txn: TxnId, posting: u32 },
     Left { txn: TxnId },
     Standing(usize, Standing),
@@ -314,6 +328,10 @@
     cap: f64,
     halved: Tenths,
     answered: Tenths,
+    took: f64,
+    cost: f64,
+    answers: f64,
+    best_pace: f64,
     distrust: f64,
     faded: Tenths,
     /// Work posted of late while cold.
@@ -331,7 +349,7 @@
     size: f64,
     started: Option<Tenths>,
     in_flight: u32,
-    cap: u32,
+    cap: f64,
     distrust: f64,
     faded: Tenths,
     cold_sum: f64,
@@ -343,13 +361,17 @@
 }
 
 impl Upstream {
-    fn new(entry: &Entry) -> Self {
+    fn new(entry: &Entry, terms: &Terms) -> Self {
         Upstream {
             entry: Entry { started: None, stage: Stage::Gone, ..entry.clone() },
             in_flight: 0,
-            cap: FIRST_CAP,
+            cap: terms.part(FIRST_CAP),
             halved: 0,
             answered: 0,
+            took: 0.0,
+            cost: 0.0,
+            answers: 0.0,
+            best_pace: f64::INFINITY,
             distrust: 0.0,
             faded: 0,
             cold_work: VecDeque::new(),
@@ -384,19 +406,26 @@
                     self.cold_sum += cost;
                 }
             }
-            UpstreamNote::Ended { outcome, timely, sent } => {
+            UpstreamNote::Ended { outcome, took, cost, tp } => {
+                let sent = now.saturating_sub(took);
                 self.in_flight = self.in_flight.saturating_sub(1);
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
                         self.distrust *= 0.7;
-                        if timely {
-                            self.cap = (self.cap + 1.0 / self.cap).min(LARGEST_CAP);
+                        let crowding = self.crowding(took, cost);
+                        if crowding > CROWDED {
+                            self.halve(now, sent, terms);
+                        } else if took <= tp
+                            && crowding < EASY
+                            && f64::from(self.in_flight) + 1.0 >= self.cap / 2.0
+                        {
+                            self.cap = (self.cap + GROWTH / self.cap.max(1.0)).min(LARGEST_CAP);
                         }
                     }
-                    Outcome::Full => self.halve(now, sent),
+                    Outcome::Full => self.halve(now, sent, terms),
                     Outcome::TimedOut => {
-                        self.halve(now, sent);
+                        self.halve(now, sent, terms);
                         self.doubt(1.0);
                     }
                     Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(1.0),
@@ -404,7 +433,7 @@
                 }
             }
             UpstreamNote::Overdue { sent } => {
-                self.halve(now, sent);
+                self.halve(now, sent, terms);
                 // Silent since that posting left: perhaps it takes txns and answers none.
                 if self.answered < sent {
                     self.doubt(1.0);
@@ -413,10 +442,26 @@
         }
     }
 
+    /// How much longer than at its best this upstream takes for a unit of cost, as a mean of its last answers.
+    fn crowding(&mut self, took: Tenths, cost: f64) -> f64 {
+        self.answers = (self.answers + 1.0).min(PACE_ANSWERS);
+        self.took += (took as f64 - self.took) / self.answers;
+        self.cost += (cost - self.cost) / self.answers;
+        let pace = self.took / self.cost.max(1e-9);
+        // Costs are in time of a standard core: one never seen at rest must not take a jam for its best.
+        let rest = if cost > 1.0 { REST_PACE } else { f64::INFINITY };
+        let best = if self.answers < PACE_ANSWERS { f64::INFINITY } else { pace };
+        self.best_pace = (self.best_pace * BEST_DRIFT).min(best).min(rest);
+        if self.best_pace.is_infinite() {
+            return 1.0;
+        }
+        pace / self.best_pace
+    }
+
     /// Halves the cap once for all postings that were out together, against one pause counting many times.
-    fn halve(&mut self, now: Tenths, sent: Tenths) {
+    fn halve(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
         if sent >= self.halved {
-            self.cap = (self.cap / 2.0).max(1.0);
+            self.cap = (self.cap / 2.0).max(terms.part(SMALLEST_CAP));
             self.halved = now;
         }
     }
@@ -435,7 +480,7 @@
             size: self.entry.size.max(0.01),
             started: self.entry.started,
             in_flight: self.in_flight,
-            cap: self.cap as u32,
+            cap: self.cap,
             distrust: self.distrust,
             faded: self.faded,
             cold_sum: self.cold_sum,
@@ -522,7 +567,7 @@
 
 impl Desk {
     fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
-        let quotas = terms.tenants.iter().map(|t| (t.quota / f64::from(terms.balancers.max(1)), 0)).collect();
+        let quotas = terms.tenants.iter().map(|t| (terms.part(t.quota), 0)).collect();
         Desk {
             measure: Gauge::new(&terms).measure,
             terms,
@@ -550,13 +595,14 @@
         }
     }
 
-    fn receive(&mut self, now: Tenths, note: DeskNote, out: &mut Vec<Action>) {
+    fn receive(&mut self, now: Tenths, note: DeskNote, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
         match note {
             DeskNote::Arrived(arrival) => self.arrive(now, arrival, out),
-            DeskNote::Ended { txn, posting, outcome, settled } => {
-                let Some(&number) = self.numbers.get(&txn) else {
-                    return;
-                };
+            DeskNote::Ended { txn, posting, up, outcome, took, settled } => {
+                let number = self.numbers.get(&txn).copied();
+                let cost = number.and_then(|n| self.txns.get(&n)).map_or(self.mean_cost(), |t| t.cost);
+                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp });
+                let Some(number) = number else { return };
                 if settled {
                     self.settled(now, number, posting, outcome, out);
                 } else {
@@ -634,7 +680,7 @@
 
     /// A tenant's share of this balancer, as a bucket of one second.
     fn over_share(&mut self, now: Tenths, tenant: usize) -> bool {
-        let quota = self.terms.tenants.get(tenant).map(|t| t.quota / f64::from(self.terms.balancers.max(1)));
+        let quota = self.terms.tenants.get(tenant).map(|t| self.terms.part(t.quota));
         let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else {
             return false;
         };
@@ -667,6 +713,10 @@
         heavy
     }
 
+    fn mean_cost(&self) -> f64 {
+        self.cost_sums.iter().sum::<f64>() / f64::from(self.cost_count.max(1))
+    }
+
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
     fn lay_lanes(&mut self) {
         let board = &self.board;
@@ -779,10 +829,18 @@
             Effect::Repeatable | Effect::OnceOnly => None,
         };
         let flow = self.flow_by_size();
+        let sums = self
+            .lanes
+            .iter()
+            .map(|up| &self.board[*up])
+            .fold((0.0, 0.0), |(cap, out), s| (cap + s.cap, out + f64::from(s.in_flight)));
+        if sums.1 > 0.0 && sums.1 + 1.0 > sums.0 {
+            return None;
+        }
         let fit = |up: &usize, careful: bool| {
             let s = &self.board[*up];
             let distrust = fade(s.distrust, now.saturating_sub(s.faded));
-            let cap = if careful && distrust >= DOUBT { 1 } else { s.cap };
+            let cap = if careful && distrust >= DOUBT { 1 } else { s.cap.ceil() as u32 };
             let in_group = pinned.is_none_or(|(scope, first)| match scope {
                 Scope::All => true,
                 Scope::Zone => first.zone == s.zone,
