--- a/src/balance.rs
+++ b/src/balance.rs
@@ -105,9 +105,7 @@
         match event {
             Event::Arrived(arrival) => inboxes.desk.push_back(DeskNote::Arrived(arrival)),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
-                let Some(&up) = self.names.get(&upstream) else {
-                    return;
-                };
+                let Some(&up) = self.names.get(&upstream) else { return };
                 inboxes.gauge.push_back(GaugeNote::Ended { outcome, took });
                 inboxes.desk.push_back(DeskNote::Ended { txn, posting, up, outcome, took, settled });
             }
@@ -155,8 +153,7 @@
                 while let Some(note) = inboxes.upstreams[up].pop_front() {
                     self.upstreams[up].receive(now, note, &self.desk.terms);
                 }
-                let standing = self.upstreams[up].standing();
-                inboxes.desk.push_back(DeskNote::Standing(up, standing));
+                inboxes.desk.push_back(DeskNote::Standing(up, self.upstreams[up].shown.clone()));
             } else if let Some(note) = inboxes.gauge.pop_front() {
                 self.gauge.receive(now, note, &mut inboxes.desk);
             } else if let Some(note) = inboxes.desk.pop_front() {
@@ -323,104 +320,95 @@
 
 /// One upstream as this balancer knows it.
 struct Upstream {
-    entry: Entry,
-    in_flight: u32,
-    cap: f64,
+    shown: Standing,
     halved: Tenths,
     answered: Tenths,
     took: f64,
     cost: f64,
     answers: f64,
     best_pace: f64,
-    distrust: f64,
-    faded: Tenths,
     /// Work posted of late while cold.
     cold_work: VecDeque<(Tenths, f64)>,
-    cold_sum: f64,
 }
 
 /// What an upstream lets the desk know.
 #[derive(Clone)]
 struct Standing {
-    id: UpstreamId,
-    stage: Stage,
-    zone: u32,
-    cell: u32,
-    size: f64,
-    started: Option<Tenths>,
+    entry: Entry,
+    /// Its place in the order of the lanes, alike at every balancer.
+    order: u64,
     in_flight: u32,
     cap: f64,
     distrust: f64,
     faded: Tenths,
     cold_sum: f64,
-    order: u64,
 }
 
-fn fade(score: f64, span: Tenths) -> f64 {
-    score * (-(span as f64) / FADE as f64).exp2()
+impl Standing {
+    fn distrust(&self, now: Tenths) -> f64 {
+        self.distrust * (-(now.saturating_sub(self.faded) as f64) / FADE as f64).exp2()
+    }
+
+    fn size(&self) -> f64 {
+        self.entry.size.max(0.01)
+    }
+
+    /// How long ago it started, while it may still be cold.
+    fn cold_age(&self, now: Tenths, terms: &Terms) -> Option<Tenths> {
+        self.entry.started.map(|at| now.saturating_sub(at)).filter(|age| *age < terms.cold.warm_within)
+    }
 }
 
 impl Upstream {
     fn new(entry: &Entry, terms: &Terms) -> Self {
-        Upstream {
-            entry: Entry { started: None, stage: Stage::Gone, ..entry.clone() },
-            in_flight: 0,
-            cap: terms.part(FIRST_CAP),
-            halved: 0,
-            answered: 0,
-            took: 0.0,
-            cost: 0.0,
-            answers: 0.0,
-            best_pace: f64::INFINITY,
-            distrust: 0.0,
-            faded: 0,
-            cold_work: VecDeque::new(),
-            cold_sum: 0.0,
-        }
+        let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        let (cap, entry) =
+            (terms.part(FIRST_CAP), Entry { started: None, stage: Stage::Gone, ..entry.clone() });
+        let shown = Standing { entry, order, in_flight: 0, cap, distrust: 0.0, faded: 0, cold_sum: 0.0 };
+        let (halved, answered, took, cost, answers) = (0, 0, 0.0, 0.0, 0.0);
+        let cold_work = VecDeque::new();
+        Upstream { shown, halved, answered, took, cost, answers, best_pace: f64::INFINITY, cold_work }
     }
 
     fn receive(&mut self, now: Tenths, note: UpstreamNote, terms: &Terms) {
-        self.distrust = fade(self.distrust, now.saturating_sub(self.faded));
-        self.faded = now;
-        while let Some(&(at, cost)) = self.cold_work.front().filter(|(at, _)| at + terms.cold.window <= now) {
-            debug_assert!(at <= now);
+        (self.shown.distrust, self.shown.faded) = (self.shown.distrust(now), now);
+        while let Some(&(_, cost)) = self.cold_work.front().filter(|(at, _)| at + terms.cold.window <= now) {
             self.cold_work.pop_front();
-            self.cold_sum -= cost;
+            self.shown.cold_sum -= cost;
         }
         match note {
             UpstreamNote::Listed(entry) => {
-                if entry.started.is_some_and(|at| at + terms.cold.warm_within > now)
-                    && entry.started != self.entry.started
-                {
+                let known = std::mem::replace(&mut self.shown.entry, entry);
+                if self.shown.cold_age(now, terms).is_some() && self.shown.entry.started != known.started {
                     // A new process: what was known of the old one would send it too much too soon.
-                    self.cap = COLD_CAP;
-                    self.distrust = 0.0;
+                    self.shown.cap = COLD_CAP;
+                    self.shown.distrust = 0.0;
                 }
-                self.entry = entry;
             }
-            UpstreamNote::Unlisted => self.entry.stage = Stage::Gone,
+            UpstreamNote::Unlisted => self.shown.entry.stage = Stage::Gone,
             UpstreamNote::Posted { cost } => {
-                self.in_flight += 1;
-                if self.entry.started.is_some_and(|at| at + terms.cold.warm_within > now) {
+                self.shown.in_flight += 1;
+                if self.shown.cold_age(now, terms).is_some() {
                     self.cold_work.push_back((now, cost));
-                    self.cold_sum += cost;
+                    self.shown.cold_sum += cost;
                 }
             }
             UpstreamNote::Ended { outcome, took, cost, tp } => {
                 let sent = now.saturating_sub(took);
-                self.in_flight = self.in_flight.saturating_sub(1);
+                self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
-                        self.distrust *= 0.7;
+                        self.shown.distrust *= 0.7;
                         let crowding = self.crowding(took, cost);
                         if crowding > CROWDED {
                             self.halve(now, sent, terms);
                         } else if took <= tp
                             && crowding < EASY
-                            && f64::from(self.in_flight) + 1.0 >= self.cap / 2.0
+                            && f64::from(self.shown.in_flight) + 1.0 >= self.shown.cap / 2.0
                         {
-                            self.cap = (self.cap + GROWTH / self.cap.max(1.0)).min(LARGEST_CAP);
+                            self.shown.cap =
+                                (self.shown.cap + GROWTH / self.shown.cap.max(1.0)).min(LARGEST_CAP);
                         }
                     }
                     Outcome::Full => self.halve(now, sent, terms),
@@ -461,31 +449,14 @@
     /// Halves the cap once for all postings that were out together, against one pause counting many times.
     fn halve(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
         if sent >= self.halved {
-            self.cap = (self.cap / 2.0).max(terms.part(SMALLEST_CAP));
+            self.shown.cap = (self.shown.cap / 2.0).max(terms.part(SMALLEST_CAP));
             self.halved = now;
         }
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
     fn doubt(&mut self, amount: f64) {
-        self.distrust = (self.distrust * 1.5 + amount).min(4.0 * BENCHED);
-    }
-
-    fn standing(&self) -> Standing {
-        Standing {
-            id: self.entry.upstream.clone(),
-            stage: self.entry.stage,
-            zone: self.entry.zone,
-            cell: self.entry.cell,
-            size: self.entry.size.max(0.01),
-            started: self.entry.started,
-            in_flight: self.in_flight,
-            cap: self.cap,
-            distrust: self.distrust,
-            faded: self.faded,
-            cold_sum: self.cold_sum,
-            order: mix(self.entry.upstream.bytes().fold(0, |h, b| mix(h ^ u64::from(b)))),
-        }
+        self.shown.distrust = (self.shown.distrust * 1.5 + amount).min(4.0 * BENCHED);
     }
 }
 
@@ -610,15 +581,12 @@
                 }
             }
             DeskNote::Streaming { txn, posting } => {
-                let Some(&number) = self.numbers.get(&txn) else {
-                    return;
-                };
+                let Some(&number) = self.numbers.get(&txn) else { return };
                 self.unhold(number);
-                let Some(txn) = self.txns.get_mut(&number) else {
-                    return;
-                };
-                txn.streaming = true;
-                self.recall(number, Some(posting), out);
+                if let Some(txn) = self.txns.get_mut(&number) {
+                    txn.streaming = true;
+                    self.recall(number, Some(posting), out);
+                }
             }
             DeskNote::Left { txn } => {
                 if let Some(&number) = self.numbers.get(&txn) {
@@ -626,15 +594,13 @@
                 }
             }
             DeskNote::Standing(up, standing) => {
-                if up < self.board.len() {
-                    let moved =
-                        self.board[up].stage != standing.stage || self.board[up].size != standing.size;
-                    self.board[up] = standing;
-                    if moved {
-                        self.lay_lanes();
-                    }
-                } else {
-                    self.board.push(standing);
+                let known = self.board.get(up).map(|s| (s.entry.stage, s.size()));
+                let moved = known != Some((standing.entry.stage, standing.size()));
+                match self.board.get_mut(up) {
+                    Some(place) => *place = standing,
+                    None => self.board.push(standing),
+                }
+                if moved {
                     self.lay_lanes();
                 }
             }
@@ -645,30 +611,18 @@
     fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
         let number = self.next;
         self.next += 1;
-        let scheme_at = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
-        let scheme = &self.terms.schemes[scheme_at];
-        let mut value = scheme.value;
-        let deadline = now + scheme.sla.min(arrival.left);
+        let scheme = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
+        let excess =
+            if self.over_share(now, arrival.tenant as usize) { self.terms.excess_value } else { 1.0 };
+        let rank = (self.terms.schemes[scheme].value * excess).max(0.0).to_bits();
+        let (deadline, expiry) = (now + self.terms.schemes[scheme].sla.min(arrival.left), now + arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
-        if self.over_share(now, arrival.tenant as usize) {
-            value *= self.terms.excess_value;
-        }
-        let heavy = self.weigh(cost);
-        let txn = Txn {
-            id: arrival.txn.clone(),
-            scheme: scheme_at,
-            cost,
-            key: arrival.key,
-            heavy,
-            arrived: now,
-            deadline,
-            expiry: now + arrival.left,
-            rank: value.max(0.0).to_bits(),
-            held: None,
-            streaming: false,
-            postings: Vec::new(),
-        };
+        let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
+        let (held, streaming, postings) = (None, false, Vec::new());
         self.numbers.insert(arrival.txn, number);
+        let arrived = now;
+        let txn =
+            Txn { id, scheme, cost, key, heavy, arrived, deadline, expiry, rank, held, streaming, postings };
         self.txns.insert(number, txn);
         if self.lanes.is_empty() {
             // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
@@ -681,15 +635,11 @@
     /// A tenant's share of this balancer, as a bucket of one second.
     fn over_share(&mut self, now: Tenths, tenant: usize) -> bool {
         let quota = self.terms.tenants.get(tenant).map(|t| self.terms.part(t.quota));
-        let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else {
-            return false;
-        };
+        let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else { return false };
         *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(quota.max(1.0));
         *at = now;
         let over = *left < 1.0;
-        if !over {
-            *left -= 1.0;
-        }
+        *left -= if over { 0.0 } else { 1.0 };
         over
     }
 
@@ -720,17 +670,17 @@
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
     fn lay_lanes(&mut self) {
         let board = &self.board;
-        self.lanes = (0..board.len()).filter(|up| board[*up].stage == Stage::Live).collect();
+        self.lanes = (0..board.len()).filter(|up| board[*up].entry.stage == Stage::Live).collect();
         self.lanes.sort_by_key(|up| board[*up].order);
-        let all: f64 = self.lanes.iter().map(|up| board[*up].size).sum();
+        let all: f64 = self.lanes.iter().map(|up| board[*up].size()).sum();
         let cost: f64 = self.cost_sums.iter().sum();
         let mut part = if cost > 0.0 { all * self.cost_sums[0] / cost } else { all / 2.0 };
         self.light = 0;
         for up in &self.lanes {
-            if part < board[*up].size / 2.0 {
+            if part < board[*up].size() / 2.0 {
                 break;
             }
-            part -= board[*up].size;
+            part -= board[*up].size();
             self.light += 1;
         }
         self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
@@ -749,9 +699,7 @@
         let deadline = self.txns[&number].deadline;
         let (send_by, _) = self.plan(now, deadline);
         let last = deadline.saturating_sub(self.measure.quick).max(now + 1);
-        let Some(txn) = self.txns.get_mut(&number) else {
-            return;
-        };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         txn.held = Some(send_by);
         self.held[usize::from(txn.heavy)].insert((send_by, number));
         self.by_rank.insert((txn.rank, Reverse(send_by), number));
@@ -760,9 +708,7 @@
     }
 
     fn unhold(&mut self, number: u64) {
-        let Some(txn) = self.txns.get_mut(&number) else {
-            return;
-        };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         let Some(send_by) = txn.held.take() else { return };
         self.held[usize::from(txn.heavy)].remove(&(send_by, number));
         self.by_rank.remove(&(txn.rank, Reverse(send_by), number));
@@ -839,12 +785,12 @@
         }
         let fit = |up: &usize, careful: bool| {
             let s = &self.board[*up];
-            let distrust = fade(s.distrust, now.saturating_sub(s.faded));
+            let distrust = s.distrust(now);
             let cap = if careful && distrust >= DOUBT { 1 } else { s.cap.ceil() as u32 };
             let in_group = pinned.is_none_or(|(scope, first)| match scope {
                 Scope::All => true,
-                Scope::Zone => first.zone == s.zone,
-                Scope::Cell => first.cell == s.cell,
+                Scope::Zone => first.entry.zone == s.entry.zone,
+                Scope::Cell => first.entry.cell == s.entry.cell,
             });
             in_group
                 && s.in_flight < cap
@@ -858,8 +804,7 @@
             fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
         }
         if fitting.is_empty() {
-            let trusted =
-                |up: &&usize| fade(self.board[**up].distrust, now - self.board[**up].faded) < BENCHED;
+            let trusted = |up: &&usize| self.board[**up].distrust(now) < BENCHED;
             if self.lanes.iter().any(|up| trusted(&up)) {
                 return None;
             }
@@ -875,8 +820,14 @@
                 (fitting[0], fitting[1])
             }
             (n, None) => {
-                let a = self.rng.generate_range(0..n);
-                (fitting[a], fitting[(a + self.rng.generate_range(1..n)) % n])
+                // One of the two is from the own zone where it can be: crossing is for when the own is worse.
+                let own = |up: &&usize| self.board[**up].entry.zone == self.terms.own_zone;
+                let near = fitting.iter().filter(own).count();
+                let nth = self.rng.generate_range(0..if near > 0 { near } else { n });
+                let a = *fitting.iter().filter(|up| near == 0 || own(up)).nth(nth).unwrap_or(&fitting[0]);
+                let others = fitting.iter().filter(|up| **up != a);
+                let b = others.clone().nth(self.rng.generate_range(0..n - 1)).unwrap_or(&a);
+                (a, *b)
             }
         };
         Some(if self.load(now, b) < self.load(now, a) { b } else { a })
@@ -884,14 +835,14 @@
 
     fn load(&self, now: Tenths, up: usize) -> f64 {
         let s = &self.board[up];
-        let distrust = fade(s.distrust, now.saturating_sub(s.faded));
-        let away = if s.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (f64::from(s.in_flight) + 1.0 + away) / s.size * (1.0 + distrust)
+        let distrust = s.distrust(now);
+        let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
+        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + distrust)
     }
 
     /// Settled cost a tenth, by unit of size of the live upstreams.
     fn flow_by_size(&self) -> f64 {
-        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size).sum();
+        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
         self.best_flow / size.max(0.01)
     }
 
@@ -899,12 +850,9 @@
     /// right after its start would push it over though the rate looks harmless later.
     fn cold_room(&self, now: Tenths, s: &Standing, cost: f64, flow: f64) -> bool {
         let cold = &self.terms.cold;
-        let Some(age) = s.started.map(|at| now.saturating_sub(at)).filter(|age| *age < cold.warm_within)
-        else {
-            return true;
-        };
+        let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
-        let budget = COLD_MARGIN * cold.multiple * share * flow * s.size * cold.window as f64;
+        let budget = COLD_MARGIN * cold.multiple * share * flow * s.size() * cold.window as f64;
         s.cold_sum == 0.0 || s.cold_sum + cost <= budget
     }
 
@@ -912,9 +860,7 @@
         let deadline = self.txns[&number].deadline;
         let (_, slot) = self.plan(now, deadline);
         let tp = self.measure.tp;
-        let Some(txn) = self.txns.get_mut(&number) else {
-            return;
-        };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         let repeatable = self.terms.schemes[txn.scheme].effect == Effect::Repeatable;
         let first = txn.postings.is_empty();
         if first {
@@ -927,7 +873,11 @@
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(tp);
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
-        out.push(Action::Post { txn: txn.id.clone(), upstream: self.board[up].id.clone(), timeout });
+        out.push(Action::Post {
+            txn: txn.id.clone(),
+            upstream: self.board[up].entry.upstream.clone(),
+            timeout,
+        });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
         self.alarms.push(Reverse((now + tp, number, Alarm::Overdue(posting))));
         if first && !slot && now < deadline {
@@ -939,10 +889,7 @@
     /// against copies that feed the slowdown they were meant to hide.
     fn copy(&mut self, now: Tenths, number: u64) {
         let txn = &self.txns[&number];
-        let repeatable = match self.terms.schemes[txn.scheme].effect {
-            Effect::Repeatable | Effect::Referenced { .. } => true,
-            Effect::OnceOnly => false,
-        };
+        let repeatable = self.terms.schemes[txn.scheme].effect != Effect::OnceOnly;
         let left = txn.postings.len() < self.terms.max_postings as usize;
         if repeatable
             && left
@@ -956,9 +903,7 @@
     }
 
     fn settled(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get_mut(&number) else {
-            return;
-        };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         if let Some(p) = txn.postings.get_mut(posting as usize) {
             p.out = false;
         }
@@ -976,9 +921,7 @@
     }
 
     fn failed(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get_mut(&number) else {
-            return;
-        };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         if let Some(p) = txn.postings.get_mut(posting as usize) {
             p.out = false;
             p.may_have_run = !outcome.never_ran();
@@ -986,10 +929,7 @@
         if txn.held.is_some() || txn.out() {
             return;
         }
-        let may_repeat = match self.terms.schemes[txn.scheme].effect {
-            Effect::Repeatable | Effect::Referenced { .. } => true,
-            Effect::OnceOnly => txn.never_ran(),
-        };
+        let may_repeat = self.terms.schemes[txn.scheme].effect != Effect::OnceOnly || txn.never_ran();
         let time_left = now + self.measure.quick < txn.deadline;
         if may_repeat && time_left && txn.postings.len() < self.terms.max_postings as usize {
             self.hold(now, number);
@@ -1018,9 +958,7 @@
     }
 
     fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get(&number).filter(|_| self.terms.cancelling) else {
-            return;
-        };
+        let Some(txn) = self.txns.get(&number).filter(|_| self.terms.cancelling) else { return };
         let outs = (0u32..).zip(&txn.postings).filter(|(posting, p)| p.out && Some(*posting) != keep);
         out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
     }
@@ -1086,9 +1024,7 @@
 
     fn set_wake(&mut self, now: Tenths, ask_at: Option<Tenths>, out: &mut Vec<Action>) {
         let alarm = self.alarms.peek().map(|Reverse((at, ..))| *at);
-        let Some(next) = alarm.into_iter().chain(ask_at).min() else {
-            return;
-        };
+        let Some(next) = alarm.into_iter().chain(ask_at).min() else { return };
         if self.wake.is_none_or(|at| next < at) {
             self.wake = Some(next);
             out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
