--- a/src/balance.rs
+++ b/src/balance.rs
@@ -411,7 +411,11 @@
                                 (self.shown.cap + GROWTH / self.shown.cap.max(1.0)).min(LARGEST_CAP);
                         }
                     }
-                    Outcome::Full => self.halve(now, sent, terms),
+                    // A full waiting room is the shortest queue to look at; it must not draw more.
+                    Outcome::Full => {
+                        self.halve(now, sent, terms);
+                        self.doubt(0.5);
+                    }
                     Outcome::TimedOut => {
                         self.halve(now, sent, terms);
                         self.doubt(1.0);
