A posting is overdue by its cost too, not by tp alone

Cause: tp is one pooled time, so heavy txns were re-posted and their upstreams' caps halved for their size alone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,6 +42,9 @@
 const EASY: f64 = 2.0;
 const CROWDED: f64 = 3.0;
 const PACE_ANSWERS: f64 = 8.0;
+/// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
+const OVERDUE_PACE: f64 = 2.0;
+const PACE_WINDOW: f64 = 64.0;
 const BEST_DRIFT: f64 = 1.001;
 const REST_PACE: f64 = 2.5;
 
@@ -537,6 +540,8 @@
     flow: f64,
     flow_at: Tenths,
     best_flow: f64,
+    mean_took: f64,
+    pace: f64,
     quotas: Vec<(f64, Tenths)>,
 }
 
@@ -566,6 +571,8 @@
             flow: 0.0,
             flow_at: 0,
             best_flow: 0.0,
+            mean_took: 0.0,
+            pace: 0.0,
             quotas,
         }
     }
@@ -577,6 +584,10 @@
                 let number = self.numbers.get(&txn).copied();
                 let cost = number.and_then(|n| self.txns.get(&n)).map_or(self.mean_cost(), |t| t.cost);
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp });
+                if outcome == Outcome::Ok {
+                    self.mean_took += (took as f64 - self.mean_took) / PACE_WINDOW;
+                    self.pace = self.mean_took / self.mean_cost().max(1e-9);
+                }
                 let Some(number) = number else { return };
                 if settled {
                     self.settled(now, number, posting, outcome, out);
@@ -883,7 +894,9 @@
             timeout,
         });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
-        self.alarms.push(Reverse((now + tp, number, Alarm::Overdue(posting))));
+        // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
+        let due = tp.max((OVERDUE_PACE * self.pace * txn.cost) as Tenths);
+        self.alarms.push(Reverse((now + due, number, Alarm::Overdue(posting))));
         if first && !slot && now < deadline {
             self.copy(now, number);
         }
