--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,12 +1,12 @@
 //! All decisions of the balancer, in one module.
 //!
-//! Callers make a [`Balancer`] from its [`Terms`] and a seed, hand it each batch of [`Event`]s with the time
-//! they happened at, and carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the
-//! same events bring the same actions. The interface is `Balancer::new` and `Balancer::handle`, next below.
+//! Callers make a [`Balancer`] from [`Terms`] and a seed, hand it each batch of [`Event`]s with their time, and
+//! carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the same events bring
+//! the same actions. The interface is `Balancer::new` and `Balancer::handle`, below.
 //!
-//! Inside are four kinds of parts: the desk (txns), one actor for each upstream, the gauge (the pooled window)
-//! and the roster (following the list). They talk only by notes in inboxes, which `Balancer::settle` empties.
-//! docs/design.md tells what of the design is kept, what was changed, and when each exception acts.
+//! Inside are the desk (txns), an actor for each upstream, the gauge (the pooled window) and the roster (that
+//! follows the list). They talk only by notes in inboxes, which `Balancer::settle` empties. docs/design.md
+//! tells what of the design is kept, what was changed, and when each exception acts.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -19,8 +19,7 @@
     Action, Arrival, Effect, Entry, Event, Listing, Outcome, Scope, Stage, Tenths, Terms, TxnId, UpstreamId,
 };
 
-const MS: Tenths = 10;
-const SECOND: Tenths = 1000 * MS;
+const SECOND: Tenths = 10_000;
 
 /// The percentile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
 const TP_PERCENTILE: f64 = 0.95;
@@ -35,7 +34,7 @@
 const FIRST_CAP: f64 = 4.0;
 const COLD_CAP: f64 = 1.0;
 const LARGEST_CAP: f64 = 64.0;
-/// Caps may fall below one: together they bound what is out, so that many balancers don't crowd few upstreams.
+/// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
 const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
@@ -82,7 +81,7 @@
         Balancer {
             inboxes: Inboxes::default(),
             gauge: Gauge::new(&terms),
-            roster: Roster { must_ask: terms.must_ask, asked: false, failures: 0, ask_at: None },
+            roster: Roster { must_ask: terms.must_ask, failures: 0, ask_at: None },
             desk: Desk::new(terms, WyRand::new_seed(seed)),
             upstreams: Vec::new(),
             names: HashMap::new(),
@@ -94,7 +93,7 @@
             self.sort_in(now, event);
             self.settle(now, out);
         }
-        self.roster.follow(now, &mut self.desk.rng, out);
+        self.roster.follow(now, out);
         self.desk.ring(now, &mut self.inboxes, out);
         self.settle(now, out);
         while self.desk.release(now, &mut self.inboxes, out) {
@@ -109,7 +108,9 @@
             Event::Arrived(arrival) => inboxes.desk.push_back(DeskNote::Arrived(arrival)),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
                 let Some(&up) = self.names.get(&upstream) else { return };
-                inboxes.gauge.push_back(GaugeNote::Ended { outcome, took });
+                if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+                    inboxes.gauge.push_back(GaugeNote::Took(took));
+                }
                 inboxes.desk.push_back(DeskNote::Ended { txn, posting, up, outcome, took, settled });
             }
             Event::Streaming { txn, posting, .. } => {
@@ -117,20 +118,20 @@
             }
             Event::Left { txn } => inboxes.desk.push_back(DeskNote::Left { txn }),
             Event::Listed(listing) => self.list(now, listing),
-            Event::Woke { .. } => self.desk.woke(now),
             // Neither probes nor talk with peers are used: own outcomes tell as much and cost nothing.
-            Event::Probed { .. } | Event::Heard { .. } => {}
+            Event::Woke { .. } | Event::Probed { .. } | Event::Heard { .. } => {}
         }
     }
 
     fn list(&mut self, now: Tenths, listing: Listing) {
         let (entries, whole) = match &listing {
-            Listing::Lost => return self.roster.lost(now, &mut self.desk.rng),
+            Listing::Lost => return self.roster.ask_later(now, &mut self.desk.rng),
             Listing::Changes(entries) => (entries, false),
             Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
         };
-        if !matches!(listing, Listing::Remembered(_)) {
-            self.roster.failures = 0;
+        self.roster.failures = 0;
+        if matches!(listing, Listing::Remembered(_)) {
+            self.roster.ask_later(now, &mut self.desk.rng);
         }
         let mut named = vec![!whole; self.upstreams.len()];
         for entry in entries.iter() {
@@ -195,7 +196,7 @@
 
 enum GaugeNote {
     Waited(Tenths),
-    Ended { outcome: Outcome, took: Tenths },
+    Took(Tenths),
 }
 
 enum DeskNote {
@@ -210,32 +211,24 @@
 /// Follows the list of upstreams where it must be asked for.
 struct Roster {
     must_ask: bool,
-    asked: bool,
     failures: u32,
     ask_at: Option<Tenths>,
 }
 
 impl Roster {
-    fn follow(&mut self, now: Tenths, rng: &mut WyRand, out: &mut Vec<Action>) {
-        if !self.must_ask {
-            return;
-        }
-        if !self.asked {
-            // Balancers restarted in step would all ask in the same instant and fail each other's calls.
-            self.asked = true;
-            self.ask_at = Some(now + rng.generate_range(0..300 * MS));
-        }
-        if self.ask_at.is_some_and(|at| at <= now) {
+    fn follow(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        if self.must_ask && self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
             out.push(Action::Watch { on: true });
         }
     }
 
-    /// The waits grow and differ, against a bank of balancers keeping a slow list service down by asking.
-    fn lost(&mut self, now: Tenths, rng: &mut WyRand) {
-        let longest = (500 * MS) << self.failures.min(4);
+    /// The waits grow and differ, against a bank of balancers keeping a slow list service down by asking, and
+    /// against balancers started in step failing each other's first calls.
+    fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
+        let longest = SECOND << self.failures.min(4);
         self.failures += 1;
-        self.ask_at = Some(now + longest / 2 + rng.generate_range(0..longest));
+        self.ask_at = Some(now + rng.generate_range(longest / 4..longest));
     }
 }
 
@@ -274,11 +267,8 @@
                 self.waits += 1.0;
                 return;
             }
-            GaugeNote::Ended { outcome: Outcome::Ok | Outcome::TimedOut, took } => {
-                // A time beyond the last bin counts in it.
-                let _beyond = self.took.increment(took.min((1 << 20) - 1));
-            }
-            GaugeNote::Ended { .. } => return,
+            // A time beyond the last bin counts in it.
+            GaugeNote::Took(took) => self.took.increment(took.min((1 << 20) - 1)).unwrap_or_default(),
         }
         self.since += 1;
         if self.since >= WINDOW_OUTCOMES || now >= self.halved + WINDOW {
@@ -326,10 +316,7 @@
     shown: Standing,
     halved: Tenths,
     answered: Tenths,
-    took: f64,
-    cost: f64,
-    answers: f64,
-    best_pace: f64,
+    pace: Pace,
     /// Work posted of late while cold.
     cold_work: VecDeque<(Tenths, f64)>,
 }
@@ -365,12 +352,10 @@
 impl Upstream {
     fn new(entry: &Entry, terms: &Terms) -> Self {
         let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-        let (cap, entry) =
-            (terms.part(FIRST_CAP), Entry { started: None, stage: Stage::Gone, ..entry.clone() });
+        let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
+        let cap = terms.part(FIRST_CAP);
         let shown = Standing { entry, order, in_flight: 0, cap, distrust: 0.0, faded: 0, cold_sum: 0.0 };
-        let (halved, answered, took, cost, answers) = (0, 0, 0.0, 0.0, 0.0);
-        let cold_work = VecDeque::new();
-        Upstream { shown, halved, answered, took, cost, answers, best_pace: f64::INFINITY, cold_work }
+        Upstream { shown, halved: 0, answered: 0, pace: Pace::default(), cold_work: VecDeque::new() }
     }
 
     fn receive(&mut self, now: Tenths, note: UpstreamNote, terms: &Terms) {
@@ -402,26 +387,20 @@
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
-                        self.shown.distrust *= 0.7;
                         let crowding = self.crowding(took, cost);
+                        let shown = &mut self.shown;
+                        shown.distrust *= 0.7;
+                        let in_use = f64::from(shown.in_flight) + 1.0 >= shown.cap / 2.0;
                         if crowding > CROWDED {
                             self.halve(now, sent, terms);
-                        } else if took <= tp
-                            && crowding < EASY
-                            && f64::from(self.shown.in_flight) + 1.0 >= self.shown.cap / 2.0
-                        {
-                            self.shown.cap =
-                                (self.shown.cap + GROWTH / self.shown.cap.max(1.0)).min(LARGEST_CAP);
+                        } else if took <= tp && crowding < EASY && in_use {
+                            shown.cap = (shown.cap + GROWTH / shown.cap.max(1.0)).min(LARGEST_CAP);
                         }
                     }
                     // A full waiting room is the shortest queue to look at; it must not draw more.
-                    Outcome::Full => {
+                    Outcome::Full | Outcome::TimedOut => {
                         self.halve(now, sent, terms);
-                        self.doubt(0.5);
-                    }
-                    Outcome::TimedOut => {
-                        self.halve(now, sent, terms);
-                        self.doubt(1.0);
+                        self.doubt(if outcome == Outcome::Full { 0.5 } else { 1.0 });
                     }
                     Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(1.0),
                     Outcome::Cancelled | Outcome::Moot => {}
@@ -437,20 +416,15 @@
         }
     }
 
-    /// How much longer than at its best this upstream takes for a unit of cost, as a mean of its last answers.
+    /// How many times longer than at its best this upstream takes for a unit of cost.
     fn crowding(&mut self, took: Tenths, cost: f64) -> f64 {
-        self.answers = (self.answers + 1.0).min(PACE_ANSWERS);
-        self.took += (took as f64 - self.took) / self.answers;
-        self.cost += (cost - self.cost) / self.answers;
-        let pace = self.took / self.cost.max(1e-9);
+        let pace = self.pace.note(took, cost, PACE_ANSWERS);
         // Costs are in time of a standard core: one never seen at rest must not take a jam for its best.
-        let rest = if cost > 1.0 { REST_PACE } else { f64::INFINITY };
-        let best = if self.answers < PACE_ANSWERS { f64::INFINITY } else { pace };
-        self.best_pace = (self.best_pace * BEST_DRIFT).min(best).min(rest);
-        if self.best_pace.is_infinite() {
-            return 1.0;
-        }
-        pace / self.best_pace
+        let rest = if cost > 1.0 { REST_PACE } else { pace };
+        let seen = if self.pace.answers < PACE_ANSWERS { rest } else { pace.min(rest) };
+        let known = if self.pace.best > 0.0 { self.pace.best * BEST_DRIFT } else { seen };
+        self.pace.best = known.min(seen);
+        pace / self.pace.best.max(1e-9)
     }
 
     /// Halves the cap once for all postings that were out together, against one pause counting many times.
@@ -467,6 +441,28 @@
     }
 }
 
+/// Time taken for a unit of cost, as a mean of the last answers.
+#[derive(Default)]
+struct Pace {
+    took: f64,
+    cost: f64,
+    answers: f64,
+    best: f64,
+}
+
+impl Pace {
+    fn note(&mut self, took: Tenths, cost: f64, window: f64) -> f64 {
+        self.answers = (self.answers + 1.0).min(window);
+        self.took += (took as f64 - self.took) / self.answers;
+        self.cost += (cost - self.cost) / self.answers;
+        self.mean()
+    }
+
+    fn mean(&self) -> f64 {
+        self.took / self.cost.max(1e-9)
+    }
+}
+
 /// Spreads the bits of a number; equal at every balancer, so that all draw the same order of upstreams.
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -540,8 +536,7 @@
     flow: f64,
     flow_at: Tenths,
     best_flow: f64,
-    mean_took: f64,
-    pace: f64,
+    pace: Pace,
     quotas: Vec<(f64, Tenths)>,
 }
 
@@ -571,8 +566,7 @@
             flow: 0.0,
             flow_at: 0,
             best_flow: 0.0,
-            mean_took: 0.0,
-            pace: 0.0,
+            pace: Pace::default(),
             quotas,
         }
     }
@@ -585,15 +579,20 @@
                 let cost = number.and_then(|n| self.txns.get(&n)).map_or(self.mean_cost(), |t| t.cost);
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp });
                 if outcome == Outcome::Ok {
-                    self.mean_took += (took as f64 - self.mean_took) / PACE_WINDOW;
-                    self.pace = self.mean_took / self.mean_cost().max(1e-9);
+                    self.pace.note(took, cost, PACE_WINDOW);
                 }
                 let Some(number) = number else { return };
-                if settled {
-                    self.settled(now, number, posting, outcome, out);
-                } else {
-                    self.failed(now, number, posting, outcome, out);
+                let Some(txn) = self.txns.get_mut(&number) else { return };
+                if let Some(p) = txn.postings.get_mut(posting as usize) {
+                    (p.out, p.may_have_run) = (false, !outcome.never_ran());
+                }
+                if !settled {
+                    return self.failed(now, number, out);
                 }
+                if outcome == Outcome::Ok {
+                    self.settled(now, number);
+                }
+                self.close(number, out);
             }
             DeskNote::Streaming { txn, posting } => {
                 let Some(&number) = self.numbers.get(&txn) else { return };
@@ -739,26 +738,24 @@
             if self.best_flow == 0.0 || wait <= slack as f64 || self.by_rank.len() < 4 {
                 return;
             }
-            if txn.out() {
-                self.unhold(number);
-            } else {
-                self.give_up(number, out);
-            }
+            self.stop_waiting(number, out);
         }
     }
 
     /// One posting, or one txn given up; false when nothing more can leave.
     fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
-        let heads = [self.held[0].first().copied(), self.held[1].first().copied()];
-        let mut heads: Vec<(Tenths, u64)> = heads.into_iter().flatten().collect();
+        let standings = self.lanes.iter().map(|up| &self.board[*up]);
+        let (room, busy) = standings.fold((0.0, 0.0), |(r, b), s| (r + s.cap, b + f64::from(s.in_flight)));
+        if busy > 0.0 && busy + 1.0 > room {
+            return false;
+        }
+        // A few of each lane, against one that only some upstreams may take keeping all others waiting.
+        let heads = self.held.iter().flat_map(|lane| lane.iter().take(4).copied());
+        let mut heads: Vec<(Tenths, u64)> = heads.collect();
         heads.sort_unstable();
         for (_, number) in heads {
             if self.lanes.is_empty() {
-                if self.txns[&number].out() {
-                    self.unhold(number)
-                } else {
-                    self.give_up(number, out)
-                }
+                self.stop_waiting(number, out);
                 return true;
             }
             if let Some(up) = self.pick(now, number) {
@@ -789,15 +786,8 @@
             }
             Effect::Repeatable | Effect::OnceOnly => None,
         };
-        let flow = self.flow_by_size();
-        let sums = self
-            .lanes
-            .iter()
-            .map(|up| &self.board[*up])
-            .fold((0.0, 0.0), |(cap, out), s| (cap + s.cap, out + f64::from(s.in_flight)));
-        if sums.1 > 0.0 && sums.1 + 1.0 > sums.0 {
-            return None;
-        }
+        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
+        let flow = self.best_flow / size;
         let fit = |up: &usize, careful: bool| {
             let s = &self.board[*up];
             let distrust = s.distrust(now);
@@ -819,8 +809,7 @@
             fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
         }
         if fitting.is_empty() {
-            let trusted = |up: &&usize| self.board[**up].distrust(now) < BENCHED;
-            if self.lanes.iter().any(|up| trusted(&up)) {
+            if self.lanes.iter().any(|up| self.board[*up].distrust(now) < BENCHED) {
                 return None;
             }
             // All look bad: the fault may be ours, and traffic still has to flow.
@@ -850,19 +839,12 @@
 
     fn load(&self, now: Tenths, up: usize) -> f64 {
         let s = &self.board[up];
-        let distrust = s.distrust(now);
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + distrust)
-    }
-
-    /// Settled cost a tenth, by unit of size of the live upstreams.
-    fn flow_by_size(&self) -> f64 {
-        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
-        self.best_flow / size.max(0.01)
+        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + s.distrust(now))
     }
 
-    /// A cold upstream may get its part of what warm ones are seen to bear, in every window of the rule: a burst
-    /// right after its start would push it over though the rate looks harmless later.
+    /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
+    /// every window of the rule: a burst right after its start would push it over.
     fn cold_room(&self, now: Tenths, s: &Standing, cost: f64, flow: f64) -> bool {
         let cold = &self.terms.cold;
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
@@ -895,7 +877,7 @@
         });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
         // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
-        let due = tp.max((OVERDUE_PACE * self.pace * txn.cost) as Tenths);
+        let due = tp.max((OVERDUE_PACE * self.pace.mean() * txn.cost) as Tenths);
         self.alarms.push(Reverse((now + due, number, Alarm::Overdue(posting))));
         if first && !slot && now < deadline {
             self.copy(now, number);
@@ -906,49 +888,33 @@
     /// against copies that feed the slowdown they were meant to hide.
     fn copy(&mut self, now: Tenths, number: u64) {
         let txn = &self.txns[&number];
-        let repeatable = self.terms.schemes[txn.scheme].effect != Effect::OnceOnly;
-        let left = txn.postings.len() < self.terms.max_postings as usize;
-        if repeatable
-            && left
-            && self.terms.second_copies
-            && txn.held.is_none()
-            && self.extra >= 1.0
-            && !txn.streaming
-        {
+        let may_repeat =
+            self.terms.second_copies && self.terms.schemes[txn.scheme].effect != Effect::OnceOnly;
+        let may_post = txn.postings.len() < self.terms.max_postings as usize && !txn.streaming;
+        if may_repeat && may_post && txn.held.is_none() && self.extra >= 1.0 {
             self.hold(now, number);
         }
     }
 
-    fn settled(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get_mut(&number) else { return };
-        if let Some(p) = txn.postings.get_mut(posting as usize) {
-            p.out = false;
-        }
-        if outcome == Outcome::Ok {
-            let (cost, in_time) = (txn.cost, now <= txn.deadline);
-            if in_time {
-                self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_SAVED);
-            }
-            let span = (now - self.flow_at) as f64;
-            self.flow = self.flow * (-span / SECOND as f64).exp() + cost / SECOND as f64;
-            self.best_flow = (self.best_flow * (-span / (10 * SECOND) as f64).exp()).max(self.flow);
-            self.flow_at = now;
+    fn settled(&mut self, now: Tenths, number: u64) {
+        let txn = &self.txns[&number];
+        if now <= txn.deadline {
+            self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_SAVED);
         }
-        self.close(number, out);
+        let span = (now - self.flow_at) as f64;
+        self.flow = self.flow * (-span / SECOND as f64).exp() + txn.cost / SECOND as f64;
+        self.best_flow = (self.best_flow * (-span / (10 * SECOND) as f64).exp()).max(self.flow);
+        self.flow_at = now;
     }
 
-    fn failed(&mut self, now: Tenths, number: u64, posting: u32, outcome: Outcome, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get_mut(&number) else { return };
-        if let Some(p) = txn.postings.get_mut(posting as usize) {
-            p.out = false;
-            p.may_have_run = !outcome.never_ran();
-        }
+    fn failed(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
+        let txn = &self.txns[&number];
         if txn.held.is_some() || txn.out() {
             return;
         }
         let may_repeat = self.terms.schemes[txn.scheme].effect != Effect::OnceOnly || txn.never_ran();
-        let time_left = now + self.measure.quick < txn.deadline;
-        if may_repeat && time_left && txn.postings.len() < self.terms.max_postings as usize {
+        let may_post = may_repeat && txn.postings.len() < self.terms.max_postings as usize;
+        if may_post && self.in_time(now, number) {
             self.hold(now, number);
         } else {
             self.give_up(number, out);
@@ -974,6 +940,24 @@
         self.close(number, out);
     }
 
+    /// No further posting for a held txn: what is out may still answer it.
+    fn stop_waiting(&mut self, number: u64, out: &mut Vec<Action>) {
+        if self.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
+    }
+
+    /// Whether the time left allows a further posting. Past the SLA time the late value
+    /// counts until the expiry, behind all others.
+    fn in_time(&mut self, now: Tenths, number: u64) -> bool {
+        let quick = self.measure.quick;
+        let Some(txn) = self.txns.get_mut(&number) else { return false };
+        let late_value = self.terms.schemes[txn.scheme].late_value;
+        if now + quick >= txn.deadline && late_value > 0.0 && txn.deadline < txn.expiry {
+            txn.rank = (f64::from_bits(txn.rank) * late_value).to_bits();
+            txn.deadline = txn.expiry;
+        }
+        now + quick < txn.deadline
+    }
+
     fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
         let Some(txn) = self.txns.get(&number).filter(|_| self.terms.cancelling) else { return };
         let outs = (0u32..).zip(&txn.postings).filter(|(posting, p)| p.out && Some(*posting) != keep);
@@ -998,51 +982,28 @@
                 continue;
             };
             match alarm {
+                Alarm::LastChance if txn.held.is_some() && txn.out() => self.unhold(number),
                 Alarm::LastChance if txn.held.is_some() => {
-                    let late_value = self.terms.schemes[txn.scheme].late_value;
-                    if now + self.measure.quick < txn.deadline {
-                        let last = txn.deadline.saturating_sub(self.measure.quick).max(now + 1);
-                        self.alarms.push(Reverse((last, number, alarm)));
-                    } else if txn.out() {
-                        self.unhold(number);
-                    } else if late_value > 0.0 && txn.deadline < txn.expiry {
-                        // Too late for the SLA time but worth something until the expiry: behind all others.
-                        let rank = (f64::from_bits(txn.rank) * late_value).to_bits();
-                        let expiry = txn.expiry;
-                        self.unhold(number);
-                        if let Some(txn) = self.txns.get_mut(&number) {
-                            (txn.rank, txn.deadline) = (rank, expiry);
-                        }
-                        self.hold(now, number);
-                    } else {
-                        self.give_up(number, out);
-                    }
+                    self.unhold(number);
+                    if self.in_time(now, number) { self.hold(now, number) } else { self.give_up(number, out) }
                 }
+                Alarm::LastChance => {}
                 Alarm::Overdue(posting) => {
-                    let Some(p) = txn.postings.get(posting as usize).filter(|p| p.out).copied() else {
-                        continue;
-                    };
-                    if txn.streaming {
-                        continue;
-                    }
-                    inboxes.upstream(p.up, UpstreamNote::Overdue { sent: p.sent });
+                    let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
+                    let Some(&Posting { up, sent, .. }) = posting else { continue };
+                    inboxes.upstream(up, UpstreamNote::Overdue { sent });
                     if now + self.measure.quick < txn.deadline {
                         self.copy(now, number);
                     }
                 }
-                Alarm::LastChance => {}
             }
         }
     }
 
-    fn woke(&mut self, now: Tenths) {
-        self.wake = self.wake.filter(|at| *at > now);
-    }
-
     fn set_wake(&mut self, now: Tenths, ask_at: Option<Tenths>, out: &mut Vec<Action>) {
         let alarm = self.alarms.peek().map(|Reverse((at, ..))| *at);
         let Some(next) = alarm.into_iter().chain(ask_at).min() else { return };
-        if self.wake.is_none_or(|at| next < at) {
+        if self.wake.is_none_or(|at| at <= now || next < at) {
             self.wake = Some(next);
             out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
         }
