--- a/src/balance.rs
+++ b/src/balance.rs
@@ -331,9 +331,6 @@
     cap: f64,
     distrust: f64,
     faded: Tenths,
-    /// Times its best pace, at its last answer.
-    crowding: f64,
-    crowded: Tenths,
     cold_sum: f64,
 }
 
@@ -342,12 +339,6 @@
         self.distrust * (-(now.saturating_sub(self.faded) as f64) / FADE as f64).exp2()
     }
 
-    /// What others have sent it shows in its pace alone; that fades too, or it would never be tried again.
-    fn crowding(&self, now: Tenths) -> f64 {
-        let fade = (-(now.saturating_sub(self.crowded) as f64) / FADE as f64).exp2();
-        1.0 + (self.crowding - 1.0).max(0.0) * fade
-    }
-
     fn size(&self) -> f64 {
         self.entry.size.max(0.01)
     }
@@ -363,9 +354,7 @@
         let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
         let cap = terms.part(FIRST_CAP);
-        let (distrust, faded, crowding, crowded, cold_sum) = (0.0, 0, 1.0, 0, 0.0);
-        let shown =
-            Standing { entry, order, in_flight: 0, cap, distrust, faded, crowding, crowded, cold_sum };
+        let shown = Standing { entry, order, in_flight: 0, cap, distrust: 0.0, faded: 0, cold_sum: 0.0 };
         Upstream { shown, halved: 0, answered: 0, pace: Pace::default(), cold_work: VecDeque::new() }
     }
 
@@ -400,7 +389,6 @@
                         self.answered = now;
                         let crowding = self.crowding(took, cost);
                         let shown = &mut self.shown;
-                        (shown.crowding, shown.crowded) = (crowding, now);
                         shown.distrust *= 0.7;
                         let in_use = f64::from(shown.in_flight) + 1.0 >= shown.cap / 2.0;
                         if crowding > CROWDED {
@@ -852,7 +840,7 @@
     fn load(&self, now: Tenths, up: usize) -> f64 {
         let s = &self.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + s.distrust(now)) * s.crowding(now)
+        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + s.distrust(now))
     }
 
     /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
