--- a/src/balance.rs
+++ b/src/balance.rs
@@ -106,14 +106,11 @@
         let inboxes = &mut self.inboxes;
         match event {
             Event::Arrived(arrival) => inboxes.desk.push_back(DeskNote::Arrived(arrival)),
-            Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
+            Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
                 let Some(&up) = self.names.get(&upstream) else { return };
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
                     inboxes.gauge.push_back(GaugeNote::Took(took));
                 }
-                if let Some(held) = load.held {
-                    inboxes.upstream(up, UpstreamNote::Reported { held });
-                }
                 inboxes.desk.push_back(DeskNote::Ended { txn, posting, up, outcome, took, settled });
             }
             Event::Streaming { txn, posting, .. } => {
@@ -195,7 +192,6 @@
     Posted { cost: f64 },
     Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths },
     Overdue { sent: Tenths },
-    Reported { held: f64 },
 }
 
 enum GaugeNote {
@@ -335,10 +331,6 @@
     cap: f64,
     distrust: f64,
     faded: Tenths,
-    /// What its last report said it held, and how much of it was not this balancer's.
-    reported: f64,
-    others: f64,
-    told: Tenths,
     cold_sum: f64,
 }
 
@@ -362,10 +354,7 @@
         let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
         let cap = terms.part(FIRST_CAP);
-        let (distrust, faded, reported, others, told, cold_sum) = (0.0, 0, 0.0, 0.0, 0, 0.0);
-        let in_flight = 0;
-        let shown =
-            Standing { entry, order, in_flight, cap, distrust, faded, reported, others, told, cold_sum };
+        let shown = Standing { entry, order, in_flight: 0, cap, distrust: 0.0, faded: 0, cold_sum: 0.0 };
         Upstream { shown, halved: 0, answered: 0, pace: Pace::default(), cold_work: VecDeque::new() }
     }
 
@@ -417,13 +406,6 @@
                     Outcome::Cancelled | Outcome::Moot => {}
                 }
             }
-            UpstreamNote::Reported { held } => {
-                // Reports are refreshed now and then: the same figure again is no newer.
-                if held != self.shown.reported {
-                    let others = (held - f64::from(self.shown.in_flight)).max(0.0);
-                    (self.shown.reported, self.shown.others, self.shown.told) = (held, others, now);
-                }
-            }
             UpstreamNote::Overdue { sent } => {
                 self.halve(now, sent, terms);
                 // Silent since that posting left: perhaps it takes txns and answers none.
@@ -858,9 +840,7 @@
     fn load(&self, now: Tenths, up: usize) -> f64 {
         let s = &self.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        // A report grows stale: what others had there a while ago says little of now.
-        let others = s.others * (-(now.saturating_sub(s.told) as f64) / SECOND as f64).exp2();
-        (f64::from(s.in_flight) + others + 1.0 + away) / s.size() * (1.0 + s.distrust(now))
+        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + s.distrust(now))
     }
 
     /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
