Caps below one grow in proportion to themselves

Cause: in a jam many balancers' caps hovered near one each, since every timely answer gave back half a posting.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -394,7 +394,8 @@
                         if crowding > CROWDED {
                             self.halve(now, sent, terms);
                         } else if took <= tp && crowding < EASY && in_use {
-                            shown.cap = (shown.cap + GROWTH / shown.cap.max(1.0)).min(LARGEST_CAP);
+                            shown.cap =
+                                (shown.cap + GROWTH * shown.cap.min(1.0 / shown.cap)).min(LARGEST_CAP);
                         }
                     }
                     // A full waiting room is the shortest queue to look at; it must not draw more.
