--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,8 +38,8 @@
 const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
-const EASY: f64 = 2.0;
-const CROWDED: f64 = 3.0;
+const EASY: f64 = 1.5;
+const CROWDED: f64 = 2.5;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
