--- a/src/balance.rs
+++ b/src/balance.rs
@@ -442,11 +442,11 @@
     }
 }
 
-/// Time taken for a unit of cost, as a mean of the last answers.
+/// Time taken for a unit of cost, as a geometric mean of the last answers: a pause or a heavy tail makes a few
+/// answers very late and must not pass for a crowd, which makes all of them late.
 #[derive(Default)]
 struct Pace {
-    took: f64,
-    cost: f64,
+    log: f64,
     answers: f64,
     best: f64,
 }
@@ -454,13 +454,12 @@
 impl Pace {
     fn note(&mut self, took: Tenths, cost: f64, window: f64) -> f64 {
         self.answers = (self.answers + 1.0).min(window);
-        self.took += (took as f64 - self.took) / self.answers;
-        self.cost += (cost - self.cost) / self.answers;
+        self.log += ((took.max(1) as f64 / cost).ln() - self.log) / self.answers;
         self.mean()
     }
 
     fn mean(&self) -> f64 {
-        self.took / self.cost.max(1e-9)
+        self.log.exp()
     }
 }
 
