--- a/src/balance.rs
+++ b/src/balance.rs
@@ -577,12 +577,9 @@
             DeskNote::Ended { txn, posting, up, outcome, took, settled } => {
                 let number = self.numbers.get(&txn).copied();
                 let cost = number.and_then(|n| self.txns.get(&n)).map_or(self.mean_cost(), |t| t.cost);
-                // A light txn behind a mean one is no crowd yet, though it takes many times its own cost.
-                let weight = (cost + self.mean_cost()) / 2.0;
-                inboxes
-                    .upstream(up, UpstreamNote::Ended { outcome, took, cost: weight, tp: self.measure.tp });
+                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp });
                 if outcome == Outcome::Ok {
-                    self.pace.note(took, weight, PACE_WINDOW);
+                    self.pace.note(took, cost, PACE_WINDOW);
                 }
                 let Some(number) = number else { return };
                 let Some(txn) = self.txns.get_mut(&number) else { return };
