--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,8 +38,12 @@
 const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
-const EASY: f64 = 1.5;
-const CROWDED: f64 = 2.5;
+/// The second falls from the one figure towards the other with the share of postings that end late.
+const EASY_PART: f64 = 0.6;
+const CROWDED: f64 = 3.5;
+const CROWDED_JAMMED: f64 = 1.5;
+const CROWDED_BY_LATE: f64 = 8.0;
+const LATE_WINDOW: f64 = 64.0;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
@@ -190,7 +194,7 @@
     Listed(Entry),
     Unlisted,
     Posted { cost: f64 },
-    Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths },
+    Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths, crowded: f64 },
     Overdue { sent: Tenths },
 }
 
@@ -381,7 +385,7 @@
                     self.shown.cold_sum += cost;
                 }
             }
-            UpstreamNote::Ended { outcome, took, cost, tp } => {
+            UpstreamNote::Ended { outcome, took, cost, tp, crowded } => {
                 let sent = now.saturating_sub(took);
                 self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
                 match outcome {
@@ -391,9 +395,9 @@
                         let shown = &mut self.shown;
                         shown.distrust *= 0.7;
                         let in_use = f64::from(shown.in_flight) + 1.0 >= shown.cap / 2.0;
-                        if crowding > CROWDED {
+                        if crowding > crowded {
                             self.halve(now, sent, terms);
-                        } else if took <= tp && crowding < EASY && in_use {
+                        } else if took <= tp && crowding < EASY_PART * crowded && in_use {
                             shown.cap =
                                 (shown.cap + GROWTH * shown.cap.min(1.0 / shown.cap)).min(LARGEST_CAP);
                         }
@@ -537,6 +541,7 @@
     flow_at: Tenths,
     best_flow: f64,
     pace: Pace,
+    late: f64,
     quotas: Vec<(f64, Tenths)>,
 }
 
@@ -567,6 +572,7 @@
             flow_at: 0,
             best_flow: 0.0,
             pace: Pace::default(),
+            late: 0.0,
             quotas,
         }
     }
@@ -576,8 +582,16 @@
             DeskNote::Arrived(arrival) => self.arrive(now, arrival, out),
             DeskNote::Ended { txn, posting, up, outcome, took, settled } => {
                 let number = self.numbers.get(&txn).copied();
-                let cost = number.and_then(|n| self.txns.get(&n)).map_or(self.mean_cost(), |t| t.cost);
-                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp });
+                let txn = number.and_then(|n| self.txns.get(&n));
+                let cost = txn.map_or(self.mean_cost(), |t| t.cost);
+                let sla = txn.map_or(SECOND, |t| t.deadline - t.arrived);
+                if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+                    let late = outcome == Outcome::TimedOut || took > sla;
+                    self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
+                }
+                let crowded = (CROWDED - CROWDED_BY_LATE * self.late).max(CROWDED_JAMMED);
+                inboxes
+                    .upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp, crowded });
                 if outcome == Outcome::Ok {
                     self.pace.note(took, cost, PACE_WINDOW);
                 }
