--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,7 +42,7 @@
 const EASY_PART: f64 = 0.6;
 const CROWDED: f64 = 3.5;
 const CROWDED_JAMMED: f64 = 1.5;
-const CROWDED_BY_LATE: f64 = 8.0;
+const CROWDED_BY_LATE: f64 = 12.0;
 const LATE_WINDOW: f64 = 64.0;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
