--- a/src/balance.rs
+++ b/src/balance.rs
@@ -40,7 +40,7 @@
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
-const CROWDED: f64 = 3.0;
+const CROWDED: f64 = 3.5;
 const CROWDED_JAMMED: f64 = 1.5;
 const CROWDED_BY_LATE: f64 = 12.0;
 const LATE_WINDOW: f64 = 64.0;
@@ -589,8 +589,6 @@
                     let late = outcome == Outcome::TimedOut || took > sla;
                     self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
                 }
-                // A light txn behind a mean one, or with a long way to go, is no crowd yet.
-                let cost = (cost + self.mean_cost()) / 2.0;
                 let crowded = (CROWDED - CROWDED_BY_LATE * self.late).max(CROWDED_JAMMED);
                 inboxes
                     .upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.measure.tp, crowded });
