--- a/src/balance.rs
+++ b/src/balance.rs
@@ -332,6 +332,7 @@
     /// Its place in the order of the lanes, alike at every balancer.
     order: u64,
     in_flight: u32,
+    cost_out: f64,
     cap: f64,
     distrust: f64,
     faded: Tenths,
@@ -358,7 +359,8 @@
         let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
         let cap = terms.part(FIRST_CAP);
-        let shown = Standing { entry, order, in_flight: 0, cap, distrust: 0.0, faded: 0, cold_sum: 0.0 };
+        let (in_flight, cost_out, distrust, faded, cold_sum) = (0, 0.0, 0.0, 0, 0.0);
+        let shown = Standing { entry, order, in_flight, cost_out, cap, distrust, faded, cold_sum };
         Upstream { shown, halved: 0, answered: 0, pace: Pace::default(), cold_work: VecDeque::new() }
     }
 
@@ -380,6 +382,7 @@
             UpstreamNote::Unlisted => self.shown.entry.stage = Stage::Gone,
             UpstreamNote::Posted { cost } => {
                 self.shown.in_flight += 1;
+                self.shown.cost_out += cost;
                 if self.shown.cold_age(now, terms).is_some() {
                     self.cold_work.push_back((now, cost));
                     self.shown.cold_sum += cost;
@@ -388,6 +391,8 @@
             UpstreamNote::Ended { outcome, took, cost, tp, crowded } => {
                 let sent = now.saturating_sub(took);
                 self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
+                let idle = self.shown.in_flight == 0;
+                self.shown.cost_out = if idle { 0.0 } else { (self.shown.cost_out - cost).max(0.0) };
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
@@ -848,13 +853,15 @@
                 (a, *b)
             }
         };
-        Some(if self.load(now, b) < self.load(now, a) { b } else { a })
+        let cost = txn.cost;
+        Some(if self.load(now, b, cost) < self.load(now, a, cost) { b } else { a })
     }
 
-    fn load(&self, now: Tenths, up: usize) -> f64 {
+    /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
+    fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
         let s = &self.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (f64::from(s.in_flight) + 1.0 + away) / s.size() * (1.0 + s.distrust(now))
+        (s.cost_out + cost + away * self.mean_cost()) / s.size() * (1.0 + s.distrust(now))
     }
 
     /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
