One lane without hints, shedding after release, first trace tests

The tests showed an upstream kept for a heavy lane that had no txns, and declines before the batch had been released.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,7 +43,7 @@
 const CROWDED: f64 = 3.5;
 const CROWDED_JAMMED: f64 = 1.5;
 const CROWDED_BY_LATE: f64 = 12.0;
-const LATE_WINDOW: f64 = 64.0;
+const LATE_WINDOW: f64 = 32.0;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
@@ -103,6 +103,7 @@
         while self.desk.release(now, &mut self.inboxes, out) {
             self.settle(now, out);
         }
+        self.desk.shed(now, out);
         self.desk.set_wake(now, self.roster.ask_at, out);
     }
 
@@ -590,9 +591,9 @@
                 let txn = number.and_then(|n| self.txns.get(&n));
                 let cost = txn.map_or(self.mean_cost(), |t| t.cost);
                 let sla = txn.map_or(SECOND, |t| t.deadline - t.arrived);
-                if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
-                    let late = outcome == Outcome::TimedOut || took > sla;
-                    self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
+                // Answers only: what a dead upstream never answered says nothing of a crowd at the others.
+                if outcome == Outcome::Ok {
+                    self.late += (f64::from(u8::from(took > sla)) - self.late) / LATE_WINDOW;
                 }
                 let crowded = (CROWDED - CROWDED_BY_LATE * self.late).max(CROWDED_JAMMED);
                 inboxes
@@ -662,7 +663,6 @@
             return self.give_up(number, out);
         }
         self.hold(now, number);
-        self.shed(now, out);
     }
 
     /// A tenant's share of this balancer, as a bucket of one second.
@@ -716,7 +716,10 @@
             part -= board[*up].size();
             self.light += 1;
         }
-        self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
+        // Where no hint tells heavy from light there is one lane: an upstream kept for the other would idle.
+        if self.cost_sums[1] > 0.0 {
+            self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
+        }
     }
 
     /// The design's send-by time, and whether any slot is left before the deadline.
@@ -764,7 +767,8 @@
     /// One posting, or one txn given up; false when nothing more can leave.
     fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
         let standings = self.lanes.iter().map(|up| &self.board[*up]);
-        let (room, busy) = standings.fold((0.0, 0.0), |(r, b), s| (r + s.cap, b + f64::from(s.in_flight)));
+        let sum = |(room, busy), s: &Standing| (room + s.cap, busy + f64::from(s.in_flight));
+        let (room, busy) = standings.fold((0.0, 0.0), sum);
         if busy > 0.0 && busy + 1.0 > room {
             return false;
         }
@@ -886,9 +890,11 @@
         } else if txn.out() {
             self.extra -= 1.0;
         }
+        // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
+        let due = tp.max((OVERDUE_PACE * self.pace.mean() * txn.cost) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
-        let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(tp);
+        let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         out.push(Action::Post {
@@ -897,8 +903,6 @@
             timeout,
         });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
-        // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
-        let due = tp.max((OVERDUE_PACE * self.pace.mean() * txn.cost) as Tenths);
         self.alarms.push(Reverse((now + due, number, Alarm::Overdue(posting))));
         if first && !slot && now < deadline {
             self.copy(now, number);
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,388 @@
+//! Each test keeps a trace of decisions that people read; run with UPDATE_EXPECT=1 to write them anew.
+
+mod helper;
+
+use expect_test::expect;
+use helper::*;
+use pondlb::*;
+
+#[test]
+fn held_txns_leave_by_send_by_time_under_the_cap() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a")]);
+    let mut soon = arrival("soon", 0);
+    soon.left = 300 * MS;
+    play.at(1, (0..4).map(|n| txn(&format!("t{n}"), 1)));
+    play.at(2, [txn("later", 1), Event::Arrived(soon)]);
+    play.at(22, [ended("t0", 0, "a", Outcome::Ok, 21)]);
+    play.at(23, [ended("t1", 0, "a", Outcome::Ok, 22)]);
+    expect![[r#"
+        1: post t0 to a
+        1: post t1 to a
+        1: post t2 to a
+        1: post t3 to a
+        22: post soon to a
+        23: post later to a
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_repeatable_txn_is_posted_again_after_tp_and_the_loser_recalled() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b")]);
+    let now = play.warm_up(64);
+    let first = play.post(now, txn("t", 0));
+    let second = if first == "a" { "b" } else { "a" };
+    play.at(now + 50, []);
+    play.at(now + 60, [ended("t", 1, second, Outcome::Ok, 10)]);
+    expect![[r#"
+        1600: post t to b
+        1650: post t to a
+        1660: recall t/0
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_once_only_txn_waits_out_its_time_and_is_repeated_only_if_it_never_ran() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b")]);
+    let now = play.warm_up(64);
+    let up = play.post(now, txn("slow", 1));
+    play.at(now + 500, []);
+    play.at(now + 1000, [ended("slow", 0, &up, Outcome::TimedOut, 1000)]);
+    for (n, outcome) in
+        [Outcome::Error, Outcome::Reset, Outcome::Cancelled, Outcome::ConnectFailed, Outcome::Full]
+            .into_iter()
+            .enumerate()
+    {
+        let id = format!("{outcome:?}");
+        let at = now + 40_000 * (n as u64 + 1);
+        let up = play.post(at, txn(&id, 1));
+        play.at(at + 5, [ended(&id, 0, &up, outcome, 5)]);
+    }
+    expect![[r#"
+        1600: post slow to b
+        2600: reverse slow
+        41600: post Error to b
+        41605: reverse Error
+        81600: post Reset to b
+        81605: reverse Reset
+        121600: post Cancelled to b
+        121605: reverse Cancelled
+        161600: post ConnectFailed to b
+        161605: post ConnectFailed to a
+        201600: post Full to b
+        201605: post Full to a
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_time_out_at_the_expiry_still_owes_the_answer_and_nothing_follows_it() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b")]);
+    let up = play.post(0, txn("t", 0));
+    play.at(1000, [ended("t", 0, &up, Outcome::TimedOut, 1000)]);
+    play.at(1000, [ended("t", 1, "b", Outcome::Cancelled, 10)]);
+    play.at(5000, [Event::Left { txn: "t".into() }]);
+    expect![[r#"
+        0: post t to b
+        1000: decline t, with advice
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn nothing_is_posted_once_the_client_has_left() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a")]);
+    play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 0)));
+    play.at(1, [Event::Left { txn: "t4".into() }, Event::Left { txn: "t0".into() }]);
+    play.at(2, [ended("t0", 0, "a", Outcome::Cancelled, 2), ended("t1", 0, "a", Outcome::Ok, 2)]);
+    expect![[r#"
+        0: post t0 to a
+        0: post t1 to a
+        0: post t2 to a
+        0: post t3 to a
+        1: recall t0/0
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn drained_and_missing_upstreams_get_nothing_and_an_empty_list_declines_at_once() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b c")]);
+    let drains = Entry { stage: Stage::Draining, ..entry("a", 0) };
+    play.at(1, [Event::Listed(Listing::Changes([drains].into())), txn("t0", 0), txn("t1", 0)]);
+    play.at(2, [list("c"), txn("t2", 0), txn("t3", 0)]);
+    play.at(3, [list(""), txn("t4", 0), txn("t5", 1)]);
+    expect![[r#"
+        1: post t0 to b
+        1: post t1 to b
+        2: post t2 to c
+        2: post t3 to c
+        3: decline t4, with advice
+        3: decline t5, with advice
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_referenced_txn_stays_in_its_group_and_its_time() {
+    for took in [100, 350] {
+        let mut play = Play::new(terms());
+        let zones = [entry("a0", 0), entry("b0", 0), entry("c1", 1), entry("d1", 1)];
+        play.at(0, [Event::Listed(Listing::Whole(zones.into()))]);
+        let up = play.post(0, txn("t", 2));
+        play.at(took, [ended("t", 0, &up, Outcome::Error, took)]);
+        play.at(500, []);
+        if took == 100 {
+            expect![[r#"
+                0: post t to a0
+                100: post t to b0
+            "#]]
+            .assert_eq(&play.trace);
+        } else {
+            expect![[r#"
+                0: post t to a0
+                500: reverse t
+            "#]]
+            .assert_eq(&play.trace);
+        }
+    }
+}
+
+#[test]
+fn a_burst_right_after_a_start_does_not_push_a_cold_upstream_over() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b")]);
+    let now = play.warm_up(100);
+    let cold = Entry { started: Some(now * MS), ..entry("cold", 0) };
+    play.at(now, [Event::Listed(Listing::Changes([cold].into()))]);
+    let mut to_cold = 0;
+    for n in 0..200 {
+        let id = format!("t{n}");
+        let up = play.post(now + n, txn(&id, 0));
+        to_cold += usize::from(up == "cold");
+        play.at(now + n, [ended(&id, 0, &up, Outcome::Ok, 1)]);
+    }
+    expect!["14 of 200 txns of 20 ms went to the cold upstream in 0.2 s"]
+        .assert_eq(&format!("{to_cold} of 200 txns of 20 ms went to the cold upstream in 0.2 s"));
+}
+
+#[test]
+fn where_two_may_not_be_out_the_first_ends_at_tp() {
+    let mut play = Play::new(Terms { second_copies: false, ..terms() });
+    play.at(0, [list("a b")]);
+    let now = play.warm_up(64);
+    let up = play.post(now, txn("t", 0));
+    play.at(now + 30, []);
+    play.at(now + 30, [ended("t", 0, &up, Outcome::TimedOut, 30)]);
+    expect![[r#"
+        1600: post t to b for 20 ms
+        1630: post t to a for 20 ms
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again_with_growing_waits() {
+    let mut play = Play::new(Terms { must_ask: true, ..terms() });
+    play.at(0, [Event::Listed(Listing::Remembered([entry("a", 0)].into())), txn("first", 0)]);
+    let mut asked = 0;
+    for ms in 1..20_000 {
+        if !play.at(ms, []).is_empty() {
+            asked += 1;
+            play.at(ms, [Event::Listed(Listing::Lost)]);
+        }
+        if asked == 5 {
+            break;
+        }
+    }
+    expect![[r#"
+        0: post first to a
+        913: Watch { on: true }
+        2696: Watch { on: true }
+        4854: Watch { on: true }
+        8329: Watch { on: true }
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn an_upstream_that_fails_quickly_is_benched_and_all_bad_still_serve() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b c d")]);
+    let mut to_a = [0, 0];
+    for n in 0..200 {
+        let id = format!("t{n}");
+        let up = play.post(n * 10, txn(&id, 1));
+        to_a[usize::from(n >= 100)] += usize::from(up == "a");
+        let outcome = if up == "a" || n >= 150 { Outcome::Full } else { Outcome::Ok };
+        play.at(n * 10 + 5, [ended(&id, 0, &up, outcome, 5)]);
+        play.at(n * 10 + 6, [Event::Left { txn: id.as_str().into() }]);
+    }
+    play.trace.clear();
+    play.at(2010, [txn("t", 0)]);
+    expect![[r#"
+        [0, 2]
+    "#]]
+    .assert_eq(&format!("{to_a:?}\n{}", play.trace));
+}
+
+#[test]
+fn a_jam_lowers_the_caps_below_one_posting_for_each_upstream() {
+    let mut play = Play::new(Terms { balancers: 4, ..terms() });
+    play.at(0, [list("a b c d")]);
+    for n in 0..40 {
+        let id = format!("t{n}");
+        let up = play.post(n * 400, txn(&id, 1));
+        play.at(n * 400 + 399, [ended(&id, 0, &up, Outcome::Ok, 399)]);
+    }
+    play.trace.clear();
+    play.at(20_000, (0..6).map(|n| txn(&format!("j{n}"), 1)));
+    expect![[r#"
+        20000: decline j0, with advice
+        20000: decline j1, with advice
+        20000: decline j2, with advice
+        20000: post j3 to b
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn a_heavy_txn_is_not_overdue_at_tp() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b")]);
+    let now = play.warm_up(64);
+    let heavy = Arrival { cost: Some(120 * MS), ..arrival("heavy", 0) };
+    play.at(now, [Event::Arrived(heavy)]);
+    play.at(now + 100, []);
+    play.at(now + 300, []);
+    expect![[r#"
+        1600: post heavy to a
+        1900: post heavy to b
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn copies_stop_when_little_settles_in_time() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a b c d e f g h i j k l")]);
+    let now = play.warm_up(64);
+    for n in 0..40 {
+        play.at(now + n, [txn(&format!("t{n}"), 0)]);
+    }
+    play.trace.clear();
+    play.at(now + 100, []);
+    play.at(now + 150, []);
+    expect!["0 copies for 40 overdue txns"]
+        .assert_eq(&format!("{} copies for 40 overdue txns", play.trace.lines().count()));
+}
+
+#[test]
+fn in_a_jam_a_tenant_above_its_share_gives_way_first() {
+    let tenants = vec![Tenant { quota: 40.0 }, Tenant { quota: 1.0 }];
+    let mut play = Play::new(Terms { tenants, excess_value: 0.1, ..terms() });
+    play.at(0, [list("a")]);
+    let now = play.warm_up(64);
+    for n in 0..12 {
+        for tenant in [0, 1] {
+            let big = Arrival { tenant, cost: Some(60 * MS), ..arrival(&format!("of{tenant}-{n}"), 1) };
+            play.at(now, [Event::Arrived(big)]);
+        }
+    }
+    expect![[r#"
+        1600: post of0-0 to a
+        1600: post of1-0 to a
+        1600: post of0-1 to a
+        1600: post of1-1 to a
+        1600: decline of1-2, with advice
+        1600: decline of1-3, with advice
+        1600: decline of1-4, with advice
+        1600: decline of1-5, with advice
+        1600: decline of0-2, with advice
+        1600: decline of1-6, with advice
+        1600: decline of0-3, with advice
+        1600: decline of1-7, with advice
+        1600: decline of0-4, with advice
+        1600: decline of1-8, with advice
+        1600: decline of0-5, with advice
+        1600: decline of1-9, with advice
+        1600: decline of0-6, with advice
+        1600: decline of1-10, with advice
+        1600: decline of0-7, with advice
+        1600: decline of1-11, with advice
+    "#]]
+    .assert_eq(&play.trace);
+}
+
+#[test]
+fn balancers_that_share_nothing_send_a_key_to_the_same_upstream() {
+    let mut trace = String::new();
+    for seed in [1, 2, 3] {
+        let mut balancer = Balancer::new(Terms { warm_keys: true, ..terms() }, seed);
+        let mut actions = Vec::new();
+        let keyed = |id: &str, key| Event::Arrived(Arrival { key: Some(key), ..arrival(id, 0) });
+        balancer.handle(0, [list("a b c d"), keyed("t5", 5), keyed("t6", 6), keyed("t9", 9)], &mut actions);
+        for action in actions {
+            if let Action::Post { txn, upstream, .. } = action {
+                trace += &format!("{txn} to {upstream}; ");
+            }
+        }
+        trace.push('\n');
+    }
+    expect![[r#"
+        t5 to d; t6 to c; t9 to c; 
+        t5 to d; t6 to c; t9 to c; 
+        t5 to d; t6 to c; t9 to c; 
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn late_value_keeps_a_txn_until_its_expiry_and_none_declines_it_at_the_sla_time() {
+    let mut both = String::new();
+    for late_value in [0.0, 0.3] {
+        let mut terms = terms();
+        terms.schemes[1].late_value = late_value;
+        let mut play = Play::new(terms);
+        play.at(0, [list("a")]);
+        play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 1)));
+        play.at(401, []);
+        play.at(500, [ended("t0", 0, "a", Outcome::Ok, 500)]);
+        both += &format!("late value {late_value}\n{}", play.trace);
+    }
+    expect![[r#"
+        late value 0
+        0: post t0 to a
+        0: post t1 to a
+        0: post t2 to a
+        0: post t3 to a
+        401: decline t4, with advice
+        late value 0.3
+        0: post t0 to a
+        0: post t1 to a
+        0: post t2 to a
+        0: post t3 to a
+    "#]]
+    .assert_eq(&both);
+}
+
+#[test]
+fn the_same_events_bring_the_same_actions() {
+    let play = || {
+        let mut play = Play::new(terms());
+        play.at(0, [list("a b c d e")]);
+        play.at(1, (0..30).map(|n| txn(&format!("t{n}"), n % 3)));
+        play.at(200, [ended("t1", 0, "a", Outcome::Error, 199)]);
+        play.at(390, []);
+        play.trace
+    };
+    assert!(play().lines().count() > 10);
+    assert_eq!(play(), play());
+}
--- /dev/null
+++ b/tests/helper/mod.rs
@@ -0,0 +1,104 @@
+//! Plays events to one balancer and prints its decisions, one line each, behind the time in milliseconds.
+
+use std::fmt::Write;
+
+use pondlb::*;
+
+pub const MS: Tenths = 10;
+
+pub struct Play {
+    balancer: Balancer,
+    pub trace: String,
+}
+
+/// Scheme 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms, expiry 1 s.
+pub fn terms() -> Terms {
+    let zone = Effect::Referenced { scope: Scope::Zone, memory: 300 * MS };
+    let scheme = |effect| Scheme { sla: 400 * MS, expiry: 1000 * MS, late_value: 0.0, value: 1.0, effect };
+    Terms {
+        balancers: 1,
+        own_zone: 0,
+        must_ask: false,
+        schemes: vec![scheme(Effect::Repeatable), scheme(Effect::OnceOnly), scheme(zone)],
+        tenants: Vec::new(),
+        excess_value: 1.0,
+        warm_keys: false,
+        max_postings: 3,
+        second_copies: true,
+        cancelling: true,
+        cool_down: Some(800 * MS),
+        cold: ColdTerms { share: 0.2, warm_within: 10_000 * MS, multiple: 2.0, window: 1000 * MS },
+    }
+}
+
+pub fn entry(upstream: &str, zone: u32) -> Entry {
+    Entry { upstream: upstream.into(), cell: 0, started: None, size: 1.0, zone, stage: Stage::Live }
+}
+
+pub fn list(upstreams: &str) -> Event {
+    Event::Listed(Listing::Whole(upstreams.split_whitespace().map(|name| entry(name, 0)).collect()))
+}
+
+pub fn txn(id: &str, scheme: u32) -> Event {
+    Event::Arrived(arrival(id, scheme))
+}
+
+pub fn arrival(id: &str, scheme: u32) -> Arrival {
+    let (tenant, left, cost) = (0, 1000 * MS, Some(20 * MS));
+    Arrival { txn: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
+}
+
+pub fn ended(id: &str, posting: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
+    let (settled, load) = (outcome == Outcome::Ok, Load::default());
+    let (txn, upstream, took) = (id.into(), upstream.into(), ms * MS);
+    Event::Ended { txn, posting, upstream, outcome, took, settled, load }
+}
+
+impl Play {
+    pub fn new(terms: Terms) -> Self {
+        Play { balancer: Balancer::new(terms, 7), trace: String::new() }
+    }
+
+    /// Also what the balancer asked to be woken for is left to the test: it says when time passes.
+    pub fn at(&mut self, ms: Tenths, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer.handle(ms * MS, events, &mut actions);
+        actions.retain(|action| !matches!(action, Action::Wake { .. }));
+        for action in &actions {
+            let line = match action {
+                Action::Post { txn, upstream, timeout: None } => format!("post {txn} to {upstream}"),
+                Action::Post { txn, upstream, timeout: Some(t) } => {
+                    format!("post {txn} to {upstream} for {} ms", t / MS)
+                }
+                Action::Decline { txn, cool_down } => {
+                    format!("decline {txn}{}", if cool_down.is_some() { ", with advice" } else { "" })
+                }
+                Action::Reverse { txn } => format!("reverse {txn}"),
+                Action::Recall { txn, posting } => format!("recall {txn}/{posting}"),
+                other => format!("{other:?}"),
+            };
+            writeln!(self.trace, "{ms}: {line}").unwrap();
+        }
+        actions
+    }
+
+    /// The upstream that a txn was posted to at that time, for tests in which chance picks it.
+    pub fn post(&mut self, ms: Tenths, event: Event) -> String {
+        let posted = self.at(ms, [event]).into_iter().find_map(|action| match action {
+            Action::Post { upstream, .. } => Some(upstream.to_string()),
+            _ => None,
+        });
+        posted.unwrap_or_default()
+    }
+
+    /// Answers come in 20 ms for each 20 ms of cost, so that the window is filled and caps have grown.
+    pub fn warm_up(&mut self, count: u64) -> Tenths {
+        for n in 0..count {
+            let id = format!("w{n}");
+            let up = self.post(n * 25, txn(&id, 0));
+            self.at(n * 25 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
+        }
+        self.trace.clear();
+        count * 25
+    }
+}
