--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,8 +1,8 @@
 //! All decisions of the balancer, in one module.
 //!
-//! Callers make a [`Balancer`] from [`Terms`] and a seed, hand it each batch of [`Event`]s with their time, and
-//! carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the same events bring
-//! the same actions. The interface is `Balancer::new` and `Balancer::handle`, below.
+//! Callers make a [`Balancer`] from [`Terms`] and a seed, hand it each batch of [`Event`]s with their time,
+//! and carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the same events
+//! bring the same actions. The interface is `Balancer::new` and `Balancer::handle`, below.
 //!
 //! Inside are the desk (txns), an actor for each upstream, the gauge (the pooled window) and the roster (that
 //! follows the list). They talk only by notes in inboxes, which `Balancer::settle` empties. docs/design.md
@@ -24,16 +24,12 @@
 /// The percentile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
 const TP_PERCENTILE: f64 = 0.95;
 const RELIABILITY: f64 = 0.99;
-/// tp before any answer has come, as a part of the tightest SLA time.
-const FIRST_TP_PART: u64 = 2;
 /// A txn is hopeless when fewer of the pooled answers than this would come within its time left.
 const HOPELESS_PERCENTILE: f64 = 0.1;
 const WINDOW_OUTCOMES: u32 = 1000;
 const WINDOW: Tenths = 5 * SECOND;
 
 const FIRST_CAP: f64 = 4.0;
-const COLD_CAP: f64 = 1.0;
-const LARGEST_CAP: f64 = 64.0;
 /// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
 const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
@@ -63,13 +59,6 @@
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.5;
 
-impl Terms {
-    /// This balancer's part of a figure that all balancers together should keep to.
-    fn part(&self, whole: f64) -> f64 {
-        whole / f64::from(self.balancers.max(1))
-    }
-}
-
 pub struct Balancer {
     inboxes: Inboxes,
     desk: Desk,
@@ -100,6 +89,7 @@
         self.roster.follow(now, out);
         self.desk.ring(now, &mut self.inboxes, out);
         self.settle(now, out);
+        self.desk.lay_lanes();
         while self.desk.release(now, &mut self.inboxes, out) {
             self.settle(now, out);
         }
@@ -119,7 +109,7 @@
                 inboxes.desk.push_back(DeskNote::Ended { txn, posting, up, outcome, took, settled });
             }
             Event::Streaming { txn, posting, .. } => {
-                inboxes.desk.push_back(DeskNote::Streaming { txn, posting })
+                inboxes.desk.push_back(DeskNote::Streams { txn, posting })
             }
             Event::Left { txn } => inboxes.desk.push_back(DeskNote::Left { txn }),
             Event::Listed(listing) => self.list(now, listing),
@@ -207,7 +197,7 @@
 enum DeskNote {
     Arrived(Arrival),
     Ended { txn: TxnId, posting: u32, up: usize, outcome: Outcome, took: Tenths, settled: bool },
-    Streaming { txn: TxnId, posting: u32 },
+    Streams { txn: TxnId, posting: u32 },
     Left { txn: TxnId },
     Standing(usize, Standing),
     Measure(Measure),
@@ -222,8 +212,7 @@
 
 impl Roster {
     fn follow(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        if self.must_ask && self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
+        if self.must_ask && self.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Watch { on: true });
         }
     }
@@ -260,7 +249,8 @@
 impl Gauge {
     fn new(terms: &Terms) -> Self {
         let tightest = terms.schemes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
-        let measure = Measure { tp: (tightest / FIRST_TP_PART).max(1), wait: 0, needed: 1, quick: 0 };
+        // Until answers come, half the tightest SLA time: late for most, early enough for a second try.
+        let measure = Measure { tp: (tightest / 2).max(1), wait: 0, needed: 1, quick: 0 };
         let took = Histogram::new(3, 20).expect("the bins are fixed");
         Gauge { took, waited: 0.0, waits: 0.0, since: 0, halved: 0, measure }
     }
@@ -268,8 +258,7 @@
     fn receive(&mut self, now: Tenths, note: GaugeNote, desk: &mut VecDeque<DeskNote>) {
         match note {
             GaugeNote::Waited(span) => {
-                self.waited += span as f64;
-                self.waits += 1.0;
+                (self.waited, self.waits) = (self.waited + span as f64, self.waits + 1.0);
                 return;
             }
             // A time beyond the last bin counts in it.
@@ -277,11 +266,9 @@
         }
         self.since += 1;
         if self.since >= WINDOW_OUTCOMES || now >= self.halved + WINDOW {
-            self.took.as_mut_slice().iter_mut().for_each(|bin| *bin = bin.div_ceil(2) - (*bin & 1));
-            self.waited /= 2.0;
-            self.waits /= 2.0;
-            self.since = 0;
-            self.halved = now;
+            self.took.as_mut_slice().iter_mut().for_each(|bin| *bin /= 2);
+            (self.waited, self.waits) = (self.waited / 2.0, self.waits / 2.0);
+            (self.since, self.halved) = (0, now);
         }
         if self.since.is_multiple_of(16) {
             self.measure_again();
@@ -294,24 +281,18 @@
         if all < 16 {
             return;
         }
-        let (mut below, mut quick, mut tp, mut p_tp) = (0, None, None, 1.0_f64);
-        for bin in &self.took {
-            below += bin.count();
-            let part = below as f64 / all as f64;
-            if quick.is_none() && part >= HOPELESS_PERCENTILE {
-                quick = Some(bin.start());
-            }
-            if part >= TP_PERCENTILE {
-                (tp, p_tp) = (Some(bin.end()), part);
-                break;
-            }
-        }
-        let missed = (1.0 - p_tp).max(1e-6);
+        let quantile = |part| self.took.quantile_bucket(part).ok().flatten();
+        let (Some(quick), Some(tp)) = (quantile(HOPELESS_PERCENTILE), quantile(TP_PERCENTILE)) else {
+            return;
+        };
+        let within: u64 =
+            self.took.iter().take_while(|bin| bin.end() <= tp.end()).map(|bin| bin.count()).sum();
+        let missed = (1.0 - within as f64 / all as f64).max(1e-6);
         self.measure = Measure {
-            tp: tp.unwrap_or(SECOND).max(1),
+            tp: tp.end().max(1),
             wait: if self.waits > 0.0 { (self.waited / self.waits) as Tenths } else { 0 },
             needed: ((1.0 - RELIABILITY).ln() / missed.ln()).ceil().max(1.0) as u64,
-            quick: quick.unwrap_or(0),
+            quick: quick.start(),
         };
     }
 }
@@ -376,8 +357,7 @@
                 let known = std::mem::replace(&mut self.shown.entry, entry);
                 if self.shown.cold_age(now, terms).is_some() && self.shown.entry.started != known.started {
                     // A new process: what was known of the old one would send it too much too soon.
-                    self.shown.cap = COLD_CAP;
-                    self.shown.distrust = 0.0;
+                    (self.shown.cap, self.shown.distrust) = (terms.part(SMALLEST_CAP), 0.0);
                 }
             }
             UpstreamNote::Unlisted => self.shown.entry.stage = Stage::Gone,
@@ -404,8 +384,7 @@
                         if crowding > crowded {
                             self.halve(now, sent, terms);
                         } else if took <= tp && crowding < EASY_PART * crowded && in_use {
-                            shown.cap =
-                                (shown.cap + GROWTH * shown.cap.min(1.0 / shown.cap)).min(LARGEST_CAP);
+                            shown.cap = shown.cap + GROWTH * shown.cap.min(1.0 / shown.cap);
                         }
                     }
                     // A full waiting room is the shortest queue to look at; it must not draw more.
@@ -452,8 +431,8 @@
     }
 }
 
-/// Time taken for a unit of cost, as a geometric mean of the last answers: a pause or a heavy tail makes a few
-/// answers very late and must not pass for a crowd, which makes all of them late.
+/// Time taken for a unit of cost, as a geometric mean of the last answers: a pause or a heavy tail makes a
+/// few answers very late and must not pass for a crowd, which makes all of them late.
 #[derive(Default)]
 struct Pace {
     log: f64,
@@ -513,14 +492,6 @@
     }
 }
 
-/// What an alarm is for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Alarm {
-    /// The time left of a held txn has become too short.
-    LastChance,
-    Overdue(u32),
-}
-
 /// Holds the txns, and gives each its postings and its final answer.
 struct Desk {
     terms: Rc<Terms>,
@@ -536,12 +507,12 @@
     held: [BTreeSet<(Tenths, u64)>; 2],
     by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
     held_cost: f64,
-    alarms: BinaryHeap<Reverse<(Tenths, u64, Alarm)>>,
+    /// When a posting is overdue or, without one, when the time left of a held txn becomes too short.
+    alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
     wake: Option<Tenths>,
     costs: Histogram,
     cost_sums: [f64; 2],
     cost_count: u32,
-    median_cost: f64,
     extra: f64,
     flow: f64,
     flow_at: Tenths,
@@ -572,7 +543,6 @@
             costs: Histogram::new(3, 24).expect("the bins are fixed"),
             cost_sums: [0.0; 2],
             cost_count: 0,
-            median_cost: 0.0,
             extra: EXTRA_SAVED,
             flow: 0.0,
             flow_at: 0,
@@ -585,15 +555,15 @@
 
     fn receive(&mut self, now: Tenths, note: DeskNote, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
         match note {
-            DeskNote::Arrived(arrival) => self.arrive(now, arrival, out),
+            DeskNote::Arrived(arrival) => self.arrive(now, arrival),
             DeskNote::Ended { txn, posting, up, outcome, took, settled } => {
                 let number = self.numbers.get(&txn).copied();
                 let txn = number.and_then(|n| self.txns.get(&n));
-                let cost = txn.map_or(self.mean_cost(), |t| t.cost);
-                let sla = txn.map_or(SECOND, |t| t.deadline - t.arrived);
-                // Answers only: what a dead upstream never answered says nothing of a crowd at the others.
-                if outcome == Outcome::Ok {
-                    self.late += (f64::from(u8::from(took > sla)) - self.late) / LATE_WINDOW;
+                let (cost, sla) =
+                    txn.map_or((self.mean_cost(), SECOND), |t| (t.cost, t.deadline - t.arrived));
+                if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+                    let late = outcome == Outcome::TimedOut || took > sla;
+                    self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
                 }
                 let crowded = (CROWDED - CROWDED_BY_LATE * self.late).max(CROWDED_JAMMED);
                 inboxes
@@ -614,7 +584,7 @@
                 }
                 self.close(number, out);
             }
-            DeskNote::Streaming { txn, posting } => {
+            DeskNote::Streams { txn, posting } => {
                 let Some(&number) = self.numbers.get(&txn) else { return };
                 self.unhold(number);
                 if let Some(txn) = self.txns.get_mut(&number) {
@@ -627,67 +597,50 @@
                     self.close(number, out);
                 }
             }
-            DeskNote::Standing(up, standing) => {
-                let known = self.board.get(up).map(|s| (s.entry.stage, s.size()));
-                let moved = known != Some((standing.entry.stage, standing.size()));
-                match self.board.get_mut(up) {
-                    Some(place) => *place = standing,
-                    None => self.board.push(standing),
-                }
-                if moved {
-                    self.lay_lanes();
-                }
-            }
+            DeskNote::Standing(up, standing) => match self.board.get_mut(up) {
+                Some(place) => *place = standing,
+                None => self.board.push(standing),
+            },
             DeskNote::Measure(measure) => self.measure = measure,
         }
     }
 
-    fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
+    fn arrive(&mut self, now: Tenths, arrival: Arrival) {
         let number = self.next;
         self.next += 1;
         let scheme = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
-        let excess =
-            if self.over_share(now, arrival.tenant as usize) { self.terms.excess_value } else { 1.0 };
-        let rank = (self.terms.schemes[scheme].value * excess).max(0.0).to_bits();
+        let share = self.share(now, arrival.tenant as usize);
+        let rank = (self.terms.schemes[scheme].value * share).max(0.0).to_bits();
         let (deadline, expiry) = (now + self.terms.schemes[scheme].sla.min(arrival.left), now + arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
         let (held, streaming, postings) = (None, false, Vec::new());
         self.numbers.insert(arrival.txn, number);
         let arrived = now;
-        let txn =
+        let t =
             Txn { id, scheme, cost, key, heavy, arrived, deadline, expiry, rank, held, streaming, postings };
-        self.txns.insert(number, txn);
-        if self.lanes.is_empty() {
-            // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
-            return self.give_up(number, out);
-        }
+        self.txns.insert(number, t);
         self.hold(now, number);
     }
 
-    /// A tenant's share of this balancer, as a bucket of one second.
-    fn over_share(&mut self, now: Tenths, tenant: usize) -> bool {
+    /// What part of its value counts, by the tenant's share of this balancer as a bucket of one second.
+    fn share(&mut self, now: Tenths, tenant: usize) -> f64 {
         let quota = self.terms.tenants.get(tenant).map(|t| self.terms.part(t.quota));
-        let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else { return false };
+        let (Some(quota), Some((left, at))) = (quota, self.quotas.get_mut(tenant)) else { return 1.0 };
         *left = (*left + quota * (now - *at) as f64 / SECOND as f64).min(quota.max(1.0));
         *at = now;
         let over = *left < 1.0;
         *left -= if over { 0.0 } else { 1.0 };
-        over
+        if over { self.terms.excess_value } else { 1.0 }
     }
 
     /// Notes the cost and tells whether it belongs to the heavy lane.
     fn weigh(&mut self, cost: f64) -> bool {
-        let heavy = self.cost_count > 0 && cost > self.median_cost;
+        let median = self.costs.quantile_bucket(0.5).ok().flatten();
+        let heavy = median.is_some_and(|bin| cost > bin.end() as f64);
         let _beyond = self.costs.increment((cost as u64).min((1 << 24) - 1));
         self.cost_sums[usize::from(heavy)] += cost;
         self.cost_count += 1;
-        if self.cost_count.is_power_of_two() || self.cost_count.is_multiple_of(256) {
-            if let Ok(Some(bin)) = self.costs.quantile_bucket(0.5) {
-                self.median_cost = bin.end() as f64;
-            }
-            self.lay_lanes();
-        }
         if self.cost_count >= 2 * WINDOW_OUTCOMES {
             self.costs.as_mut_slice().iter_mut().for_each(|bin| *bin /= 2);
             self.cost_sums.iter_mut().for_each(|sum| *sum /= 2.0);
@@ -740,7 +693,7 @@
         self.held[usize::from(txn.heavy)].insert((send_by, number));
         self.by_rank.insert((txn.rank, Reverse(send_by), number));
         self.held_cost += txn.cost;
-        self.alarms.push(Reverse((last, number, Alarm::LastChance)));
+        self.alarms.push(Reverse((last, number, None)));
     }
 
     fn unhold(&mut self, number: u64) {
@@ -778,6 +731,7 @@
         heads.sort_unstable();
         for (_, number) in heads {
             if self.lanes.is_empty() {
+                // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
                 self.stop_waiting(number, out);
                 return true;
             }
@@ -881,7 +835,6 @@
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
         let deadline = self.txns[&number].deadline;
         let (_, slot) = self.plan(now, deadline);
-        let tp = self.measure.tp;
         let Some(txn) = self.txns.get_mut(&number) else { return };
         let repeatable = self.terms.schemes[txn.scheme].effect == Effect::Repeatable;
         let first = txn.postings.is_empty();
@@ -891,19 +844,16 @@
             self.extra -= 1.0;
         }
         // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
-        let due = tp.max((OVERDUE_PACE * self.pace.mean() * txn.cost) as Tenths);
+        let due = self.measure.tp.max((OVERDUE_PACE * self.pace.mean() * txn.cost) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
-        out.push(Action::Post {
-            txn: txn.id.clone(),
-            upstream: self.board[up].entry.upstream.clone(),
-            timeout,
-        });
+        let upstream = self.board[up].entry.upstream.clone();
+        out.push(Action::Post { txn: txn.id.clone(), upstream, timeout });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
-        self.alarms.push(Reverse((now + due, number, Alarm::Overdue(posting))));
+        self.alarms.push(Reverse((now + due, number, Some(posting))));
         if first && !slot && now < deadline {
             self.copy(now, number);
         }
@@ -939,11 +889,7 @@
         }
         let may_repeat = self.terms.schemes[txn.scheme].effect != Effect::OnceOnly || txn.never_ran();
         let may_post = may_repeat && txn.postings.len() < self.terms.max_postings as usize;
-        if may_post && self.in_time(now, number) {
-            self.hold(now, number);
-        } else {
-            self.give_up(number, out);
-        }
+        if may_post { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
     }
 
     /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
@@ -954,10 +900,9 @@
             Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
         };
         let id = txn.id.clone();
-        let longest = self.terms.cool_down;
+        // Apart from each other, against all those declined coming back in one wave.
+        let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
         out.push(if may_decline {
-            // Apart from each other, against all those declined coming back in one wave.
-            let cool_down = longest.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
             Action::Decline { txn: id, cool_down }
         } else {
             Action::Reverse { txn: id }
@@ -970,17 +915,16 @@
         if self.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
     }
 
-    /// Whether the time left allows a further posting. Past the SLA time the late value
-    /// counts until the expiry, behind all others.
-    fn in_time(&mut self, now: Tenths, number: u64) -> bool {
+    /// As the time left allows. Past the SLA time the late value counts until the expiry, behind all others.
+    fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
         let quick = self.measure.quick;
-        let Some(txn) = self.txns.get_mut(&number) else { return false };
+        let Some(txn) = self.txns.get_mut(&number) else { return };
         let late_value = self.terms.schemes[txn.scheme].late_value;
         if now + quick >= txn.deadline && late_value > 0.0 && txn.deadline < txn.expiry {
             txn.rank = (f64::from_bits(txn.rank) * late_value).to_bits();
             txn.deadline = txn.expiry;
         }
-        now + quick < txn.deadline
+        if now + quick < txn.deadline { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
     fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
@@ -998,28 +942,21 @@
     }
 
     fn ring(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
-        while let Some(&Reverse((at, number, alarm))) = self.alarms.peek() {
-            if at > now {
-                return;
-            }
+        while let Some(&Reverse((_, number, posting))) = self.alarms.peek().filter(|alarm| alarm.0.0 <= now) {
             self.alarms.pop();
-            let Some(txn) = self.txns.get_mut(&number) else {
-                continue;
-            };
-            match alarm {
-                Alarm::LastChance if txn.held.is_some() && txn.out() => self.unhold(number),
-                Alarm::LastChance if txn.held.is_some() => {
-                    self.unhold(number);
-                    if self.in_time(now, number) { self.hold(now, number) } else { self.give_up(number, out) }
+            let Some(txn) = self.txns.get(&number) else { continue };
+            if let Some(posting) = posting {
+                let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
+                let Some(&Posting { up, sent, .. }) = posting else { continue };
+                inboxes.upstream(up, UpstreamNote::Overdue { sent });
+                if now + self.measure.quick < txn.deadline {
+                    self.copy(now, number);
                 }
-                Alarm::LastChance => {}
-                Alarm::Overdue(posting) => {
-                    let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
-                    let Some(&Posting { up, sent, .. }) = posting else { continue };
-                    inboxes.upstream(up, UpstreamNote::Overdue { sent });
-                    if now + self.measure.quick < txn.deadline {
-                        self.copy(now, number);
-                    }
+            } else if txn.held.is_some() {
+                let still_out = txn.out();
+                self.unhold(number);
+                if !still_out {
+                    self.hold_or_give_up(now, number, out);
                 }
             }
         }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -62,3 +62,10 @@
     pub multiple: f64,
     pub window: Tenths,
 }
+
+impl Terms {
+    /// This balancer's part of a figure that all balancers together should keep to.
+    pub fn part(&self, whole: f64) -> f64 {
+        whole / f64::from(self.balancers.max(1))
+    }
+}
