--- a/crates/pondlb-adapter/src/config.rs
+++ b/crates/pondlb-adapter/src/config.rs
@@ -3,7 +3,7 @@
 use pondlb::{ColdTerms, Effect, Scheme, Scope, Tenant, Terms, floor_from_ns};
 use serde::Deserialize;
 
-use crate::wire::{Fault, ReportOrder};
+use crate::wire::{Fault, Reading};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -95,10 +95,14 @@
     quota_rps: f64,
 }
 
-pub fn decode(json: &str) -> Result<(Terms, ReportOrder), Fault> {
+pub fn decode(json: &str) -> Result<(Terms, Reading), Fault> {
     let config: Config = serde_json::from_str(json).map_err(|e| format!("Config: {e}"))?;
     let place = |name| config.reporting.fields.iter().position(|f| f == name);
-    let report = ReportOrder { held: place("rif"), service: place("lat_ms") };
+    let schemes = config.schemes.len() as u32;
+    if schemes == 0 {
+        return Err("Config: Schemes is empty".into());
+    }
+    let reading = Reading { held: place("rif"), service: place("lat_ms"), schemes };
     let schemes: Result<_, Fault> = config.schemes.into_iter().map(scheme).collect();
     let (limits, rules) = (config.limits, config.rules);
     let terms = Terms {
@@ -120,7 +124,7 @@
             window: pondlb::ceil_from_ns(rules.fall_ns),
         },
     };
-    Ok((terms, report))
+    Ok((terms, reading))
 }
 
 fn scheme(scheme: WireScheme) -> Result<Scheme, Fault> {
--- a/crates/pondlb-adapter/src/main.rs
+++ b/crates/pondlb-adapter/src/main.rs
@@ -1,6 +1,8 @@
 //! The simulator's wire on standard input and output: words only, no decisions.
 
 mod config;
+#[cfg(test)]
+mod tests;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -10,7 +12,7 @@
 use std::rc::Rc;
 
 use pondlb::{Action, Balancer, Entry, Event, Listing, Tenths};
-use wire::{Fault, Form, Line, ReportOrder};
+use wire::{Fault, Form, Line, Reading};
 
 fn main() -> ExitCode {
     // A panic is reported on the wire as a fault of its instance; the default hook would print a trace.
@@ -27,7 +29,7 @@
 /// One balancer with what it has been sent in the batch being read.
 struct Instance {
     balancer: Balancer,
-    report: ReportOrder,
+    reading: Reading,
     waiting: Vec<Event>,
     touched: bool,
 }
@@ -92,17 +94,17 @@
             break;
         }
         let instances = &host.instances;
-        let order = |who| instances.get(&who).map(|i| i.report);
-        match wire::line(line, order)? {
+        let reading = |who| instances.get(&who).map(|i| i.reading);
+        match wire::line(line, reading)? {
             Line::Ledger { page, members } => {
                 let entries: Result<Rc<[Entry]>, Fault> =
                     (0..members).map(|_| wire::member(lines.inside("a list")?)).collect();
                 host.pages[page] = Some(entries?);
             }
-            Line::Start { who, seed, terms, report } => {
+            Line::Start { who, seed, terms, reading } => {
                 let balancer = Balancer::new(*terms, seed);
                 host.instances
-                    .insert(who, Instance { balancer, report, waiting: Vec::new(), touched: false });
+                    .insert(who, Instance { balancer, reading, waiting: Vec::new(), touched: false });
                 host.touch(who)?;
             }
             // What it was sent earlier in this batch dies with it: it could only act on txns it lost.
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -15,11 +15,13 @@
 pub const BATCH_END: &str = "EOF_BATCH";
 pub const PAGES: usize = 16;
 
-/// Where in a load report the values stand that the balancer reads.
+/// What the lines of an instance are read by: where in a load report the values stand that the balancer
+/// reads, and how many schemes there are.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ReportOrder {
+pub struct Reading {
     pub held: Option<usize>,
     pub service: Option<usize>,
+    pub schemes: u32,
 }
 
 pub enum Form {
@@ -31,7 +33,7 @@
 
 pub enum Line {
     Ledger { page: usize, members: usize },
-    Start { who: u64, seed: u64, terms: Box<Terms>, report: ReportOrder },
+    Start { who: u64, seed: u64, terms: Box<Terms>, reading: Reading },
     Kill { who: u64 },
     View { who: u64, form: Form, page: Option<usize> },
     Event { who: u64, event: Event },
@@ -121,7 +123,7 @@
         self.number("DurationNs").map(ceil_from_ns)
     }
 
-    fn load(&self, order: ReportOrder) -> Result<Load, Fault> {
+    fn load(&self, reading: Reading) -> Result<Load, Fault> {
         let Some(row) = self.get("HealthInfo") else {
             return Ok(Load::default());
         };
@@ -131,8 +133,8 @@
             };
             text.parse().map(Some).map_err(|_| self.bad("HealthInfo", row))
         };
-        let service = value(order.service)?.map(|ms| (ms * 10.0).max(0.0).round() as Tenths);
-        Ok(Load { held: value(order.held)?, service })
+        let service = value(reading.service)?.map(|ms| (ms * 10.0).max(0.0).round() as Tenths);
+        Ok(Load { held: value(reading.held)?, service })
     }
 }
 
@@ -174,8 +176,8 @@
     })
 }
 
-/// Any line inside a batch. `order` tells how a running instance's load reports are laid out.
-pub fn line(line: &str, order: impl Fn(u64) -> Option<ReportOrder>) -> Result<Line, Fault> {
+/// Any line inside a batch. `reading` knows the running instances.
+pub fn line(line: &str, reading: impl Fn(u64) -> Option<Reading>) -> Result<Line, Fault> {
     let (kind, rest) = split_kind(line);
     let fields = Fields::split(kind, rest)?;
     if kind == "LEDGER" {
@@ -197,10 +199,10 @@
     }
     let who = fields.number("Who")?;
     if kind == "UP" {
-        let (terms, report) = config::decode(fields.word("Config")?)?;
-        return Ok(Line::Start { who, seed: fields.number("Salt")?, terms: Box::new(terms), report });
+        let (terms, reading) = config::decode(fields.word("Config")?)?;
+        return Ok(Line::Start { who, seed: fields.number("Salt")?, terms: Box::new(terms), reading });
     }
-    let order = order(who).ok_or_else(|| unknown(who))?;
+    let reading = reading(who).ok_or_else(|| unknown(who))?;
     let event = match kind {
         "POWER_OFF" => return Ok(Line::Kill { who }),
         "VIEW" => {
@@ -216,7 +218,10 @@
         }
         "KNOCK" => Event::Arrived(Arrival {
             txn: fields.word("OpId")?.into(),
-            scheme: fields.number("Priority")?,
+            scheme: match fields.number("Priority")? {
+                scheme if scheme < reading.schemes => scheme,
+                scheme => return Err(fields.bad("Priority", &scheme.to_string())),
+            },
             tenant: fields.optional("Account")?.unwrap_or(0),
             key: match fields.get("PathKey") {
                 None => None,
@@ -234,7 +239,7 @@
             outcome: fields.outcome()?,
             took: fields.took()?,
             settled: fields.flag("Settled")?,
-            load: fields.load(order)?,
+            load: fields.load(reading)?,
         },
         "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
         "ABORTED" => Event::Left { txn: fields.word("OpId")?.into() },
@@ -248,7 +253,7 @@
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
             took: fields.took()?,
-            load: fields.load(order)?,
+            load: fields.load(reading)?,
         },
         _ => Event::Heard { peer: fields.number("OriginPeer")?, note: bytes(&fields)? },
     };
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -212,7 +212,7 @@
 
 impl Roster {
     fn follow(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        if self.must_ask && self.ask_at.take_if(|at| *at <= now).is_some() {
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Watch { on: true });
         }
     }
@@ -222,7 +222,7 @@
     fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
         let longest = SECOND << self.failures.min(4);
         self.failures += 1;
-        self.ask_at = Some(now + rng.generate_range(longest / 4..longest));
+        self.ask_at = self.must_ask.then(|| now + rng.generate_range(longest / 4..longest));
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -61,6 +61,10 @@
         let at = now + 40_000 * (n as u64 + 1);
         let up = play.post(at, txn(&id, 1));
         play.at(at + 5, [ended(&id, 0, &up, outcome, 5)]);
+        let second = if up == "a" { "b" } else { "a" };
+        if outcome.never_ran() {
+            play.at(at + 10, [ended(&id, 1, second, Outcome::Ok, 5)]);
+        }
     }
     expect![[r#"
         1600: post slow to a
@@ -73,7 +77,8 @@
         121605: reverse Cancelled
         161600: post ConnectFailed to b
         161605: post ConnectFailed to a
-        201600: post Full to b
+        201600: post Full to a
+        201605: post Full to b
     "#]]
     .assert_eq(&play.trace);
 }
@@ -220,14 +225,14 @@
         let id = format!("t{n}");
         let up = play.post(n * 10, txn(&id, 1));
         to_a[usize::from(n >= 100)] += usize::from(up == "a");
-        let outcome = if up == "a" || n >= 150 { Outcome::Full } else { Outcome::Ok };
+        let outcome = if up == "a" || n >= 150 { Outcome::Error } else { Outcome::Ok };
         play.at(n * 10 + 5, [ended(&id, 0, &up, outcome, 5)]);
-        play.at(n * 10 + 6, [Event::Left { txn: id.as_str().into() }]);
     }
     play.trace.clear();
     play.at(2010, [txn("t", 0)]);
     expect![[r#"
-        [2, 1]
+        [1, 10]
+        2010: post t to c
     "#]]
     .assert_eq(&format!("{to_a:?}\n{}", play.trace));
 }
