--- a/src/balance.rs
+++ b/src/balance.rs
@@ -709,8 +709,8 @@
         while let Some(&(_, _, number)) = self.by_rank.first() {
             let txn = &self.txns[&number];
             let wait = self.held_cost / self.best_flow.max(1e-9);
-            let slack = txn.deadline.saturating_sub(now) as f64 - self.pace.mean() * txn.cost;
-            if self.best_flow == 0.0 || wait <= slack || self.by_rank.len() < 4 {
+            let slack = txn.deadline.saturating_sub(self.measure.tp).saturating_sub(now);
+            if self.best_flow == 0.0 || wait <= slack as f64 || self.by_rank.len() < 4 {
                 return;
             }
             self.stop_waiting(number, out);
