--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,6 +56,9 @@
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 10.0;
 
+/// Txns give way when this many times the expected wait would exceed their slack.
+const GIVE_WAY: f64 = 2.0;
+
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.5;
 
@@ -710,7 +713,7 @@
             let txn = &self.txns[&number];
             let wait = self.held_cost / self.best_flow.max(1e-9);
             let slack = txn.deadline.saturating_sub(self.measure.tp).saturating_sub(now);
-            if self.best_flow == 0.0 || wait <= slack as f64 || self.by_rank.len() < 4 {
+            if self.best_flow == 0.0 || GIVE_WAY * wait <= slack as f64 || self.by_rank.len() < 4 {
                 return;
             }
             self.stop_waiting(number, out);
