--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,7 +57,7 @@
 const EXTRA_SAVED: f64 = 10.0;
 
 /// Txns give way when this many times the expected wait would exceed their slack.
-const GIVE_WAY: f64 = 2.0;
+const GIVE_WAY: f64 = 4.0;
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.5;
@@ -403,7 +403,7 @@
                 self.halve(now, sent, terms);
                 // Silent since that posting left: perhaps it takes txns and answers none.
                 if self.answered < sent {
-                    self.doubt(0.5);
+                    self.doubt(1.0);
                 }
             }
         }
