--- a/src/balance.rs
+++ b/src/balance.rs
@@ -189,7 +189,7 @@
     Unlisted,
     Posted { cost: f64 },
     Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths, crowded: f64 },
-    Overdue { sent: Tenths, pace: f64 },
+    Overdue { sent: Tenths },
 }
 
 enum GaugeNote {
@@ -399,11 +399,10 @@
                     Outcome::Cancelled | Outcome::Moot => {}
                 }
             }
-            UpstreamNote::Overdue { sent, pace } => {
+            UpstreamNote::Overdue { sent } => {
                 self.halve(now, sent, terms);
-                // Silent since that posting left, for longer than all it has there should take: perhaps it takes
-                // txns and answers none.
-                if self.answered < sent && (now - sent) as f64 > OVERDUE_PACE * pace * self.shown.cost_out {
+                // Silent since that posting left: perhaps it takes txns and answers none.
+                if self.answered < sent {
                     self.doubt(1.0);
                 }
             }
@@ -952,7 +951,7 @@
             if let Some(posting) = posting {
                 let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
-                inboxes.upstream(up, UpstreamNote::Overdue { sent, pace: self.pace.mean() });
+                inboxes.upstream(up, UpstreamNote::Overdue { sent });
                 if now + self.measure.quick < txn.deadline {
                     self.copy(now, number);
                 }
