--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,7 +32,7 @@
 const FIRST_CAP: f64 = 4.0;
 /// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
 const SMALLEST_CAP: f64 = 1.0;
-const GROWTH: f64 = 0.5;
+const GROWTH: f64 = 1.0;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
