--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,7 +32,7 @@
 const FIRST_CAP: f64 = 4.0;
 /// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
 const SMALLEST_CAP: f64 = 1.0;
-const GROWTH: f64 = 1.0;
+const GROWTH: f64 = 0.25;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
@@ -562,8 +562,7 @@
             DeskNote::Ended { txn, posting, up, outcome, took, settled } => {
                 let number = self.numbers.get(&txn).copied();
                 let txn = number.and_then(|n| self.txns.get(&n));
-                let (cost, sla) =
-                    txn.map_or((self.mean_cost(), SECOND), |t| (t.cost, t.deadline - t.arrived));
+                let (cost, sla) = txn.map_or((self.mean_cost(), 0), |t| (t.cost, t.deadline - t.arrived));
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
                     let late = outcome == Outcome::TimedOut || took > sla;
                     self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
