--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,7 +32,7 @@
 const FIRST_CAP: f64 = 4.0;
 /// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
 const SMALLEST_CAP: f64 = 1.0;
-const GROWTH: f64 = 0.25;
+const GROWTH: f64 = 0.5;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
@@ -722,8 +722,7 @@
     /// One posting, or one txn given up; false when nothing more can leave.
     fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
         let standings = self.lanes.iter().map(|up| &self.board[*up]);
-        let sum = |(room, busy), s: &Standing| (room + s.cap, busy + f64::from(s.in_flight));
-        let (room, busy) = standings.fold((0.0, 0.0), sum);
+        let (room, busy) = standings.fold((0.0, 0.0), |(r, b), s| (r + s.cap, b + f64::from(s.in_flight)));
         if busy > 0.0 && busy + 1.0 > room {
             return false;
         }
