--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,7 +37,7 @@
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
 const CROWDED: f64 = 3.5;
-const CROWDED_JAMMED: f64 = 2.0;
+const CROWDED_JAMMED: f64 = 1.5;
 const CROWDED_BY_LATE: f64 = 12.0;
 const LATE_WINDOW: f64 = 32.0;
 const PACE_ANSWERS: f64 = 8.0;
