--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,7 +36,6 @@
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
 /// The second falls from the one figure towards the other with the share of postings that end late.
 const EASY_PART: f64 = 0.6;
-const EASY_LEAST: f64 = 1.25;
 const CROWDED: f64 = 3.5;
 const CROWDED_JAMMED: f64 = 1.5;
 const CROWDED_BY_LATE: f64 = 12.0;
@@ -387,7 +386,7 @@
                         let in_use = f64::from(shown.in_flight) + 1.0 >= shown.cap / 2.0;
                         if crowding > crowded {
                             self.halve(now, sent, terms);
-                        } else if took <= tp && crowding < (EASY_PART * crowded).max(EASY_LEAST) && in_use {
+                        } else if took <= tp && crowding < EASY_PART * crowded && in_use {
                             shown.cap += shown.cap.min(GROWTH / shown.cap);
                         }
                     }
