A txn with little time for its cost takes the least loaded upstream of all that fit

Cause: a very heavy txn, worth much by its work, was late where both drawn upstreams were slow or busy.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,11 +39,10 @@
 const CROWDED: f64 = 3.5;
 const CROWDED_JAMMED: f64 = 1.5;
 const CROWDED_BY_LATE: f64 = 12.0;
-const LATE_WINDOW: f64 = 32.0;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
-const PACE_WINDOW: f64 = 64.0;
+const PACE_WINDOW: f64 = 32.0;
 const BEST_DRIFT: f64 = 1.001;
 const REST_PACE: f64 = 2.5;
 
@@ -89,7 +88,9 @@
             self.sort_in(now, event);
             self.settle(now, out);
         }
-        self.roster.follow(now, out);
+        if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
+            out.push(Action::Watch { on: true });
+        }
         self.desk.ring(now, &mut self.inboxes, out);
         self.settle(now, out);
         self.desk.lay_lanes();
@@ -214,12 +215,6 @@
 }
 
 impl Roster {
-    fn follow(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        if self.ask_at.take_if(|at| *at <= now).is_some() {
-            out.push(Action::Watch { on: true });
-        }
-    }
-
     /// The waits grow and differ, against a bank of balancers keeping a slow list service down by asking, and
     /// against balancers started in step failing each other's first calls.
     fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
@@ -527,9 +522,9 @@
 
 impl Desk {
     fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
-        let quotas = terms.tenants.iter().map(|t| (terms.part(t.quota), 0)).collect();
         Desk {
             measure: Gauge::new(&terms).measure,
+            quotas: vec![(0.0, 0); terms.tenants.len()],
             terms,
             rng,
             board: Vec::new(),
@@ -552,7 +547,6 @@
             best_flow: 0.0,
             pace: Pace::default(),
             late: 0.0,
-            quotas,
         }
     }
 
@@ -565,7 +559,7 @@
                 let (cost, sla) = txn.map_or((self.mean_cost(), 0), |t| (t.cost, t.deadline - t.arrived));
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
                     let late = outcome == Outcome::TimedOut || took > sla;
-                    self.late += (f64::from(u8::from(late)) - self.late) / LATE_WINDOW;
+                    self.late += (f64::from(u8::from(late)) - self.late) / PACE_WINDOW;
                 }
                 let crowded = (CROWDED - CROWDED_BY_LATE * self.late).max(CROWDED_JAMMED);
                 inboxes
@@ -616,9 +610,8 @@
         let (deadline, expiry) = (now + self.terms.schemes[scheme].sla.min(arrival.left), now + arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
-        let (held, streaming, postings) = (None, false, Vec::new());
+        let (arrived, held, streaming, postings) = (now, None, false, Vec::new());
         self.numbers.insert(arrival.txn, number);
-        let arrived = now;
         let t =
             Txn { id, scheme, cost, key, heavy, arrived, deadline, expiry, rank, held, streaming, postings };
         self.txns.insert(number, t);
@@ -793,6 +786,8 @@
             // All look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.lanes.iter().copied().filter(|up| fit(up, false)));
         }
+        let cost = txn.cost;
+        let tight = OVERDUE_PACE * self.pace.mean() * cost > txn.deadline.saturating_sub(now) as f64;
         let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
             (0, _) => return None,
             (1, _) => (fitting[0], fitting[0]),
@@ -801,6 +796,11 @@
                 fitting.sort_unstable_by_key(|up| mix(key ^ self.board[*up].order));
                 (fitting[0], fitting[1])
             }
+            // Twice its time is not left: two drawn at random may both be too slow for it.
+            (_, None) if tight => {
+                let load = |up: &usize| self.load(now, *up, cost);
+                return fitting.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
+            }
             (n, None) => {
                 // One of the two is from the own zone where it can be: crossing is for when the own is worse.
                 let own = |up: &&usize| self.board[**up].entry.zone == self.terms.own_zone;
@@ -812,7 +812,6 @@
                 (a, *b)
             }
         };
-        let cost = txn.cost;
         Some(if self.load(now, b, cost) < self.load(now, a, cost) { b } else { a })
     }
 
