--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -390,3 +390,26 @@
     assert!(play().lines().count() > 10);
     assert_eq!(play(), play());
 }
+
+#[test]
+fn a_txn_with_little_time_for_its_cost_takes_the_least_loaded_of_all() {
+    let mut play = Play::new(terms());
+    let sizes = [("slow", 0.5), ("std", 1.0), ("std2", 1.0), ("fast", 2.0)];
+    let entries = sizes.map(|(name, size)| Entry { size, ..entry(name, 0) });
+    play.at(0, [Event::Listed(Listing::Whole(entries.into()))]);
+    let now = play.warm_up(64);
+    for n in 0..6 {
+        let id = format!("heavy{n}");
+        let up =
+            play.post(now + n * 400, Event::Arrived(Arrival { cost: Some(300 * MS), ..arrival(&id, 1) }));
+        play.at(now + n * 400 + 300, [ended(&id, 0, &up, Outcome::Ok, 300)]);
+    }
+    expect![[r#"
+        1600: post heavy0 to slow
+        2000: post heavy1 to slow
+        2400: post heavy2 to fast
+        2800: post heavy3 to fast
+        3200: post heavy4 to fast
+        3600: post heavy5 to fast
+    "#]].assert_eq(&play.trace);
+}
