--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -411,5 +411,6 @@
         2800: post heavy3 to fast
         3200: post heavy4 to fast
         3600: post heavy5 to fast
-    "#]].assert_eq(&play.trace);
+    "#]]
+    .assert_eq(&play.trace);
 }
