--- a/src/balance.rs
+++ b/src/balance.rs
@@ -797,7 +797,7 @@
                 (fitting[0], fitting[1])
             }
             // Twice its time is not left: two drawn at random may both be too slow for it.
-            (_, None) if tight || scheme.effect == Effect::OnceOnly => {
+            (_, None) if tight => {
                 let load = |up: &usize| self.load(now, *up, cost);
                 return fitting.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
             }
