--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,7 +30,7 @@
 const WINDOW: Tenths = 5 * SECOND;
 
 const FIRST_CAP: f64 = 4.0;
-/// For all balancers together, so caps may fall below one: their sum bounds what this balancer has out.
+/// For all balancers together, so caps may fall below one; for a unit of size, up to the first cap.
 const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
 /// Times the best pace: below the first a cap may grow, above the second it is halved.
@@ -259,7 +259,6 @@
                 (self.waited, self.waits) = (self.waited + span as f64, self.waits + 1.0);
                 return;
             }
-            // A time beyond the last bin counts in it.
             GaugeNote::Took(took) => self.took.increment(took.min((1 << 20) - 1)).unwrap_or_default(),
         }
         self.since += 1;
@@ -418,7 +417,8 @@
     /// Halves the cap once for all postings that were out together, against one pause counting many times.
     fn halve(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
         if sent >= self.halved {
-            self.shown.cap = (self.shown.cap / 2.0).max(terms.part(SMALLEST_CAP));
+            let least = terms.part(SMALLEST_CAP * self.shown.size().clamp(1.0, FIRST_CAP));
+            self.shown.cap = (self.shown.cap / 2.0).max(least);
             self.halved = now;
         }
     }
