A cold upstream gets its part of what settles now, and no heavy txn on top

Its budget came from the best flow of the last seconds divided by the upstreams left after the loss, twice what one bears, and one txn of any cost was let through. Now the present flow counts, a third of the limit in place of half, and a single txn beyond the budget must be no heavier than the mean.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,7 +59,7 @@
 const GIVE_WAY: f64 = 4.0;
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
-const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.35;
 
 pub struct Balancer {
     inboxes: Inboxes,
@@ -758,7 +758,7 @@
             Effect::Repeatable | Effect::OnceOnly => None,
         };
         let size: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
-        let flow = self.best_flow / size;
+        let flow = self.flow / size;
         let fit = |up: &usize, careful: bool| {
             let s = &self.board[*up];
             let distrust = s.distrust(now);
@@ -829,7 +829,7 @@
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
         let budget = COLD_MARGIN * cold.multiple * share * flow * s.size() * cold.window as f64;
-        s.cold_sum == 0.0 || s.cold_sum + cost <= budget
+        s.cold_sum + cost <= budget || s.cold_sum == 0.0 && cost <= self.mean_cost()
     }
 
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
