--- a/src/balance.rs
+++ b/src/balance.rs
@@ -607,14 +607,7 @@
         let scheme = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
         let share = self.share(now, arrival.tenant as usize);
         let rank = (self.terms.schemes[scheme].value * share).max(0.0).to_bits();
-        let (deadline, expiry) = (
-            now + if self.terms.schemes[scheme].late_value > 0.0 {
-                arrival.left
-            } else {
-                self.terms.schemes[scheme].sla.min(arrival.left)
-            },
-            now + arrival.left,
-        );
+        let (deadline, expiry) = (now + self.terms.schemes[scheme].sla.min(arrival.left), now + arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
         let (arrived, held, streaming, postings) = (now, None, false, Vec::new());
