--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -52,10 +52,16 @@
     let up = play.post(now, txn("slow", 1));
     play.at(now + 500, []);
     play.at(now + 1000, [ended("slow", 0, &up, Outcome::TimedOut, 1000)]);
-    for (n, outcome) in
-        [Outcome::Error, Outcome::Reset, Outcome::Cancelled, Outcome::ConnectFailed, Outcome::Full]
-            .into_iter()
-            .enumerate()
+    for (n, outcome) in [
+        Outcome::Error,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::ConnectFailed,
+        Outcome::Full,
+        Outcome::Moot,
+    ]
+    .into_iter()
+    .enumerate()
     {
         let id = format!("{outcome:?}");
         let at = now + 40_000 * (n as u64 + 1);
@@ -79,6 +85,8 @@
         161605: post ConnectFailed to a
         201600: post Full to a
         201605: post Full to b
+        241600: post Moot to b
+        241605: post Moot to a
     "#]]
     .assert_eq(&play.trace);
 }
