--- a/src/balance.rs
+++ b/src/balance.rs
@@ -494,6 +494,7 @@
 struct Desk {
     terms: Rc<Terms>,
     rng: WyRand,
+    salt: u64,
     measure: Measure,
     board: Vec<Standing>,
     /// Live upstreams in lane order, and how many of them make up the light lane.
@@ -521,8 +522,9 @@
 }
 
 impl Desk {
-    fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
+    fn new(terms: Rc<Terms>, mut rng: WyRand) -> Self {
         Desk {
+            salt: rng.generate(),
             measure: Gauge::new(&terms).measure,
             quotas: vec![(0.0, 0); terms.tenants.len()],
             terms,
@@ -787,7 +789,6 @@
             fitting.extend(self.lanes.iter().copied().filter(|up| fit(up, false)));
         }
         let cost = txn.cost;
-        let tight = OVERDUE_PACE * self.pace.mean() * cost > txn.deadline.saturating_sub(now) as f64;
         let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
             (0, _) => return None,
             (1, _) => (fitting[0], fitting[0]),
@@ -796,11 +797,6 @@
                 fitting.sort_unstable_by_key(|up| mix(key ^ self.board[*up].order));
                 (fitting[0], fitting[1])
             }
-            // Twice its time is not left: two drawn at random may both be too slow for it.
-            (_, None) if tight => {
-                let load = |up: &usize| self.load(now, *up, cost);
-                return fitting.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
-            }
             (n, None) => {
                 // One of the two is from the own zone where it can be: crossing is for when the own is worse.
                 let own = |up: &&usize| self.board[**up].entry.zone == self.terms.own_zone;
@@ -823,13 +819,15 @@
     }
 
     /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
-    /// every window of the rule: a burst right after its start would push it over.
+    /// every window of the rule: a burst right after its start would push it over. What is less than a txn is
+    /// spent by chance, drawn once a window: one free txn for each of many balancers would be hundreds in sum.
     fn cold_room(&self, now: Tenths, s: &Standing, cost: f64, flow: f64) -> bool {
         let cold = &self.terms.cold;
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
         let budget = COLD_MARGIN * cold.multiple * share * flow * s.size() * cold.window as f64;
-        s.cold_sum + cost <= budget || s.cold_sum == 0.0 && cost <= self.mean_cost()
+        let drawn = mix(self.salt ^ s.order ^ (age / cold.window.max(1))) as f64 / u64::MAX as f64;
+        s.cold_sum + cost <= budget + drawn * cost
     }
 
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
