--- a/crates/pondlb-adapter/src/config.rs
+++ b/crates/pondlb-adapter/src/config.rs
@@ -9,6 +9,7 @@
 #[serde(rename_all = "PascalCase")]
 struct Config {
     balancers: u32,
+    self_index: u32,
     schemes: Vec<WireScheme>,
     discovery: Discovery,
     excess_value: f64,
@@ -86,6 +87,8 @@
     cold_share: f64,
     fall_multiple: f64,
     fall_ns: u64,
+    #[serde(default)]
+    must_ask_in_ns: u64,
     warm_within_ns: u64,
 }
 
@@ -107,8 +110,9 @@
     let (limits, rules) = (config.limits, config.rules);
     let terms = Terms {
         balancers: config.balancers,
+        own_number: config.self_index,
         own_zone: config.my_zone,
-        must_ask: config.discovery == Discovery::Ask,
+        must_ask: (config.discovery == Discovery::Ask).then(|| floor_from_ns(rules.must_ask_in_ns)),
         schemes: schemes?,
         tenants: config.realms.iter().map(|r| Tenant { quota: r.quota_rps }).collect(),
         excess_value: config.excess_value,
--- a/crates/pondlb-adapter/src/tests.rs
+++ b/crates/pondlb-adapter/src/tests.rs
@@ -2,7 +2,7 @@
 
 use expect_test::{Expect, expect};
 
-const CONFIG: &str = r#"{"Balancers":1,"Discovery":"push","ExcessValue":0.1,"MyZone":0,"Unknown":[1],
+const CONFIG: &str = r#"{"Balancers":1,"SelfIndex":0,"Discovery":"push","ExcessValue":0.1,"MyZone":0,"Unknown":[1],
 "Limits":{"Cancelling":true,"MaxPostings":3,"MaxRetryAfterNs":2000000000,"RetryAfter":true,"SecondCopies":true},
 "Reporting":{"Fields":["lat_ms","rif"],"How":"piggyback"},
 "Rules":{"ColdShare":0.3,"FallMultiple":4.0,"FallNs":2000000000,"WarmWithinNs":8900000000},
@@ -115,7 +115,7 @@
         ("NOISE Who=3\n", expect![[r#"Err("line 2: \"NOISE\" is no event")"#]]),
         (
             "UP Who=3 Salt=7 Config={\"Balancers\":1}\n",
-            expect![[r#"Err("line 2: Config: missing field `Schemes` at line 1 column 15")"#]],
+            expect![[r#"Err("line 2: Config: missing field `SelfIndex` at line 1 column 15")"#]],
         ),
         (&format!("UP\n{knock}"), expect![[r#"Err("line 3: KNOCK: Priority=9 cannot be read")"#]]),
     ] {
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -167,6 +167,7 @@
         started: fields.optional("LastStartNs")?.filter(|at| *at > 0).map(ceil_from_ns),
         size,
         zone: fields.number("Area")?,
+        kind: fields.number("Hw")?,
         stage: match fields.word("StageState")? {
             "live" => Stage::Live,
             "quiescing" => Stage::Draining,
--- a/src/event.rs
+++ b/src/event.rs
@@ -75,6 +75,8 @@
     pub started: Option<Tenths>,
     pub size: f64,
     pub zone: u32,
+    /// Upstreams of one kind are machines alike.
+    pub kind: u32,
     pub stage: Stage,
 }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -4,8 +4,10 @@
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub balancers: u32,
+    pub own_number: u32,
     pub own_zone: u32,
-    pub must_ask: bool,
+    /// Where the list must be asked for: who has not asked for so long is deemed told.
+    pub must_ask: Option<Tenths>,
     pub schemes: Vec<Scheme>,
     pub tenants: Vec<Tenant>,
     /// The value of a txn beyond its tenant's share, as a fraction.
