--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,9 +4,8 @@
 //! and carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the same events
 //! bring the same actions. The interface is `Balancer::new` and `Balancer::handle`, below.
 //!
-//! Inside are the desk (txns), an actor for each upstream, the gauge (the pooled window) and the roster (that
-//! follows the list). They talk only by notes in inboxes, which `Balancer::settle` empties. docs/design.md
-//! tells what of the design is kept, what was changed, and when each exception acts.
+//! Inside are the desk (txns), an actor for each upstream and the roster (the list). They talk by notes in
+//! inboxes, which `Balancer::settle` empties. docs/design.md tells what was kept and when exceptions act.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -28,18 +27,11 @@
 const HOPELESS_PERCENTILE: f64 = 0.1;
 const WINDOW_OUTCOMES: u32 = 1000;
 const WINDOW: Tenths = 5 * SECOND;
-/// Where fewer come in that time the window waits for them, or it would never hold enough to speak.
+/// The window waits for so many at least, or with little traffic it would never hold enough to speak.
 const FEW_OUTCOMES: u32 = 32;
 
-/// The light lane's share of the cost for memoryless costs, and how many txns that is worth.
-const LIGHT_SHARE: f64 = 0.15;
-const FEW_COSTS: f64 = 32.0;
-
 const FIRST_CAP: f64 = 4.0;
-/// For all balancers together, so caps may fall below one; for a unit of size, up to the first cap.
-const SMALLEST_CAP: f64 = 1.0;
 const GROWTH: f64 = 0.5;
-const LARGEST_CAP: f64 = 16.0;
 const LATE_SHRINKS: f64 = 0.85;
 const TIMELY_GROWS: f64 = 1.02;
 /// The halving time of what flows: with it a level is the sum over ten seconds.
@@ -56,8 +48,8 @@
 const PACE_WINDOW: f64 = 32.0;
 const FEW_ANSWERS: f64 = 4.0;
 const CROSS: f64 = 0.1;
+const CROSS_LEAST: f64 = 0.03;
 const ZONE_STEEP: f64 = 3.0;
-const BEST_DRIFT: f64 = 1.001;
 const REST_PACE: f64 = 2.5;
 
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
@@ -66,8 +58,7 @@
 
 /// Further postings while one is out, for each txn settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
-const EXTRA_SAVED: f64 = 3.0;
-const EXTRA_LEAST: f64 = 3.0;
+const EXTRA_SAVED: f64 = 4.0;
 
 /// Txns give way when this many times the expected wait would exceed their slack.
 const GIVE_WAY: f64 = 4.0;
@@ -129,8 +120,10 @@
         }
         let mut named = vec![!whole; self.upstreams.len()];
         for entry in entries.iter() {
-            let up = *self.desk.names.entry(entry.upstream.clone()).or_insert_with(|| {
-                self.upstreams.push(Upstream::new(entry, &self.desk.terms));
+            let up = *self.desk.seen.names.entry(entry.upstream.clone()).or_insert_with(|| {
+                let upstream = Upstream::new(entry, &self.desk.terms);
+                self.desk.seen.board.push(upstream.shown.clone());
+                self.upstreams.push(upstream);
                 self.inboxes.upstreams.push(VecDeque::new());
                 named.push(true);
                 self.upstreams.len() - 1
@@ -190,7 +183,6 @@
     Standing(usize, Standing),
 }
 
-/// Follows the list of upstreams where it must be asked for.
 struct Roster {
     terms: Rc<Terms>,
     failures: u32,
@@ -212,13 +204,11 @@
 /// The pooled window: response times of all upstreams together, and the mean wait before first postings.
 struct Gauge {
     took: Histogram,
-    waited: f64,
-    waits: f64,
     since: u32,
     halved: Tenths,
     /// What the desk plans with: tp, the mean wait, the tries needed, and the least time left worth a try.
     tp: Tenths,
-    wait: Tenths,
+    wait: f64,
     needed: u64,
     quick: Tenths,
 }
@@ -228,11 +218,7 @@
         let tightest = terms.schemes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
         // Until answers come, half the tightest SLA time: late for most, early enough for a second try.
         let (tp, took) = ((tightest / 2).max(1), Histogram::new(3, 20).expect("the bins are fixed"));
-        Gauge { took, waited: 0.0, waits: 0.0, since: 0, halved: 0, tp, wait: 0, needed: 1, quick: 0 }
-    }
-
-    fn waited(&mut self, span: Tenths) {
-        (self.waited, self.waits) = (self.waited + span as f64, self.waits + 1.0);
+        Gauge { took, since: 0, halved: 0, tp, wait: 0.0, needed: 1, quick: 0 }
     }
 
     fn took(&mut self, now: Tenths, took: Tenths) {
@@ -240,7 +226,6 @@
         self.since += 1;
         if self.since >= WINDOW_OUTCOMES || now >= self.halved + WINDOW && self.since >= FEW_OUTCOMES {
             self.took.as_mut_slice().iter_mut().for_each(|bin| *bin /= 2);
-            (self.waited, self.waits) = (self.waited / 2.0, self.waits / 2.0);
             (self.since, self.halved) = (0, now);
         }
         let all: u64 = self.took.as_slice().iter().sum();
@@ -255,12 +240,10 @@
             self.took.iter().take_while(|bin| bin.end() <= tp.end()).map(|bin| bin.count()).sum();
         let missed = (1.0 - within as f64 / all as f64).max(1e-6);
         (self.tp, self.quick) = (tp.end().max(1), quick.start());
-        self.wait = (self.waited / self.waits.max(1.0)) as Tenths;
         self.needed = ((1.0 - RELIABILITY).ln() / missed.ln()).ceil().max(1.0) as u64;
     }
 }
 
-/// One upstream as this balancer knows it.
 struct Upstream {
     shown: Standing,
     answered: Tenths,
@@ -282,14 +265,6 @@
 }
 
 impl Standing {
-    fn distrust(&self, now: Tenths) -> f64 {
-        self.distrust.at(now, FADE)
-    }
-
-    fn size(&self) -> f64 {
-        self.entry.size.max(0.01)
-    }
-
     /// How long ago it started, while it may still be cold.
     fn cold_age(&self, now: Tenths, terms: &Terms) -> Option<Tenths> {
         self.entry.started.map(|at| now.saturating_sub(at)).filter(|age| *age < terms.cold.warm_within)
@@ -328,7 +303,7 @@
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
-                        let crowding = self.pace.crowding(took, cost, PACE_ANSWERS);
+                        let crowding = self.pace.crowding(took, cost);
                         let shown = &mut self.shown;
                         shown.distrust.level *= 0.7;
                         if crowding > CROWDED {
@@ -340,9 +315,9 @@
                     // A full waiting room is the shortest queue to look at; it must not draw more.
                     Outcome::Full | Outcome::TimedOut => {
                         self.halve();
-                        self.doubt(now, if outcome == Outcome::Full { 0.5 } else { 1.0 });
+                        self.doubt(now);
                     }
-                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
+                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now),
                     Outcome::Cancelled | Outcome::Moot => {}
                 }
             }
@@ -350,7 +325,7 @@
                 self.halve();
                 // Silent since that posting left: perhaps it takes txns and answers none.
                 if self.answered < sent {
-                    self.doubt(now, 1.0);
+                    self.doubt(now);
                 }
             }
         }
@@ -361,8 +336,9 @@
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
-    fn doubt(&mut self, now: Tenths, amount: f64) {
-        self.shown.distrust.set(now, (self.shown.distrust(now) * 1.5 + amount).min(4.0 * BENCHED));
+    fn doubt(&mut self, now: Tenths) {
+        let level = self.shown.distrust.at(now, FADE);
+        self.shown.distrust = Fading { level: (level * 1.5 + 1.0).min(4.0 * BENCHED), at: now };
     }
 }
 
@@ -378,12 +354,8 @@
         self.level * (-(now.saturating_sub(self.at) as f64) / half as f64).exp2()
     }
 
-    fn set(&mut self, now: Tenths, level: f64) {
-        (self.level, self.at) = (level, now);
-    }
-
     fn add(&mut self, now: Tenths, half: Tenths, amount: f64) {
-        self.set(now, self.at(now, half) + amount);
+        (self.level, self.at) = (self.at(now, half) + amount, now);
     }
 }
 
@@ -404,13 +376,12 @@
     }
 
     /// How many times longer than at its best a unit of cost takes.
-    fn crowding(&mut self, took: Tenths, cost: f64, window: f64) -> f64 {
-        let pace = self.note(took, cost, window);
+    fn crowding(&mut self, took: Tenths, cost: f64) -> f64 {
+        let pace = self.note(took, cost, PACE_ANSWERS);
         // Costs are in time of a standard core: one never seen at rest must not take a jam for its best.
         let rest = if cost > 1.0 { REST_PACE } else { pace };
         let seen = if self.answers < PACE_ANSWERS { rest } else { pace.min(rest) };
-        let known = if self.best > 0.0 { self.best * BEST_DRIFT } else { seen };
-        self.best = known.min(seen);
+        self.best = if self.best > 0.0 { self.best.min(seen) } else { seen };
         pace / self.best.max(1e-9)
     }
 
@@ -419,21 +390,6 @@
     }
 }
 
-/// What the answers of a zone have in common; it fades, so that a zone left for being worse is tried again.
-#[derive(Default)]
-struct Zone {
-    pace: Pace,
-    seen: Fading,
-}
-
-impl Zone {
-    /// By how much its answers are slower than all, as a logarithm; little where little was seen of late.
-    fn slower(&self, now: Tenths, all: f64) -> f64 {
-        let known = self.seen.at(now, LONG);
-        (self.pace.log - all) * known / (known + FEW_ANSWERS)
-    }
-}
-
 /// Spreads the bits of a number; equal at every balancer, so that all draw the same order of upstreams.
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -457,7 +413,6 @@
     heavy: bool,
     arrived: Tenths,
     deadline: Tenths,
-    expiry: Tenths,
     rank: u64,
     held: Option<Tenths>,
     streaming: bool,
@@ -477,74 +432,72 @@
 /// What the desk saw of all upstreams together, where each by itself answers too seldom.
 #[derive(Default)]
 struct Seen {
+    names: HashMap<UpstreamId, usize>,
+    board: Vec<Standing>,
+    /// The upstreams used, in lane order, and how many of them make up the light lane.
+    lanes: Vec<usize>,
+    light: usize,
+    circle: usize,
+    stale: bool,
     pace: Pace,
     kinds: BTreeMap<u32, Pace>,
-    zones: BTreeMap<u32, Zone>,
+    zones: BTreeMap<u32, Pace>,
     arrivals: Fading,
     flow: Fading,
     cost_sums: [f64; 2],
     cost_count: u32,
     /// Listed size of all live upstreams, this balancer's room among them, and what it has out.
     size: f64,
+    used: f64,
     room: f64,
     out_now: f64,
     out_mean: f64,
     out_at: Tenths,
 }
 
-/// Holds the txns, and gives each its postings and its final answer.
-struct Desk {
-    terms: Rc<Terms>,
-    rng: WyRand,
-    salt: u64,
-    gauge: Gauge,
-    names: HashMap<UpstreamId, usize>,
-    board: Vec<Standing>,
-    /// Live upstreams in lane order, and how many of them make up the light lane.
-    lanes: Vec<usize>,
-    light: usize,
-    circle: usize,
-    stale: bool,
-    seen: Seen,
+impl Seen {
+    /// By how much some upstreams are slower than all, as a logarithm; little where few answers tell.
+    fn slower(&self, some: Option<&Pace>) -> f64 {
+        some.map_or(0.0, |p| (p.log - self.pace.log) * p.answers / (p.answers + FEW_ANSWERS))
+    }
+}
+
+#[derive(Default)]
+struct Book {
     txns: BTreeMap<u64, Txn>,
     numbers: HashMap<TxnId, u64>,
     next: u64,
-    held: [BTreeSet<(Tenths, u64)>; 2],
+    held: BTreeSet<(Tenths, u64)>,
     by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
     held_cost: f64,
     /// When a posting is overdue or, without one, when the time left of a held txn becomes too short.
     alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
     wake: Option<Tenths>,
+}
+
+/// Holds the txns, and gives each its postings and its final answer.
+struct Desk {
+    terms: Rc<Terms>,
+    rng: WyRand,
+    gauge: Gauge,
+    seen: Seen,
+    book: Book,
     costs: Histogram,
     extra: f64,
     quotas: Vec<(f64, Tenths)>,
 }
 
 impl Desk {
-    fn new(terms: Rc<Terms>, mut rng: WyRand) -> Self {
+    fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
         Desk {
-            salt: rng.generate(),
             gauge: Gauge::new(&terms),
-            names: HashMap::new(),
             quotas: vec![(0.0, 0); terms.tenants.len()],
             terms,
             rng,
-            board: Vec::new(),
-            lanes: Vec::new(),
-            light: 0,
-            circle: LEAST_CIRCLE,
-            stale: true,
             seen: Seen::default(),
-            txns: BTreeMap::new(),
-            numbers: HashMap::new(),
-            next: 0,
-            held: Default::default(),
-            by_rank: BTreeSet::new(),
-            held_cost: 0.0,
-            alarms: BinaryHeap::new(),
-            wake: None,
+            book: Book::default(),
             costs: Histogram::new(3, 24).expect("the bins are fixed"),
-            extra: EXTRA_LEAST,
+            extra: EXTRA_SAVED,
         }
     }
 
@@ -552,23 +505,20 @@
         let event = match note {
             DeskNote::Event(event) => event,
             DeskNote::Standing(up, standing) => {
-                self.stale |= self.board.get(up).is_none_or(|s| s.entry.stage != standing.entry.stage);
-                match self.board.get_mut(up) {
-                    Some(place) => *place = standing,
-                    None => self.board.push(standing),
-                }
+                self.seen.stale |= self.seen.board[up].entry.stage != standing.entry.stage;
+                self.seen.board[up] = standing;
                 return;
             }
         };
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
-                let Some(&up) = self.names.get(&upstream) else { return };
+                let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
                     self.gauge.took(now, took);
                 }
-                let number = self.numbers.get(&txn).copied();
-                let txn = number.and_then(|n| self.txns.get(&n));
+                let number = self.book.numbers.get(&txn).copied();
+                let txn = number.and_then(|n| self.book.txns.get(&n));
                 let (cost, sla) = txn.map_or((self.mean_cost(), 0), |t| (t.cost, t.deadline - t.arrived));
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.gauge.tp });
                 self.note_out(now, -1.0);
@@ -576,17 +526,14 @@
                     let waited = took as f64 > OVERDUE_PACE * REST_PACE * cost;
                     self.make_room(took > sla && waited || outcome == Outcome::Full);
                 }
-                let (entry, work) = (&self.board[up].entry, cost * self.board[up].size());
-                let zone = self.seen.zones.entry(entry.zone).or_default();
+                let (entry, work) = (&self.seen.board[up].entry, cost * self.seen.board[up].entry.size);
                 if outcome == Outcome::Ok {
-                    self.seen.pace.crowding(took, cost, PACE_WINDOW);
+                    self.seen.pace.note(took, cost, PACE_WINDOW);
                     self.seen.kinds.entry(entry.kind).or_default().note(took, work, PACE_WINDOW);
-                    zone.pace.answers = zone.seen.at(now, LONG);
-                    zone.pace.note(took, work, PACE_WINDOW);
-                    zone.seen.add(now, LONG, 1.0);
+                    self.seen.zones.entry(entry.zone).or_default().note(took, work, PACE_WINDOW);
                 }
                 let Some(number) = number else { return };
-                let Some(txn) = self.txns.get_mut(&number) else { return };
+                let Some(txn) = self.book.txns.get_mut(&number) else { return };
                 if let Some(p) = txn.postings.get_mut(posting as usize) {
                     (p.out, p.may_have_run) = (false, !outcome.never_ran());
                 }
@@ -594,20 +541,22 @@
                     return self.failed(now, number, out);
                 }
                 if outcome == Outcome::Ok {
-                    self.settled(now, number);
+                    self.extra =
+                        (self.extra + if now <= txn.deadline { EXTRA_SHARE } else { 0.0 }).min(EXTRA_SAVED);
+                    self.seen.flow.add(now, LONG, txn.cost / (10 * SECOND) as f64);
                 }
                 self.close(number, out);
             }
             Event::Streaming { txn, posting, .. } => {
-                let Some(&number) = self.numbers.get(&txn) else { return };
+                let Some(&number) = self.book.numbers.get(&txn) else { return };
                 self.unhold(number);
-                if let Some(txn) = self.txns.get_mut(&number) {
+                if let Some(txn) = self.book.txns.get_mut(&number) {
                     txn.streaming = true;
                     self.recall(number, Some(posting), out);
                 }
             }
             Event::Left { txn } => {
-                if let Some(&number) = self.numbers.get(&txn) {
+                if let Some(&number) = self.book.numbers.get(&txn) {
                     self.close(number, out);
                 }
             }
@@ -617,20 +566,19 @@
     }
 
     fn arrive(&mut self, now: Tenths, arrival: Arrival) {
-        let number = self.next;
-        self.next += 1;
+        let number = self.book.next;
+        self.book.next += 1;
         self.seen.arrivals.add(now, LONG, 1.0);
         let scheme = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
         let share = self.share(now, arrival.tenant as usize);
         let rank = (self.terms.schemes[scheme].value * share).max(0.0).to_bits();
-        let (deadline, expiry) = (now + self.terms.schemes[scheme].sla.min(arrival.left), now + arrival.left);
+        let deadline = now + self.terms.schemes[scheme].sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
         let (arrived, held, streaming, postings) = (now, None, false, Vec::new());
-        self.numbers.insert(arrival.txn, number);
-        let t =
-            Txn { id, scheme, cost, key, heavy, arrived, deadline, expiry, rank, held, streaming, postings };
-        self.txns.insert(number, t);
+        self.book.numbers.insert(arrival.txn, number);
+        let t = Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, streaming, postings };
+        self.book.txns.insert(number, t);
         self.hold(now, number);
     }
 
@@ -645,7 +593,6 @@
         if over { self.terms.excess_value } else { 1.0 }
     }
 
-    /// Notes the cost and tells whether it belongs to the heavy lane.
     fn weigh(&mut self, cost: f64) -> bool {
         let median = self.costs.quantile_bucket(0.5).ok().flatten();
         let heavy = median.is_some_and(|bin| cost > bin.end() as f64);
@@ -668,19 +615,19 @@
     /// One from each of so many equal parts of the lane order, at a place of its own, so that all upstreams are
     /// used by equally many balancers; gone ones keep their places, or one loss would move everybody.
     fn draw_circle(&mut self) {
-        let live = |up: &usize| self.board[*up].entry.stage == Stage::Live;
-        let mut all: Vec<usize> = (0..self.board.len()).collect();
-        all.sort_by_key(|up| self.board[*up].order);
-        self.seen.size = all.iter().copied().filter(live).map(|up| self.board[up].size()).sum();
-        let count = self.circle.min(all.len());
+        let live = |up: &usize| self.seen.board[*up].entry.stage == Stage::Live;
+        let mut all: Vec<usize> = (0..self.seen.board.len()).collect();
+        all.sort_by_key(|up| self.seen.board[*up].order);
+        self.seen.size = all.iter().copied().filter(live).map(|up| self.seen.board[up].entry.size).sum();
+        let count = self.seen.circle.min(all.len());
         let (step, number) = (all.len() as f64 / count.max(1) as f64, f64::from(self.terms.own_number));
-        self.lanes.clear();
+        self.seen.lanes.clear();
         for part in 0..count {
             let tries = (0..all.len()).map(|n| {
                 let place = (number * 0.618_034 + part as f64 * 0.414_214 + n as f64 * 0.732_051).fract();
                 all[((part as f64 + place) * step) as usize]
             });
-            self.lanes.extend(tries.into_iter().find(|up| live(up) && !self.lanes.contains(up)));
+            self.seen.lanes.extend(tries.into_iter().find(|up| live(up) && !self.seen.lanes.contains(up)));
         }
     }
 
@@ -688,32 +635,35 @@
     fn lay_lanes(&mut self, now: Tenths) {
         let met = MEET * self.seen.arrivals.at(now, LONG);
         let wanted = LEAST_CIRCLE.max((met as usize + 1).next_power_of_two() / 2);
-        if self.stale || wanted > self.circle || wanted < self.circle && met < 0.7 * self.circle as f64 {
-            (self.circle, self.stale) = (wanted, false);
+        if self.seen.stale
+            || wanted > self.seen.circle
+            || wanted < self.seen.circle && met < 0.7 * self.seen.circle as f64
+        {
+            (self.seen.circle, self.seen.stale) = (wanted, false);
             self.draw_circle();
         }
         if self.seen.room == 0.0 {
             self.seen.room = self.terms.part(FIRST_CAP * self.seen.size);
         }
-        let all: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
-        // A balancer that has seen few txns would make a lane of one upstream, the same one as many others.
-        let (few, cost) = (FEW_COSTS * self.mean_cost(), self.seen.cost_sums.iter().sum::<f64>());
-        let mut part = all * (self.seen.cost_sums[0] + LIGHT_SHARE * few) / (cost + few).max(1e-9);
+        self.seen.used = self.seen.lanes.iter().map(|up| self.seen.board[*up].entry.size).sum();
+        let cost: f64 = self.seen.cost_sums.iter().sum();
+        let all: f64 = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
+        let mut part = all * self.seen.cost_sums[0] / cost.max(1e-9);
         // Where no hint tells heavy from light there is one lane: an upstream kept for the other would idle.
         let one_lane = self.seen.cost_sums[1] == 0.0;
         let fits = |up: &&usize| {
-            part -= self.board[**up].size();
-            one_lane || part >= -self.board[**up].size() / 2.0
+            part -= self.speed(**up);
+            one_lane || part >= -self.speed(**up) / 2.0
         };
-        self.light = self.lanes.iter().take_while(fits).count();
+        self.seen.light = self.seen.lanes.iter().take_while(fits).count();
         if !one_lane {
-            self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
+            self.seen.light = self.seen.light.max(1).min(self.seen.lanes.len().saturating_sub(1).max(1));
         }
     }
 
     /// The design's send-by time, and whether any slot is left before the deadline.
     fn plan(&self, now: Tenths, deadline: Tenths) -> (Tenths, bool) {
-        let span = self.gauge.wait + self.gauge.tp;
+        let span = self.gauge.wait as Tenths + self.gauge.tp;
         let slots = deadline.saturating_sub(now) / span;
         let tries = slots.min(self.gauge.needed);
         let early = if tries == 0 { self.gauge.tp } else { tries * span };
@@ -721,32 +671,32 @@
     }
 
     fn hold(&mut self, now: Tenths, number: u64) {
-        let deadline = self.txns[&number].deadline;
+        let deadline = self.book.txns[&number].deadline;
         let (send_by, _) = self.plan(now, deadline);
         let last = deadline.saturating_sub(self.gauge.quick).max(now + 1);
-        let Some(txn) = self.txns.get_mut(&number) else { return };
+        let Some(txn) = self.book.txns.get_mut(&number) else { return };
         txn.held = Some(send_by);
-        self.held[usize::from(txn.heavy)].insert((send_by, number));
-        self.by_rank.insert((txn.rank, Reverse(send_by), number));
-        self.held_cost += txn.cost;
-        self.alarms.push(Reverse((last, number, None)));
+        self.book.held.insert((send_by, number));
+        self.book.by_rank.insert((txn.rank, Reverse(send_by), number));
+        self.book.held_cost += txn.cost;
+        self.book.alarms.push(Reverse((last, number, None)));
     }
 
     fn unhold(&mut self, number: u64) {
-        let Some(txn) = self.txns.get_mut(&number) else { return };
+        let Some(txn) = self.book.txns.get_mut(&number) else { return };
         let Some(send_by) = txn.held.take() else { return };
-        self.held[usize::from(txn.heavy)].remove(&(send_by, number));
-        self.by_rank.remove(&(txn.rank, Reverse(send_by), number));
-        self.held_cost -= txn.cost;
+        self.book.held.remove(&(send_by, number));
+        self.book.by_rank.remove(&(txn.rank, Reverse(send_by), number));
+        self.book.held_cost -= txn.cost;
     }
 
     /// In a jam the txns of least value give way, at once rather than at the end of a hopeless wait.
     fn shed(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        while let Some(&(_, _, number)) = self.by_rank.first() {
-            let txn = &self.txns[&number];
+        while let Some(&(_, _, number)) = self.book.by_rank.first() {
+            let txn = &self.book.txns[&number];
             let flow = self.seen.flow.at(now, LONG);
             let slack = txn.deadline.saturating_sub(self.gauge.tp).saturating_sub(now);
-            if GIVE_WAY * self.held_cost <= slack as f64 * flow || flow == 0.0 {
+            if GIVE_WAY * self.book.held_cost <= slack as f64 * flow || flow == 0.0 {
                 return;
             }
             self.stop_waiting(number, out);
@@ -761,15 +711,12 @@
         self.seen.out_now = (self.seen.out_now + change).max(0.0);
     }
 
-    /// Where each upstream is seen too seldom, the share of all postings that wait until too late bounds
-    /// what is out: in a jam that is most of them, and it must not be fed.
+    /// Each upstream is seen too seldom: the share of all that wait until too late tells of a jam not to feed.
     fn make_room(&mut self, late: bool) {
-        let (least, most) =
-            (self.terms.part(SMALLEST_CAP * self.seen.size), self.terms.part(LARGEST_CAP * self.seen.size));
         if late {
-            self.seen.room = (self.seen.room * LATE_SHRINKS).max(least);
+            self.seen.room = (self.seen.room * LATE_SHRINKS).max(self.terms.part(self.seen.size));
         } else if 2.0 * self.seen.out_mean >= self.seen.room {
-            self.seen.room = (self.seen.room * TIMELY_GROWS).min(most);
+            self.seen.room *= TIMELY_GROWS;
         }
     }
 
@@ -779,11 +726,10 @@
         if self.seen.out_now + 1.0 > self.seen.room && self.seen.out_mean > self.seen.room {
             return false;
         }
-        let mut heads: Vec<(Tenths, u64)> =
-            self.held.iter().filter_map(|lane| lane.first().copied()).collect();
-        heads.sort_unstable();
-        for (_, number) in heads {
-            if self.lanes.is_empty() {
+        // More than the first, against one that only some upstreams may take keeping all others waiting.
+        let heads: Vec<u64> = self.book.held.iter().take(4).map(|(_, number)| *number).collect();
+        for number in heads {
+            if self.seen.lanes.is_empty() {
                 // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
                 self.stop_waiting(number, out);
                 return true;
@@ -800,27 +746,22 @@
     /// The lesser loaded of two random upstreams of the lane that are under their caps.
     fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
         let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
-        let txn = &self.txns[&number];
-        let split = self.light.min(self.lanes.len());
-        let (mut own, mut other) = self.lanes.split_at(split);
+        let txn = &self.book.txns[&number];
+        let split = self.seen.light.min(self.seen.lanes.len());
+        let (mut own, mut other) = self.seen.lanes.split_at(split);
         if txn.heavy && !other.is_empty() {
             (own, other) = (other, own);
         }
-        let scheme = &self.terms.schemes[txn.scheme];
-        let pinned = match scheme.effect {
-            Effect::Referenced { scope, memory } => {
-                let first = txn.postings.iter().find(|p| p.out || p.may_have_run);
-                if first.is_some_and(|p| p.sent + memory <= now + 1) {
-                    return None;
-                }
-                first.map(|p| (scope, &self.board[p.up]))
+        let mut pinned = None;
+        if let Effect::Referenced { scope, memory } = self.terms.schemes[txn.scheme].effect {
+            let first = txn.postings.iter().find(|p| p.out || p.may_have_run);
+            if first.is_some_and(|p| p.sent + memory <= now + 1) {
+                return None;
             }
-            Effect::Repeatable | Effect::OnceOnly => None,
-        };
-        let size: f64 = self.lanes.iter().map(|up| self.board[*up].size()).sum();
-        let flow = self.seen.flow.at(now, LONG) / size;
+            pinned = first.map(|p| (scope, &self.seen.board[p.up]));
+        }
         let fit = |up: &usize, careful: bool| {
-            let s = &self.board[*up];
+            let s = &self.seen.board[*up];
             let in_group = pinned.is_none_or(|(scope, first)| match scope {
                 Scope::All => true,
                 Scope::Zone => first.entry.zone == s.entry.zone,
@@ -828,59 +769,60 @@
             });
             in_group
                 && f64::from(s.in_flight) < s.cap
-                && !(careful && s.distrust(now) >= BENCHED)
+                && !(careful && s.distrust.at(now, FADE) >= BENCHED)
                 && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
-                && self.cold_room(now, s, txn.cost, flow)
+                && self.cold_room(now, s, txn.cost)
         };
         let mut fitting: Vec<usize> = own.iter().copied().filter(|up| fit(up, true)).collect();
         if fitting.is_empty() {
             fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
         }
         if fitting.is_empty() {
-            if self.lanes.iter().any(|up| self.board[*up].distrust(now) < BENCHED) {
+            if self.seen.lanes.iter().any(|up| self.seen.board[*up].distrust.at(now, FADE) < BENCHED) {
                 return None;
             }
             // All look bad: the fault may be ours, and traffic still has to flow.
-            fitting.extend(self.lanes.iter().copied().filter(|up| fit(up, false)));
+            fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
-        let cost = txn.cost;
+        let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
         let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
             (0, _) => return None,
             (1, _) => (fitting[0], fitting[0]),
             // The key draws the two in place of chance, the same two at every balancer: they know the key.
             (_, Some(key)) => {
-                fitting.sort_unstable_by_key(|up| mix(key ^ self.board[*up].order));
+                fitting.sort_unstable_by_key(|up| mix(key ^ self.seen.board[*up].order));
                 (fitting[0], fitting[1])
             }
+            // Twice its time is not left: two drawn at random may both be too slow for it.
+            (_, None) if tight => {
+                let load = |up: &usize| self.load(now, *up, txn.cost);
+                return fitting.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
+            }
             (_, None) => {
-                let a = self.draw(now, chances[0], fitting.iter().copied());
-                let b = self.draw(now, chances[1], fitting.iter().copied().filter(|up| *up != a));
+                let a = self.draw(chances[0], fitting.iter().copied());
+                let b = self.draw(chances[1], fitting.iter().copied().filter(|up| *up != a));
                 (a, b)
             }
         };
-        Some(if self.load(now, b, cost) < self.load(now, a, cost) { b } else { a })
+        Some(if self.load(now, b, txn.cost) < self.load(now, a, txn.cost) { b } else { a })
     }
 
     /// Listed size by the pace of all upstreams of its kind, since each is met too seldom to know its own.
     fn speed(&self, up: usize) -> f64 {
-        let s = &self.board[up];
-        let Some(known) = self.seen.kinds.get(&s.entry.kind) else { return s.size() };
-        s.size() * ((self.seen.pace.log - known.log) * known.answers / (known.answers + FEW_ANSWERS)).exp()
+        let s = &self.seen.board[up];
+        s.entry.size * (-self.seen.slower(self.seen.kinds.get(&s.entry.kind))).exp()
     }
 
     /// By speed: where little is in flight, chance alone decides, and slow ones must not get as much. Crossing
     /// zones is for when the own is worse: the others get a part that grows as it answers more slowly.
-    fn draw(&self, now: Tenths, chance: f64, mut ups: impl Iterator<Item = usize> + Clone) -> usize {
-        let pace = |zone: &u32| self.seen.zones.get(zone).map_or(0.0, |z| z.slower(now, self.seen.pace.log));
-        let own = pace(&self.terms.own_zone);
-        let weight = |up: &usize| {
-            let zone = self.board[*up].entry.zone;
-            let away = if zone == self.terms.own_zone {
-                1.0
-            } else {
-                CROSS * (ZONE_STEEP * (own - pace(&zone))).exp()
-            };
-            self.speed(*up) * away.min(1.0)
+    fn draw(&self, chance: f64, mut ups: impl Iterator<Item = usize> + Clone) -> usize {
+        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone));
+        let own = self.terms.own_zone;
+        let away =
+            |zone: u32| (CROSS * (ZONE_STEEP * (pace(own) - pace(zone))).exp()).clamp(CROSS_LEAST, 1.0);
+        let weight = |up: &usize| match self.seen.board[*up].entry.zone {
+            zone if zone == own => self.speed(*up),
+            zone => self.speed(*up) * away(zone),
         };
         let mut left = chance * ups.clone().map(|up| weight(&up)).sum::<f64>();
         let passed = |up: &usize| {
@@ -892,31 +834,33 @@
 
     /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
     fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
-        let s = &self.board[up];
+        let s = &self.seen.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (s.cost_out + cost + away * self.mean_cost()) / self.speed(up) * (1.0 + s.distrust(now))
+        (s.cost_out + cost + away * self.mean_cost()) / self.speed(up) * (1.0 + s.distrust.at(now, FADE))
     }
 
-    /// A cold upstream may get its part of what warm ones are seen to bear (`flow`, settled cost by size), in
+    /// A cold upstream may get its part of what warm ones are seen to bear (settled cost by size), in
     /// every window of the rule: a burst right after its start would push it over. What is less than a txn is
     /// spent by chance, drawn once a window: one free txn for each of many balancers would be hundreds in sum.
-    fn cold_room(&self, now: Tenths, s: &Standing, cost: f64, flow: f64) -> bool {
+    fn cold_room(&self, now: Tenths, s: &Standing, cost: f64) -> bool {
         let cold = &self.terms.cold;
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
-        let budget = COLD_MARGIN * cold.multiple * share * flow * s.size() * cold.window as f64;
-        let drawn = mix(self.salt ^ s.order ^ (age / cold.window.max(1))) as f64 / u64::MAX as f64;
+        let flow = self.seen.flow.at(now, LONG) / self.seen.used;
+        let budget = COLD_MARGIN * cold.multiple * share * flow * s.entry.size * cold.window as f64;
+        let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
+            / u64::MAX as f64;
         s.cold_work.at(now, cold.window.max(1)) + cost <= budget + drawn * cost
     }
 
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
-        let deadline = self.txns[&number].deadline;
+        let deadline = self.book.txns[&number].deadline;
         let (_, slot) = self.plan(now, deadline);
-        let Some(txn) = self.txns.get_mut(&number) else { return };
+        let Some(txn) = self.book.txns.get_mut(&number) else { return };
         let repeatable = self.terms.schemes[txn.scheme].effect == Effect::Repeatable;
         let first = txn.postings.is_empty();
         if first {
-            self.gauge.waited(now - txn.arrived);
+            self.gauge.wait += ((now - txn.arrived) as f64 - self.gauge.wait) / PACE_WINDOW;
         } else if txn.out() {
             self.extra -= 1.0;
         }
@@ -927,20 +871,19 @@
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
-        let upstream = self.board[up].entry.upstream.clone();
+        let upstream = self.seen.board[up].entry.upstream.clone();
         out.push(Action::Post { txn: txn.id.clone(), upstream, timeout });
         inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
-        self.alarms.push(Reverse((now + due, number, Some(posting))));
+        self.book.alarms.push(Reverse((now + due, number, Some(posting))));
         self.note_out(now, 1.0);
         if first && !slot && now < deadline {
             self.copy(now, number);
         }
     }
 
-    /// Holds a txn for a further posting while one is out; only as many as what settled in time pays for,
-    /// against copies that feed the slowdown they were meant to hide.
+    /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
     fn copy(&mut self, now: Tenths, number: u64) {
-        let txn = &self.txns[&number];
+        let txn = &self.book.txns[&number];
         let may_repeat =
             self.terms.second_copies && self.terms.schemes[txn.scheme].effect != Effect::OnceOnly;
         let may_post = txn.postings.len() < self.terms.max_postings as usize && !txn.streaming;
@@ -949,17 +892,8 @@
         }
     }
 
-    fn settled(&mut self, now: Tenths, number: u64) {
-        let txn = &self.txns[&number];
-        if now <= txn.deadline {
-            self.extra = (self.extra + EXTRA_SHARE)
-                .min(self.terms.part(EXTRA_SAVED * self.seen.size).max(EXTRA_LEAST));
-        }
-        self.seen.flow.add(now, LONG, txn.cost / (10 * SECOND) as f64);
-    }
-
     fn failed(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let txn = &self.txns[&number];
+        let txn = &self.book.txns[&number];
         if txn.held.is_some() || txn.out() {
             return;
         }
@@ -970,7 +904,7 @@
 
     /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
     fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
-        let txn = &self.txns[&number];
+        let txn = &self.book.txns[&number];
         let may_decline = match self.terms.schemes[txn.scheme].effect {
             Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
             Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
@@ -988,23 +922,16 @@
 
     /// No further posting for a held txn: what is out may still answer it.
     fn stop_waiting(&mut self, number: u64, out: &mut Vec<Action>) {
-        if self.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
+        if self.book.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
     }
 
-    /// As the time left allows. Past the SLA time the late value counts until the expiry, behind all others.
     fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let quick = self.gauge.quick;
-        let Some(txn) = self.txns.get_mut(&number) else { return };
-        let late_value = self.terms.schemes[txn.scheme].late_value;
-        if now + quick >= txn.deadline && late_value > 0.0 && txn.deadline < txn.expiry {
-            txn.rank = (f64::from_bits(txn.rank) * late_value).to_bits();
-            txn.deadline = txn.expiry;
-        }
-        if now + quick < txn.deadline { self.hold(now, number) } else { self.give_up(number, out) }
+        let hopeful = now + self.gauge.quick < self.book.txns[&number].deadline;
+        if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
     fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
-        let Some(txn) = self.txns.get(&number).filter(|_| self.terms.cancelling) else { return };
+        let Some(txn) = self.book.txns.get(&number).filter(|_| self.terms.cancelling) else { return };
         let outs = (0u32..).zip(&txn.postings).filter(|(posting, p)| p.out && Some(*posting) != keep);
         out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
     }
@@ -1012,15 +939,17 @@
     fn close(&mut self, number: u64, out: &mut Vec<Action>) {
         self.unhold(number);
         self.recall(number, None, out);
-        if let Some(txn) = self.txns.remove(&number) {
-            self.numbers.remove(&txn.id);
+        if let Some(txn) = self.book.txns.remove(&number) {
+            self.book.numbers.remove(&txn.id);
         }
     }
 
     fn ring(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
-        while let Some(&Reverse((_, number, posting))) = self.alarms.peek().filter(|alarm| alarm.0.0 <= now) {
-            self.alarms.pop();
-            let Some(txn) = self.txns.get(&number) else { continue };
+        while let Some(&Reverse((_, number, posting))) =
+            self.book.alarms.peek().filter(|alarm| alarm.0.0 <= now)
+        {
+            self.book.alarms.pop();
+            let Some(txn) = self.book.txns.get(&number) else { continue };
             if let Some(posting) = posting {
                 let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
@@ -1039,10 +968,10 @@
     }
 
     fn set_wake(&mut self, now: Tenths, ask_at: Option<Tenths>, out: &mut Vec<Action>) {
-        let alarm = self.alarms.peek().map(|Reverse((at, ..))| *at);
+        let alarm = self.book.alarms.peek().map(|Reverse((at, ..))| *at);
         let Some(next) = alarm.into_iter().chain(ask_at).min() else { return };
-        if self.wake.is_none_or(|at| at <= now || next < at) {
-            self.wake = Some(next);
+        if self.book.wake.is_none_or(|at| at <= now || next < at) {
+            self.book.wake = Some(next);
             out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
         }
     }
