--- a/src/balance.rs
+++ b/src/balance.rs
@@ -41,7 +41,7 @@
 const LEAST_CIRCLE: usize = 8;
 const OUT_SPAN: f64 = 2.0 * SECOND as f64;
 /// A cap is halved above so many times the best pace.
-const CROWDED: f64 = 3.0;
+const CROWDED: f64 = 2.2;
 const PACE_ANSWERS: f64 = 8.0;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
