--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -427,3 +427,89 @@
     assert!(play().lines().count() > 10);
     assert_eq!(play(), play());
 }
+
+fn fleet(count: u32) -> Vec<Entry> {
+    (0..count).map(|n| Entry { zone: n % 3, kind: n % 2, ..entry(&format!("u{n}"), 0) }).collect()
+}
+
+#[test]
+fn a_thousand_balancers_spread_their_first_list_calls_and_serve_from_the_remembered_list() {
+    let mut calls = [0; 10];
+    let mut served = 0;
+    for seed in 0..1000 {
+        let terms = Terms { balancers: 1000, must_ask: Some(10_000 * MS), ..terms() };
+        let mut play = Play::seeded(terms, seed);
+        play.at(0, [Event::Listed(Listing::Remembered(fleet(40).into()))]);
+        served += usize::from(!play.post(0, txn("t", 0)).is_empty());
+        let asked = |ms: &u64| play.at(*ms, []).contains(&Action::Watch { on: true });
+        calls[(1..100).map(|n| n * 100).find(asked).unwrap() as usize / 1000] += 1;
+    }
+    expect!["[29, 196, 182, 194, 188, 192, 19, 0, 0, 0] first calls in each second, 1000 served at once"]
+        .assert_eq(&format!("{calls:?} first calls in each second, {served} served at once"));
+}
+
+#[test]
+fn each_balancer_uses_a_circle_and_together_they_use_all_upstreams() {
+    let mut users = std::collections::BTreeMap::<String, usize>::new();
+    let mut circles = std::collections::BTreeSet::new();
+    for number in 0..200 {
+        let mut play =
+            Play::seeded(Terms { balancers: 200, own_number: number, own_zone: number / 67, ..terms() }, 7);
+        play.at(0, [Event::Listed(Listing::Whole(fleet(50).into()))]);
+        let mut met = std::collections::BTreeSet::new();
+        for n in 0..60 {
+            let id = format!("t{n}");
+            let up = play.post(n * 1000, txn(&id, 0));
+            play.at(n * 1000 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
+            met.insert(up);
+        }
+        circles.insert(met.len());
+        met.into_iter().for_each(|up| *users.entry(up).or_default() += 1);
+    }
+    let (least, most) = (users.values().min().unwrap(), users.values().max().unwrap());
+    expect!["circles {3, 4, 5, 6, 7, 8}, 50 upstreams, 9 to 28 balancers"]
+        .assert_eq(&format!("circles {circles:?}, {} upstreams, {least} to {most} balancers", users.len()));
+}
+
+#[test]
+fn slow_kinds_get_less_though_each_upstream_is_met_seldom() {
+    let mut play = Play::new(Terms { balancers: 1000, ..terms() });
+    play.at(0, [Event::Listed(Listing::Whole(fleet(50).into()))]);
+    let mut to_slow = [0, 0];
+    for n in 0..200 {
+        let id = format!("t{n}");
+        let up = play.post(n * 1000, txn(&id, 0));
+        let slow = up[1..].parse::<u32>().unwrap() % 2 == 1;
+        to_slow[usize::from(n >= 100)] += usize::from(slow);
+        let ms = if slow { 60 } else { 15 };
+        play.at(n * 1000 + ms, [ended(&id, 0, &up, Outcome::Ok, ms)]);
+    }
+    expect!["[14, 14] of each hundred to the slow half"]
+        .assert_eq(&format!("{to_slow:?} of each hundred to the slow half"));
+}
+
+#[test]
+fn late_waits_shrink_the_room_to_a_part_of_the_time() {
+    let mut play = Play::new(Terms { balancers: 100, ..terms() });
+    play.at(0, [Event::Listed(Listing::Whole(fleet(50).into()))]);
+    for n in 0..12 {
+        let id = format!("w{n}");
+        let up = play.post(n * 5000, txn(&id, 1));
+        play.at(n * 5000 + 900, [ended(&id, 0, &up, Outcome::Ok, 900)]);
+    }
+    play.trace.clear();
+    play.at(60_000, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+    play.at(60_300, [txn("kept back", 1)]);
+    play.at(60_320, (0..6).map(|n| ended(&format!("t{n}"), 0, "u0", Outcome::Ok, 320)));
+    play.at(60_600, []);
+    expect![[r#"
+        60000: post t0 to u27
+        60000: post t1 to u12
+        60000: post t2 to u21
+        60000: post t3 to u1
+        60000: post t4 to u40
+        60000: post t5 to u26
+        60300: decline kept back, with advice
+    "#]]
+    .assert_eq(&play.trace);
+}
