--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,7 +32,7 @@
 
 const FIRST_CAP: f64 = 4.0;
 const GROWTH: f64 = 0.5;
-const LATE_SHRINKS: f64 = 0.85;
+const LATE_SHRINKS: f64 = 0.93;
 const TIMELY_GROWS: f64 = 1.02;
 /// The halving time of what flows: with it a level is the sum over ten seconds.
 const LONG: Tenths = 7 * SECOND;
@@ -523,8 +523,8 @@
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.gauge.tp });
                 self.note_out(now, -1.0);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full) {
-                    let waited = took as f64 > OVERDUE_PACE * REST_PACE * cost;
-                    self.make_room(took > sla && waited || outcome == Outcome::Full);
+                    let waited = took as f64 - REST_PACE * cost;
+                    self.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full);
                 }
                 let (entry, work) = (&self.seen.board[up].entry, cost * self.seen.board[up].entry.size);
                 if outcome == Outcome::Ok {
@@ -711,7 +711,7 @@
         self.seen.out_now = (self.seen.out_now + change).max(0.0);
     }
 
-    /// Each upstream is seen too seldom: the share of all that wait until too late tells of a jam not to feed.
+    /// Each upstream is seen too seldom: the share of all that wait too long tells of a jam not to feed.
     fn make_room(&mut self, late: bool) {
         if late {
             self.seen.room = (self.seen.room * LATE_SHRINKS).max(self.terms.part(self.seen.size));
