--- a/src/balance.rs
+++ b/src/balance.rs
@@ -307,14 +307,14 @@
                         let shown = &mut self.shown;
                         shown.distrust.level *= 0.7;
                         if crowding > CROWDED {
-                            self.halve();
+                            self.halve(terms);
                         } else if took <= tp {
                             shown.cap += GROWTH / shown.cap;
                         }
                     }
                     // A full waiting room is the shortest queue to look at; it must not draw more.
                     Outcome::Full | Outcome::TimedOut => {
-                        self.halve();
+                        self.halve(terms);
                         self.doubt(now);
                     }
                     Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now),
@@ -322,7 +322,7 @@
                 }
             }
             UpstreamNote::Overdue { sent } => {
-                self.halve();
+                self.halve(terms);
                 // Silent since that posting left: perhaps it takes txns and answers none.
                 if self.answered < sent {
                     self.doubt(now);
@@ -331,8 +331,8 @@
         }
     }
 
-    fn halve(&mut self) {
-        self.shown.cap = (self.shown.cap / 2.0).max(1.0);
+    fn halve(&mut self, terms: &Terms) {
+        self.shown.cap = (self.shown.cap / 2.0).max(terms.part(self.shown.entry.size)).max(1.0);
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -513,3 +513,27 @@
     "#]]
     .assert_eq(&play.trace);
 }
+
+#[test]
+fn the_smallest_cap_is_this_balancers_part_of_the_listed_size() {
+    let mut play = Play::new(terms());
+    play.at(0, [Event::Listed(Listing::Whole([Entry { size: 3.0, ..entry("big", 0) }].into()))]);
+    for n in 0..12 {
+        let id = format!("w{n}");
+        play.at(n * 1000, [txn(&id, 1)]);
+        play.at(n * 1000 + 399, [ended(&id, 0, "big", Outcome::Ok, 399)]);
+    }
+    play.trace.clear();
+    play.at(
+        20_000,
+        (0..5).map(|n| Event::Arrived(Arrival { cost: Some(MS), ..arrival(&format!("t{n}"), 1) })),
+    );
+    expect![[r#"
+        20000: post t0 to big
+        20000: post t1 to big
+        20000: post t2 to big
+        20000: decline t3, with advice
+        20000: decline t4, with advice
+    "#]]
+    .assert_eq(&play.trace);
+}
