--- a/crates/pondlb-adapter/src/config.rs
+++ b/crates/pondlb-adapter/src/config.rs
@@ -27,11 +27,9 @@
 #[serde(rename_all = "PascalCase")]
 struct WireScheme {
     sla_time_ns: u64,
-    expiry_ns: u64,
     effect: WireEffect,
     dedup_scope: Option<WireScope>,
     key_ttl_ns: Option<u64>,
-    late_value: f64,
     value: f64,
 }
 
@@ -144,11 +142,5 @@
             memory: floor_from_ns(scheme.key_ttl_ns.ok_or("Config: a deduplicated scheme lacks KeyTtlNs")?),
         },
     };
-    Ok(Scheme {
-        sla: floor_from_ns(scheme.sla_time_ns),
-        expiry: floor_from_ns(scheme.expiry_ns),
-        late_value: scheme.late_value,
-        value: scheme.value,
-        effect,
-    })
+    Ok(Scheme { sla: floor_from_ns(scheme.sla_time_ns), value: scheme.value, effect })
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -25,8 +25,6 @@
 #[derive(Clone, Debug)]
 pub struct Scheme {
     pub sla: Tenths,
-    pub expiry: Tenths,
-    pub late_value: f64,
     pub value: f64,
     pub effect: Effect,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -385,33 +385,19 @@
 }
 
 #[test]
-fn late_value_keeps_a_txn_until_its_expiry_and_none_declines_it_at_the_sla_time() {
-    let mut both = String::new();
-    for late_value in [0.0, 0.3] {
-        let mut terms = terms();
-        terms.schemes[1].late_value = late_value;
-        let mut play = Play::new(terms);
-        play.at(0, [list("a")]);
-        play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 1)));
-        play.at(401, []);
-        play.at(500, [ended("t0", 0, "a", Outcome::Ok, 500)]);
-        both += &format!("late value {late_value}\n{}", play.trace);
-    }
+fn what_cannot_be_posted_in_its_sla_time_is_declined_then() {
+    let mut play = Play::new(terms());
+    play.at(0, [list("a")]);
+    play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 1)));
+    play.at(401, []);
     expect![[r#"
-        late value 0
-        0: post t0 to a
-        0: post t1 to a
-        0: post t2 to a
-        0: post t3 to a
-        401: decline t4, with advice
-        late value 0.3
         0: post t0 to a
         0: post t1 to a
         0: post t2 to a
         0: post t3 to a
         401: decline t4, with advice
     "#]]
-    .assert_eq(&both);
+    .assert_eq(&play.trace);
 }
 
 #[test]
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -11,10 +11,10 @@
     pub trace: String,
 }
 
-/// Scheme 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms, expiry 1 s.
+/// Scheme 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
 pub fn terms() -> Terms {
     let zone = Effect::Referenced { scope: Scope::Zone, memory: 300 * MS };
-    let scheme = |effect| Scheme { sla: 400 * MS, expiry: 1000 * MS, late_value: 0.0, value: 1.0, effect };
+    let scheme = |effect| Scheme { sla: 400 * MS, value: 1.0, effect };
     Terms {
         balancers: 1,
         own_number: 0,
