SIGHUP has the configuration read anew and moves discovery in mid-call

Checked: program/service.rs registers SIGTERM and SIGINT only, so the default action ended it; nothing else in the log. transport/discovery.rs could not leave a watch for another address. Change: Setup::read is called again; a fault is logged with its key and changes nothing; a new discovery address ends the call at hand and is asked for the whole list at once. Other keys that changed are named in the log and take a restart.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -10,9 +10,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::Phase;
-use super::setup::Setup;
+use super::setup::{Given, Setup};
 use crate::routing::{Directory, Exchange, Note};
-use crate::transport::{Clock, Crowd, Front, Pool, Postings, discover, listen, span};
+use crate::transport::{Ask, Clock, Crowd, Front, Pool, Postings, discover, listen, span};
 
 /// Clients go on coming for up to 0.4 s after the signal; a request let in is a request answered.
 const LEAVING: Duration = Duration::from_millis(600);
@@ -34,12 +34,18 @@
     crowd: Rc<Crowd>,
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
+    /// As the configuration last read says.
+    given: Given,
+    asks: mpsc::UnboundedSender<Ask>,
     told_to_end: Option<Instant>,
 }
 
 impl Service {
     pub fn start(setup: Setup) -> io::Result<Service> {
         let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let hangup = signal(SignalKind::hangup())?;
+        let given = setup.given();
         let listener = std::net::TcpListener::bind(setup.listen)
             .and_then(|listener| {
                 listener.set_nonblocking(true)?;
@@ -71,11 +77,23 @@
         spawn_local(listen(listener, Rc::new(front)));
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
-        let carrier = Postings { pool, clock, notes: notes_in, asks: asks_in };
+        let carrier = Postings { pool, clock, notes: notes_in, asks: asks_in.clone() };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
         exchange.remember(clock.now(), setup.known);
         log::info!("{} listens on {address}: {:?}", setup.name, setup.budget);
-        Ok(Service { phase, clock, exchange, notes, crowd, terminate, interrupt, told_to_end: None })
+        Ok(Service {
+            phase,
+            clock,
+            exchange,
+            notes,
+            crowd,
+            terminate,
+            interrupt,
+            hangup,
+            given,
+            asks: asks_in,
+            told_to_end: None,
+        })
     }
 
     pub async fn run(mut self) -> io::Result<()> {
@@ -91,6 +109,7 @@
                 biased;
                 _ = self.terminate.recv(), if running => self.leave(),
                 _ = self.interrupt.recv(), if running => self.leave(),
+                _ = self.hangup.recv() => self.read_anew(),
                 _ = self.notes.recv_many(&mut batch, BATCH) => {}
                 () = self.crowd.changed.notified(), if self.is(Phase::Closing) => {}
                 () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
@@ -101,6 +120,24 @@
         Ok(())
     }
 
+    /// Only discovery can move while txns are open. A file that can't be used must not end a program that
+    /// serves, so everything stays as it was.
+    fn read_anew(&mut self) {
+        let setup = match Setup::read(|name| std::env::var(name).ok()) {
+            Ok(setup) => setup,
+            Err(fault) => return log::error!("configuration: {fault}; the one before stays in force"),
+        };
+        let given = setup.given();
+        for key in given.changed_since(&self.given) {
+            log::warn!("configuration: {key}: the change takes a restart");
+        }
+        log::info!("configuration read anew: discovery is at {}", given.discovery);
+        if given.discovery != self.given.discovery {
+            let _ended = self.asks.send(Ask::Move(given.discovery));
+            self.given.discovery = given.discovery;
+        }
+    }
+
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
         self.exchange.end_by(self.clock.now() + ANSWERED);
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -20,6 +20,29 @@
     pub budget: Budget,
     pub known: Roster,
     pub deployment: Deployment,
+    settings: Box<RawValue>,
+}
+
+/// What a configuration read anew is compared with.
+pub struct Given {
+    pub discovery: SocketAddr,
+    name: String,
+    listen: SocketAddr,
+    budget: Budget,
+    settings: Box<RawValue>,
+}
+
+impl Given {
+    /// The keys, discovery apart, whose values are not those that the program was started with.
+    pub fn changed_since(&self, before: &Given) -> impl Iterator<Item = &'static str> {
+        let changes = [
+            ("name", self.name != before.name),
+            ("listen", self.listen != before.listen),
+            ("limits", self.budget != before.budget),
+            ("settings", self.settings.get() != before.settings.get()),
+        ];
+        changes.into_iter().filter_map(|(key, changed)| changed.then_some(key))
+    }
 }
 
 /// How many connections each side may hold, so that all together keep within descriptors and memory.
@@ -88,8 +111,15 @@
             budget: Budget::of(&file.limits)?,
             known,
             deployment: pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"))?,
+            settings: file.settings,
         })
     }
+
+    pub fn given(&self) -> Given {
+        let Setup { name, listen, discovery, budget, settings, .. } = self;
+        let (name, settings) = (name.clone(), settings.clone());
+        Given { discovery: *discovery, name, listen: *listen, budget: *budget, settings }
+    }
 }
 
 impl Budget {
--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -13,6 +13,8 @@
 pub enum Ask {
     Watch(bool),
     Fetch,
+    /// Discovery is at another address from now on.
+    Move(SocketAddr),
 }
 
 /// How long a watch waits for news, and how much longer its answer may take: beyond that what discovery would
@@ -26,66 +28,86 @@
 /// Asks discovery as the decisions want it asked. It is they who say when to try again after a failure.
 pub async fn discover(
     address: SocketAddr,
-    mut version: u64,
+    version: u64,
     mut asks: mpsc::UnboundedReceiver<Ask>,
     notes: mpsc::UnboundedSender<Note>,
 ) {
-    let mut caller = Caller { address, kept: None };
-    while let Some(ask) = asks.recv().await {
-        match ask {
-            Ask::Watch(true) => tokio::select! {
-                () = caller.watch(&mut version, &notes) => {}
-                () = called_off(&mut asks) => caller.kept = None,
-            },
-            Ask::Watch(false) => {}
-            Ask::Fetch => {
-                let listed = caller.call(None).await;
-                tell(listed, &mut version, &notes);
-            }
-        }
+    let mut caller = Caller { address, version: Some(version), kept: None, notes };
+    let mut next = asks.recv().await;
+    while let Some(ask) = next {
+        next = tokio::select! {
+            () = caller.carry_out(ask) => asks.recv().await,
+            next = called_off(&mut asks) => next,
+        };
     }
 }
 
-async fn called_off(asks: &mut mpsc::UnboundedReceiver<Ask>) {
-    while asks.recv().await.is_some_and(|ask| ask != Ask::Watch(false)) {}
-}
-
-/// False when the call brought nothing.
-fn tell(listed: Result<Roster, String>, version: &mut u64, notes: &mpsc::UnboundedSender<Note>) -> bool {
-    let (note, told) = match listed {
-        Ok(roster) => {
-            *version = roster.version;
-            (Note::Listed(roster), true)
-        }
-        Err(why) => {
-            log::warn!("discovery: {why}");
-            (Note::ListLost, false)
+/// What ends the call at hand; other asks are answered by it.
+async fn called_off(asks: &mut mpsc::UnboundedReceiver<Ask>) -> Option<Ask> {
+    loop {
+        let ask = asks.recv().await?;
+        if matches!(ask, Ask::Watch(false) | Ask::Move(_)) {
+            return Some(ask);
         }
-    };
-    notes.send(note).is_ok() && told
+    }
 }
 
 struct Caller {
     address: SocketAddr,
+    /// The newest that is known; none where the whole list is wanted.
+    version: Option<u64>,
     kept: Option<TcpStream>,
+    notes: mpsc::UnboundedSender<Note>,
 }
 
 impl Caller {
+    async fn carry_out(&mut self, ask: Ask) {
+        match ask {
+            Ask::Watch(true) => self.watch().await,
+            Ask::Watch(false) => self.kept = None,
+            Ask::Fetch => {
+                let listed = self.call(None).await;
+                self.tell(listed);
+            }
+            // Asked at once, for the whole list: the versions of one address need not be those of another,
+            // and what the old one has not told by now it never will.
+            Ask::Move(address) => {
+                (self.address, self.version, self.kept) = (address, None, None);
+                self.watch().await;
+            }
+        }
+    }
+
     /// Calls again after each answer, so that the watch never lapses, until a call fails.
-    async fn watch(&mut self, version: &mut u64, notes: &mpsc::UnboundedSender<Note>) {
+    async fn watch(&mut self) {
         loop {
-            let (called, known) = (Instant::now(), *version);
-            let listed = self.call(Some(known)).await;
-            if !tell(listed, version, notes) {
+            let (called, known) = (Instant::now(), self.version);
+            let listed = self.call(known).await;
+            if !self.tell(listed) {
                 return;
             }
             // One that does not hold its answers would else be called without end.
-            if *version == known && called.elapsed() < BREATH {
+            if self.version == known && called.elapsed() < BREATH {
                 sleep(BREATH).await;
             }
         }
     }
 
+    /// False when the call brought nothing.
+    fn tell(&mut self, listed: Result<Roster, String>) -> bool {
+        let (note, told) = match listed {
+            Ok(roster) => {
+                self.version = Some(roster.version);
+                (Note::Listed(roster), true)
+            }
+            Err(why) => {
+                log::warn!("discovery: {why}");
+                (Note::ListLost, false)
+            }
+        };
+        self.notes.send(note).is_ok() && told
+    }
+
     async fn call(&mut self, from: Option<u64>) -> Result<Roster, String> {
         let hold = if from.is_some() { HOLD } else { Duration::ZERO };
         match timeout(hold + ANSWER, self.exchange(from)).await {
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -12,7 +12,7 @@
 pub use client::Front;
 pub use clock::{Clock, span};
 pub use crowd::Crowd;
-pub use discovery::discover;
+pub use discovery::{Ask, discover};
 pub use listener::listen;
 pub use pool::Pool;
 pub use posting::Postings;
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -273,7 +273,8 @@
     }
 
     pub fn start(&self) -> Balancer {
-        let (mut child, log) = launch(&self.configuration(), self.descriptors);
+        let file = place(&self.configuration());
+        let (mut child, log) = launch(&file, self.descriptors);
         let mut log = BufReader::new(log).lines();
         let address = loop {
             let line = log.next().expect("the program says where it listens").unwrap();
@@ -283,12 +284,12 @@
         };
         let drained = thread::spawn(move || log.map_while(Result::ok).collect::<Vec<_>>().join("\n"));
         assert!(child.try_wait().unwrap().is_none());
-        Balancer { child, address, drained: Some(drained) }
+        Balancer { child, file, address, drained: Some(drained) }
     }
 }
 
-/// Starts the program under a limit of descriptors; its log comes back as it is written.
-pub fn launch(configuration: &str, descriptors: u64) -> (Child, impl Read + Send + 'static) {
+/// Writes a configuration to a file of its own.
+pub fn place(configuration: &str) -> PathBuf {
     static NEXT: Mutex<u32> = Mutex::new(0);
     let number = {
         let mut next = NEXT.lock().unwrap();
@@ -298,11 +299,16 @@
     let name = format!("pondlb-test-{}-{number}.json", std::process::id());
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, configuration).unwrap();
+    path
+}
+
+/// Starts the program under a limit of descriptors; its log comes back as it is written.
+pub fn launch(file: &Path, descriptors: u64) -> (Child, impl Read + Send + use<>) {
     let program = env!("CARGO_BIN_EXE_pondlb-server");
     let mut child = Command::new("/bin/sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec {program}")])
         .env_clear()
-        .env("RELAY_CONFIG", path)
+        .env("RELAY_CONFIG", file)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
@@ -312,6 +318,7 @@
 
 pub struct Balancer {
     child: Child,
+    file: PathBuf,
     pub address: SocketAddr,
     drained: Option<thread::JoinHandle<String>>,
 }
@@ -334,8 +341,14 @@
         client.read().expect("health is answered").status().into()
     }
 
-    pub fn terminate(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+    /// The configuration becomes another, and the program is told to read it.
+    pub fn reconfigure(&self, configuration: &str) {
+        std::fs::write(&self.file, configuration).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         let killed = Command::new("/bin/sh").args(["-c", &kill]).status().unwrap();
         assert!(killed.success());
     }
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -357,6 +357,35 @@
     assert_eq!(one.requests().len(), 0);
 }
 
+/// The danger is a program that ends at the signal, or goes on listening to who knows nothing any more.
+#[test]
+fn a_configuration_read_anew_moves_discovery_in_mid_call_and_a_faulty_one_changes_nothing() {
+    let (one, two) = (Upstream::start(HELLO), Upstream::start(HELLO));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let mut plan = Plan::with(&[&one]);
+    plan.discovery = before.address;
+    let balancer = plan.start();
+    let mut client = balancer.client();
+    assert_eq!(client.ask("a1", "order").status(), "200");
+    let called = |discovery: &Discovery| discovery.told.lock().unwrap().calls.len();
+    wait_until("the watch stands", || called(&before) == 1);
+    balancer.reconfigure(&plan.configuration().replace("\"seed\"", "\"seeds\""));
+    sleep(100 * MS);
+    assert_eq!(client.ask("a2", "order").status(), "200");
+    plan.discovery = after.address;
+    balancer.reconfigure(&plan.configuration().replace("\"memory_mb\":192", "\"memory_mb\":96"));
+    after.list(&roster(1, true, "active", &[two.address]));
+    wait_until("the new one is watched", || called(&after) == 2);
+    assert_eq!(client.ask("a3", "order").status(), "200");
+    assert_eq!((one.requests().len(), two.requests().len(), called(&before)), (2, 1, 1));
+    balancer.signal("TERM");
+    let (status, log) = balancer.ended();
+    assert!(status.success());
+    for line in ["missing field `seed`", "limits: the change takes a restart", "read anew: discovery is at"] {
+        assert!(log.contains(line), "{line}: {log}");
+    }
+}
+
 #[test]
 fn health_is_good_only_with_somebody_to_serve() {
     let upstream = Upstream::start(HELLO);
@@ -379,7 +408,7 @@
     let mut under_way = balancer.client();
     under_way.send(&Client::request("a1", "order", 1200));
     while !matches!(slow.next(), Seen::Request(_)) {}
-    balancer.terminate();
+    balancer.signal("TERM");
     let told = Instant::now();
     sleep(200 * MS);
     assert_eq!(balancer.health(), "503");
@@ -404,7 +433,7 @@
     let mut client = balancer.client();
     client.send(&Client::request("a1", "order", 30_000));
     while !matches!(silent.next(), Seen::Request(_)) {}
-    balancer.terminate();
+    balancer.signal("TERM");
     let told = Instant::now();
     assert_eq!(client.read().expect("a final answer").status(), "502");
     assert!(balancer.ended().0.success());
@@ -417,7 +446,7 @@
     let balancer = Plan::with(&[&upstream]).start();
     let mut idle = balancer.client();
     idle.ask("a1", "order");
-    balancer.terminate();
+    balancer.signal("TERM");
     let told = Instant::now();
     assert!(idle.is_closed());
     assert!(balancer.ended().0.success());
@@ -438,7 +467,7 @@
         ("\"listen\":\"127.0.0.1:0\",", "", "listen is missing, and RELAY_LISTEN is not set"),
     ] {
         assert!(good.contains(from), "{from}");
-        let (mut child, mut log) = launch(&good.replacen(from, to, 1), 1024);
+        let (mut child, mut log) = launch(&place(&good.replacen(from, to, 1)), 1024);
         assert_eq!(child.wait().unwrap().code(), Some(2), "{key}");
         let mut text = String::new();
         log.read_to_string(&mut text).unwrap();
@@ -446,6 +475,6 @@
     }
     let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address: SocketAddr = taken.local_addr().unwrap();
-    let (mut child, _log) = launch(&good.replacen("127.0.0.1:0", &address.to_string(), 1), 1024);
+    let (mut child, _log) = launch(&place(&good.replacen("127.0.0.1:0", &address.to_string(), 1)), 1024);
     assert_eq!(child.wait().unwrap().code(), Some(1));
 }
