Told to end, it serves the connections it has until shortly before the kill

Checked: the logs tell of one balancer gone from 13.59 to 16.44 s and the other closing its connections from 16.11 on: for 0.3 s nobody took clients. Ruled out: postings (none failed), the list, resets. At fault: program/service.rs closed all after 0.6 s, transport/client.rs after each answer from the signal on; yet clients use what they have for as long as it stays open, and the kill comes the longest expiry and 0.7 s after the signal. Change: the settings' longest expiry tells when the kill may come; connections are served until 0.8 s before it, all is answered 0.4 s and gone 0.2 s before it.

--- a/crates/pondlb-server/src/program/phase.rs
+++ b/crates/pondlb-server/src/program/phase.rs
@@ -4,8 +4,8 @@
     /// Listening, but with no upstream known.
     Starting,
     Serving,
-    /// Told to end: clients still come and are served, each connection closes once it is answered.
+    /// Told to end: whoever still comes is served as ever, but health says that nobody should.
     Leaving,
-    /// No new clients; idle connections close, what is owed is answered.
+    /// No new clients; idle connections close, the others once what is owed on them is answered.
     Closing,
 }
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -14,12 +14,40 @@
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{Ask, Clock, Crowd, Front, Pool, Postings, discover, listen, span};
 
-/// Clients go on coming for up to 0.4 s after the signal; a request let in is a request answered.
-const LEAVING: Duration = Duration::from_millis(600);
-/// A txn may have more time left than the program has: its answer comes by then, or the kill would lose it.
-const ANSWERED: Tenths = 32_000;
-/// However slow a client is with its request, the program is gone before it is killed.
-const AT_MOST: Duration = Duration::from_millis(3500);
+/// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
+/// expiry, 3 s at most, and 0.7 s more until it kills.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Farewell {
+    /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
+    /// the other balancers may just be restarting too.
+    leaving: Duration,
+    /// A txn may have more time left than the program has: its answer comes by then, or the kill would lose
+    /// it.
+    answered: Tenths,
+    /// However slow a client is with its request, the program is gone before it is killed.
+    at_most: Duration,
+}
+
+impl Farewell {
+    fn new(expiry: Option<Tenths>) -> Self {
+        let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
+        let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
+        let answered = killed - UNANSWERED;
+        // What comes last still has time for a quick answer.
+        let stays = expiry.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
+        let leaving = span(stays.max(LEAVING.min(answered)));
+        Farewell { leaving, answered, at_most: span(killed - MARGIN) }
+    }
+}
+
+const LONGEST_EXPIRY: Tenths = 30_000;
+const KILL_AFTER: Tenths = 7000;
+/// So much before the kill.
+const UNANSWERED: Tenths = 4000;
+const MARGIN: Tenths = 2000;
+const LAST_CHANCE: Tenths = 4000;
+/// Clients that are new to it come for up to 0.4 s.
+const LEAVING: Tenths = 6000;
 /// For a late loop and the way to the client.
 const SLACK: Tenths = 50;
 const MUST_ASK: Tenths = 100_000;
@@ -39,6 +67,7 @@
     given: Given,
     asks: mpsc::UnboundedSender<Ask>,
     told_to_end: Option<Instant>,
+    farewell: Farewell,
 }
 
 impl Service {
@@ -93,6 +122,7 @@
             given,
             asks: asks_in,
             told_to_end: None,
+            farewell: Farewell::new(links.expiry),
         })
     }
 
@@ -101,8 +131,9 @@
         while !self.is_over() {
             self.note_phase();
             let wake = self.exchange.wake_at().map(|at| self.clock.instant(at));
+            let Farewell { leaving, at_most, .. } = self.farewell;
             let turn =
-                self.told_to_end.map(|at| at + if self.is(Phase::Closing) { AT_MOST } else { LEAVING });
+                self.told_to_end.map(|at| at + if self.is(Phase::Closing) { at_most } else { leaving });
             let next = wake.into_iter().chain(turn.filter(|at| *at > Instant::now())).min();
             let running = self.told_to_end.is_none();
             tokio::select! {
@@ -140,7 +171,7 @@
 
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
-        self.exchange.end_by(self.clock.now() + ANSWERED);
+        self.exchange.end_by(self.clock.now() + self.farewell.answered);
     }
 
     fn is(&self, phase: Phase) -> bool {
@@ -149,7 +180,7 @@
 
     fn note_phase(&mut self) {
         let phase = match self.told_to_end {
-            Some(at) if at.elapsed() >= LEAVING => Phase::Closing,
+            Some(at) if at.elapsed() >= self.farewell.leaving => Phase::Closing,
             Some(_) => Phase::Leaving,
             None if self.exchange.knows_upstreams() => Phase::Serving,
             None => Phase::Starting,
@@ -165,7 +196,29 @@
     }
 
     fn is_over(&self) -> bool {
-        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= AT_MOST);
+        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.farewell.at_most);
         self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.open() == 0 || late)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use expect_test::expect;
+
+    use super::*;
+
+    #[test]
+    fn the_end_comes_before_the_kill_and_no_sooner_than_clients_stay() {
+        let mut trace = String::new();
+        for expiry in [None, Some(60_000), Some(20_000), Some(1000)] {
+            trace += &format!("{expiry:?}: {:?}\n", Farewell::new(expiry));
+        }
+        expect![[r#"
+            None: Farewell { leaving: 600ms, answered: 33000, at_most: 3.5s }
+            Some(60000): Farewell { leaving: 2.9s, answered: 33000, at_most: 3.5s }
+            Some(20000): Farewell { leaving: 1.9s, answered: 23000, at_most: 2.5s }
+            Some(1000): Farewell { leaving: 400ms, answered: 4000, at_most: 600ms }
+        "#]]
+        .assert_eq(&trace);
+    }
+}
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -125,7 +125,7 @@
         side: &mut ClientSide,
         asked: Asked,
     ) -> Option<(Vec<u8>, bool)> {
-        let last = |asked_last| asked_last || *self.phase.borrow() >= Phase::Leaving;
+        let last = |asked_last| asked_last || *self.phase.borrow() >= Phase::Closing;
         let (arrival, request) = match asked.wish {
             Wish::Health => {
                 let ready = *self.phase.borrow() == Phase::Serving;
--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -32,6 +32,8 @@
     pub idle: Tenths,
     pub drain_grace: Tenths,
     pub most_open: u32,
+    /// The longest that a client waits for its answer; none where a scheme does not say.
+    pub expiry: Option<Tenths>,
 }
 
 #[derive(Deserialize)]
@@ -60,6 +62,7 @@
     sla_time_ns: u64,
     effect: WireEffect,
     dedup_scope: Option<WireScope>,
+    expiry_ns: Option<u64>,
     key_ttl_ns: Option<u64>,
     name: String,
     value: f64,
@@ -145,6 +148,7 @@
         zones: object.zones,
         kinds: object.machine_types,
     };
+    let expiries: Option<Vec<u64>> = object.schemes.iter().map(|s| s.expiry_ns).collect();
     let schemes: Result<_, Fault> = (0..).zip(object.schemes).map(|(n, s)| scheme(n, s)).collect();
     let terms = Terms {
         balancers: object.balancers,
@@ -171,6 +175,7 @@
         idle: floor_from_ns(limits.conn_idle_ns),
         drain_grace: floor_from_ns(rules.drain_grace_ns),
         most_open: limits.max_open,
+        expiry: expiries.and_then(|all| all.into_iter().max()).map(ceil_from_ns),
     };
     Ok(Deployment { terms, names, report: object.reporting.fields, links })
 }
@@ -213,7 +218,7 @@
         expect![[r#"
             [(25000, Repeatable), (0, Referenced { scope: Cell, memory: 50000 })]
             ColdTerms { share: 0.3, warm_within: 89001, multiple: 4.0, window: 20001 }
-            Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000 }"#]]
+            Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000, expiry: None }"#]]
         .assert_eq(&format!("{effects:?}\n{:?}\n{links:?}", terms.cold));
     }
 
