Paces leave out the way to the upstream, which small txns took for a crowd

Checked with a probe of the module's beliefs: caps stood at 1.0 nearly everywhere, room and cold budgets were not in the way. Txns of 320 a second are small (9 ms of work on average, half under 3 ms), another zone is 10 ms away; a pace is time by cost, so a run of small ones looks 2.2 times slower than the best. At fault: Pace::crowding and the pooled paces in balance.rs, told time and cost alone. Change: the least time that an answer from the zone took goes beside the cost.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,11 +1,6 @@
-//! All decisions of the balancer, in one module.
-//!
-//! Callers make a [`Balancer`] from [`Terms`] and a seed, hand it each batch of [`Event`]s with their time,
-//! and carry out the [`Action`]s it appends, in order. It does no I/O and reads no clock; the same events
-//! bring the same actions. The interface is `Balancer::new` and `Balancer::handle`, below.
-//!
-//! Inside are the desk (txns), an actor for each upstream and the roster (the list). They talk by notes in
-//! inboxes, which `Balancer::settle` empties. docs/design.md tells what was kept and when exceptions act.
+//! All decisions of the balancer: events in, actions out, in order; no I/O, no clock. Callers use
+//! `Balancer::new` and `Balancer::handle`. Inside are the desk (txns), an actor for each upstream and the
+//! roster (the list), who talk by notes in inboxes. docs/design.md tells what was kept and when exceptions act.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -174,7 +169,7 @@
     Listed(Entry),
     Unlisted,
     Posted { cost: f64 },
-    Ended { outcome: Outcome, took: Tenths, cost: f64, tp: Tenths },
+    Ended { outcome: Outcome, took: Tenths, cost: f64, way: f64, tp: Tenths },
     Overdue { sent: Tenths },
 }
 
@@ -250,7 +245,6 @@
     pace: Pace,
 }
 
-/// What an upstream lets the desk know.
 #[derive(Clone)]
 struct Standing {
     entry: Entry,
@@ -296,14 +290,14 @@
                 self.shown.cost_out += cost;
                 self.shown.cold_work.add(now, terms.cold.window.max(1), cost);
             }
-            UpstreamNote::Ended { outcome, took, cost, tp } => {
+            UpstreamNote::Ended { outcome, took, cost, way, tp } => {
                 self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
                 let idle = self.shown.in_flight == 0;
                 self.shown.cost_out = if idle { 0.0 } else { (self.shown.cost_out - cost).max(0.0) };
                 match outcome {
                     Outcome::Ok => {
                         self.answered = now;
-                        let crowding = self.pace.crowding(took, cost);
+                        let crowding = self.pace.crowding(took, cost + way);
                         let shown = &mut self.shown;
                         shown.distrust.level *= 0.7;
                         if crowding > CROWDED {
@@ -366,10 +360,12 @@
     log: f64,
     answers: f64,
     best: f64,
+    least: f64,
 }
 
 impl Pace {
     fn note(&mut self, took: Tenths, cost: f64, window: f64) -> f64 {
+        self.least = if self.answers == 0.0 { took as f64 } else { self.least.min(took as f64) };
         self.answers = (self.answers + 1.0).min(window);
         self.log += ((took.max(1) as f64 / cost).ln() - self.log) / self.answers;
         self.mean()
@@ -475,7 +471,6 @@
     wake: Option<Tenths>,
 }
 
-/// Holds the txns, and gives each its postings and its final answer.
 struct Desk {
     terms: Rc<Terms>,
     rng: WyRand,
@@ -520,17 +515,20 @@
                 let number = self.book.numbers.get(&txn).copied();
                 let txn = number.and_then(|n| self.book.txns.get(&n));
                 let (cost, sla) = txn.map_or((self.mean_cost(), 0), |t| (t.cost, t.deadline - t.arrived));
-                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, tp: self.gauge.tp });
                 self.note_out(now, -1.0);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full) {
                     let waited = took as f64 - REST_PACE * cost;
                     self.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full);
                 }
-                let (entry, work) = (&self.seen.board[up].entry, cost * self.seen.board[up].entry.size);
+                let entry = &self.seen.board[up].entry;
+                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost * entry.size);
+                // Else a small txn's way there and back would pass for a crowd at its upstream.
+                let way = zone.least;
+                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, way, tp: self.gauge.tp });
                 if outcome == Outcome::Ok {
-                    self.seen.pace.note(took, cost, PACE_WINDOW);
-                    self.seen.kinds.entry(entry.kind).or_default().note(took, work, PACE_WINDOW);
-                    self.seen.zones.entry(entry.zone).or_default().note(took, work, PACE_WINDOW);
+                    zone.note(took, work, PACE_WINDOW);
+                    self.seen.pace.note(took, cost + way, PACE_WINDOW);
+                    self.seen.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
                 }
                 let Some(number) = number else { return };
                 let Some(txn) = self.book.txns.get_mut(&number) else { return };
