Bad clients are answered or closed in time, and their requests are tried once at most

At fault: exchange.rs forgot an id with its answer; upstream.rs made an error of every 4xx. Change: an id stays taken for 5 s; a 4xx of an upstream is the final answer, 400, and says nothing about the upstream. A connection that never asks closes after 2 s and goes first where places are short, half a request is answered 408 after 2.5 s, a refused body is read on for 512 KiB at most, and the listener has room for 1024.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -1,9 +1,10 @@
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pondlb::{Balancer, Tenths};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
@@ -75,11 +76,7 @@
         let (terminate, interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         let hangup = signal(SignalKind::hangup())?;
         let given = setup.given();
-        let listener = std::net::TcpListener::bind(setup.listen)
-            .and_then(|listener| {
-                listener.set_nonblocking(true)?;
-                TcpListener::from_std(listener)
-            })
+        let listener = bind(setup.listen)
             .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", setup.listen)))?;
         let address = listener.local_addr()?;
         let (mut terms, links) = (setup.deployment.terms, setup.deployment.links);
@@ -201,6 +198,17 @@
     }
 }
 
+/// Connections that wait to be taken. Hundreds may come at once, and one that finds no room here tries again
+/// only after a second.
+const BACKLOG: u32 = 1024;
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 #[cfg(test)]
 mod tests {
     use expect_test::expect;
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -161,7 +161,8 @@
             plain("503 Service Unavailable", &advice.unwrap_or_default(), "declined", last)
         }
         Answer::Reversed => plain("502 Bad Gateway", "", "reversed", last),
-        Answer::Duplicate => plain("409 Conflict", "", "this Req-Id is being served", true),
+        Answer::Unfit => plain("400 Bad Request", "", "no upstream takes this request", last),
+        Answer::Duplicate => plain("409 Conflict", "", "this Req-Id is taken", true),
     }
 }
 
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -68,7 +68,11 @@
                 (None, None) => String::new(),
                 load => format!(" {load:?}"),
             };
-            format!("{:?} {} {keep}{load}", a.outcome, a.reply.map_or("-".into(), |r| shown(&r.body)))
+            let reply = match a.reply {
+                Some(Answer::Settled(reply)) => shown(&reply.body),
+                reply => reply.map_or("-", |answer| answer.name()).into(),
+            };
+            format!("{:?} {reply} {keep}{load}", a.outcome)
         }))
     }
 }
@@ -300,6 +304,8 @@
             "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
             "HTTP/1.1 500 Oops\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
             "HTTP/1.1 204 None\r\n\r\n",
+            "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 429 Later\r\nContent-Length: 0\r\n\r\n",
             "HTTP/1.1 101 Switch\r\n\r\n",
             "HTTP/1.1 20 OK\r\n\r\n",
             "ICY 200 OK\r\n\r\n",
@@ -318,6 +324,8 @@
             Error - keep
             Error - keep
             Error - keep
+            Moot unfit keep
+            Error - keep
             a switch of protocols that nobody asked for
             the first line is no answer
             the first line is no answer
@@ -439,10 +447,10 @@
 
         HTTP/1.1 409 Conflict
         Content-Type: text/plain
-        Content-Length: 27
+        Content-Length: 20
         Connection: close
 
-        this Req-Id is being served
+        this Req-Id is taken
 
     "#]]
     .assert_eq(&made.replace('\r', ""));
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -5,6 +5,7 @@
 use super::framing::{Framing, framing};
 use super::head::{Fault, Head};
 use super::reader::{Message, Reader};
+use crate::routing::Answer;
 
 /// Fields that are written anew for each posting.
 const REWRITTEN: [&str; 4] = ["Content-Length", "Req-Id", "Req-Deadline", "Expect"];
@@ -32,7 +33,8 @@
 #[derive(Debug)]
 pub struct Answered {
     pub outcome: Outcome,
-    pub reply: Option<Message>,
+    /// What the client is to get, where this is final.
+    pub reply: Option<Answer>,
     pub load: Load,
     /// The connection may carry another posting.
     pub keep: bool,
@@ -93,11 +95,19 @@
     let outcome = match status {
         200 => Outcome::Ok,
         503 | 504 if declined => Outcome::Full,
+        // These speak of the moment or of the upstream; any other 4xx is the client's own fault. The next
+        // upstream would say the same, and none is the worse for it.
+        408 | 409 | 425 | 429 => Outcome::Error,
+        400..=499 => Outcome::Moot,
         _ => Outcome::Error,
     };
     let keep = clean && !head.lists("Connection", "close") && head.first.starts_with("HTTP/1.1");
     let load = load(head);
-    let reply = (outcome == Outcome::Ok).then_some(message);
+    let reply = match outcome {
+        Outcome::Ok => Some(Answer::Settled(message)),
+        Outcome::Moot => Some(Answer::Unfit),
+        _ => None,
+    };
     Answered { outcome, reply, load, keep }
 }
 
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::mem;
 use std::rc::Rc;
 
@@ -36,12 +36,41 @@
     _hold: H,
 }
 
+/// The ids of the last while, so many at most. They are new with every request: who sends one again has it
+/// from somebody else.
+#[derive(Default)]
+struct Ids {
+    taken: HashSet<TxnId>,
+    order: VecDeque<(Tenths, TxnId)>,
+}
+
+const TAKEN_FOR: Tenths = 50_000;
+const MOST_TAKEN: usize = 8192;
+
+impl Ids {
+    /// False when it is taken.
+    fn take(&mut self, now: Tenths, id: &TxnId) -> bool {
+        let old = |(at, _): &(Tenths, TxnId)| at + TAKEN_FOR <= now;
+        while self.order.front().is_some_and(old) || self.order.len() >= MOST_TAKEN {
+            if let Some((_, id)) = self.order.pop_front() {
+                self.taken.remove(&id);
+            }
+        }
+        let new = self.taken.insert(id.clone());
+        if new {
+            self.order.push_back((now, id.clone()));
+        }
+        new
+    }
+}
+
 /// Owns the balancer, and the txns and postings that it has decided on.
 pub struct Exchange<C: Carrier> {
     balancer: Balancer,
     directory: Directory,
     carrier: C,
     txns: BTreeMap<TxnId, Txn>,
+    ids: Ids,
     outs: BTreeMap<PostingId, Out<C::Hold>>,
     events: Vec<Event>,
     actions: Vec<Action>,
@@ -59,6 +88,7 @@
             directory,
             carrier,
             txns: BTreeMap::new(),
+            ids: Ids::default(),
             outs: BTreeMap::new(),
             events: Vec::new(),
             actions: Vec::new(),
@@ -117,8 +147,8 @@
     fn read(&mut self, now: Tenths, note: Note) {
         match note {
             Note::Arrived { mut arrival, request, answer } => {
-                // Two txns of one id would get each other's answers.
-                if self.txns.contains_key(&arrival.txn) {
+                // Two txns of one id would get each other's answers, and a second one's effect is no repeat.
+                if self.txns.contains_key(&arrival.txn) || !self.ids.take(now, &arrival.txn) {
                     let _gone = answer.send(Answer::Duplicate);
                     return;
                 }
@@ -156,7 +186,7 @@
         }
         log::debug!("{id} {posting} ends at {}: {:?} after {}", out.upstream, end.outcome, now - out.order);
         if let Some(reply) = end.reply {
-            self.give(&id, Answer::Settled(reply));
+            self.give(&id, reply);
         }
         let settled = self.txns.get(&id).is_none_or(|txn| txn.answer.is_none());
         self.forget(&id);
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -15,7 +15,9 @@
         cool_down: Option<Tenths>,
     },
     Reversed,
-    /// Its id is that of a txn still being served, so it never became one.
+    /// Upstreams turn it away for what the client sent.
+    Unfit,
+    /// Its id is that of a txn that is being served or was just now, so it never became one.
     Duplicate,
 }
 
@@ -26,6 +28,7 @@
             Answer::Settled(_) => "settled",
             Answer::Declined { .. } => "declined",
             Answer::Reversed => "reversed",
+            Answer::Unfit => "unfit",
             Answer::Duplicate => "its id is taken",
         }
     }
@@ -49,7 +52,8 @@
 #[derive(Debug)]
 pub struct End {
     pub outcome: Outcome,
-    pub reply: Option<Message>,
+    /// What the client is to get, where this is final.
+    pub reply: Option<Answer>,
     pub load: Load,
 }
 
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use expect_test::{Expect, expect};
-use pondlb::{Arrival, Balancer, Outcome, Tenths, Terms};
+use pondlb::{Arrival, Balancer, Load, Outcome, Tenths, Terms};
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
@@ -108,7 +108,7 @@
         let mut end = End::from(outcome);
         if outcome == Outcome::Ok {
             let head = Head { first: "HTTP/1.1 200 OK".into(), fields: Vec::new() };
-            end.reply = Some(Message { head, body: format!("of {name} {posting}").into() });
+            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {posting}").into() }));
         }
         self.step(now, Some(Note::Ended { posting: (name.into(), posting), end }));
     }
@@ -258,6 +258,51 @@
     "#]]);
 }
 
+/// The danger is a stranger who sends an id that he has seen: its effect would happen twice.
+#[test]
+fn an_id_stays_taken_for_a_while_and_no_longer() {
+    let mut play = Play::new(ONE);
+    play.arrive(10, "t1", ONCE_ONLY, 20_000);
+    play.end(500, "t1", 0, Outcome::Ok);
+    play.arrive(600, "t1", ONCE_ONLY, 20_000);
+    play.arrive(50_010, "t1", ONCE_ONLY, 20_000);
+    play.ends_with(expect![[r#"
+        10: t1 comes
+          post t1 0 to u1 at 127.0.0.1:1 until 19960
+        500: t1 0 ends: Ok
+          t1 0 is let go
+          answer to t1: settled of t1 0
+        600: t1 comes
+          answer to t1: Duplicate
+        50010: t1 comes
+          watch true
+          post t1 0 to u1 at 127.0.0.1:1 until 69960
+          t1 0 is let go
+        owed: 1
+    "#]]);
+}
+
+#[test]
+fn what_an_upstream_turns_away_for_the_clients_fault_is_answered_and_goes_nowhere_else() {
+    let mut play = Play::new(TWO);
+    play.arrive(10, "t1", REPEATABLE, 20_000);
+    let end = End { outcome: Outcome::Moot, reply: Some(Answer::Unfit), load: Load::default() };
+    play.step(20, Some(Note::Ended { posting: ("t1".into(), 0), end }));
+    play.pass(20_000);
+    play.ends_with(expect![[r#"
+        10: t1 comes
+          post t1 0 to u2 at 127.0.0.1:2 until 19960
+        20: t1 0 ends: Moot
+          t1 0 is let go
+          answer to t1: Unfit
+        5010: wake
+        8978: wake
+          watch true
+        10010: wake
+        owed: 0
+    "#]]);
+}
+
 #[test]
 fn nothing_leaves_without_time_left_or_with_nobody_to_send_to() {
     let mut play = Play::new(ONE);
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -19,12 +19,18 @@
 use crate::protocol::head::Fault;
 use crate::routing::{Answer, Note};
 
-/// A connection without a request is closed after this.
+/// A connection is closed after so long without a request, and sooner if there never was one: hundreds that
+/// say nothing would take all the places.
 const IDLE: Duration = Duration::from_secs(60);
-/// A request must be whole so long after its first byte, and an answer taken, or slow clients pin memory.
-const SLOWEST: Duration = Duration::from_secs(10);
+const NEVER_ASKED: Duration = Duration::from_secs(2);
+/// A request must be whole so long after its first byte, or slow clients pin memory.
+const SLOWEST: Duration = Duration::from_millis(2500);
+/// An answer must be taken within this, for the same reason.
+const SLOWEST_ANSWER: Duration = Duration::from_secs(10);
 /// How long a closed connection is read on, since unread bytes would reset it and take the answer with them.
 const LINGER: Duration = Duration::from_millis(200);
+/// And how far: reading all of a huge body that is refused would take the core from the others.
+const MOST_LINGERED: usize = 512 * 1024;
 
 /// What all client connections share.
 pub struct Front {
@@ -47,8 +53,11 @@
     pub async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _unset = stream.set_nodelay(true);
         let mut side = ClientSide::new();
+        let mut asked_before = false;
         loop {
-            let (bytes, last) = match self.next(&stream, &mut side, &place).await {
+            let next = self.next(&stream, &mut side, &place, asked_before).await;
+            asked_before = true;
+            let (bytes, last) = match next {
                 Next::Asked(asked) => match self.answer(&stream, &mut side, asked).await {
                     Some(answered) => answered,
                     None => return,
@@ -61,7 +70,7 @@
                 Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
                 Next::Over => return,
             };
-            let written = timeout(SLOWEST, write_all(&stream, &bytes)).await;
+            let written = timeout(SLOWEST_ANSWER, write_all(&stream, &bytes)).await;
             if !matches!(written, Ok(Ok(()))) {
                 return;
             }
@@ -71,7 +80,13 @@
         }
     }
 
-    async fn next(&self, stream: &TcpStream, side: &mut ClientSide, place: &Place) -> Next {
+    async fn next(
+        &self,
+        stream: &TcpStream,
+        side: &mut ClientSide,
+        place: &Place,
+        asked_before: bool,
+    ) -> Next {
         let mut phase = self.phase.clone();
         let mut slow = None;
         loop {
@@ -89,11 +104,12 @@
                 return Next::Over;
             }
             let count = if side.is_idle() {
-                let idle = place.idle();
+                let idle = if asked_before { place.idle() } else { place.fresh() };
+                let most = if asked_before { IDLE } else { NEVER_ASKED };
                 tokio::select! {
                     biased;
                     count = feed(stream, side.input()) => count,
-                    _ = closing(&mut phase, &idle) => {
+                    _ = closing(&mut phase, &idle, most) => {
                         // What has come meanwhile is served; the client would else have to send it again.
                         if waiting(stream) != Waiting::Bytes {
                             return Next::Over;
@@ -157,11 +173,11 @@
     }
 }
 
-async fn closing(phase: &mut watch::Receiver<Phase>, idle: &Standing<'_>) {
+async fn closing(phase: &mut watch::Receiver<Phase>, idle: &Standing<'_>, most: Duration) {
     tokio::select! {
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
         () = idle.told_to_close() => {}
-        () = sleep(IDLE) => {}
+        () = sleep(most) => {}
     }
 }
 
@@ -181,7 +197,15 @@
     if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
         return;
     }
-    let mut rest = [0; 1024];
-    let drained = async { while matches!(read(stream, &mut rest).await, Ok(1..)) {} };
+    let mut rest = vec![0; 16 * 1024];
+    let drained = async {
+        let mut left = MOST_LINGERED;
+        while let Ok(count @ 1..) = read(stream, &mut rest).await {
+            left = left.saturating_sub(count);
+            if left == 0 {
+                return;
+            }
+        }
+    };
     let _late = timeout(LINGER, drained).await;
 }
--- a/crates/pondlb-server/src/transport/crowd.rs
+++ b/crates/pondlb-server/src/transport/crowd.rs
@@ -16,6 +16,8 @@
     memory: Memory,
     open: Cell<usize>,
     next: Cell<u64>,
+    /// Idle ones that never asked for anything, and those that did.
+    fresh: Row,
     idle: Row,
     /// Those that have sent a part of a request.
     slow: Row,
@@ -30,6 +32,7 @@
             memory,
             open: Cell::new(0),
             next: Cell::new(0),
+            fresh: Row::default(),
             idle: Row::default(),
             slow: Row::default(),
             changed: Notify::new(),
@@ -47,7 +50,7 @@
     /// Memory is short, or more are busy than may be. One that is slow with its request makes room for
     /// another's: it has been taken from nobody yet.
     pub fn turns_away(&self) -> bool {
-        let busy = self.open.get() - self.idle.borrow().len();
+        let busy = self.open.get() - self.idle.borrow().len() - self.fresh.borrow().len();
         (busy > self.most_busy || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
     }
 
@@ -56,9 +59,10 @@
         Place { crowd: self.clone() }
     }
 
-    /// Tells the one that stands idle longest to close.
+    /// Tells one to close: of those that said nothing for a while, else of those that stand idle, the one
+    /// that does so longest. Clients with a connection for each of their requests need theirs.
     pub fn close_one_idle(&self) {
-        close_first(&self.idle, None);
+        let _told = close_first(&self.fresh, Some(SILENT)) || close_first(&self.idle, None);
     }
 }
 
@@ -66,6 +70,7 @@
 type Row = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
 
 const SLOW: Duration = Duration::from_millis(500);
+const SILENT: Duration = Duration::from_millis(250);
 
 /// False when there is none, or none that has stood there for so long.
 fn close_first(row: &Row, after: Option<Duration>) -> bool {
@@ -88,6 +93,10 @@
         self.stand(&self.crowd.idle)
     }
 
+    pub fn fresh(&self) -> Standing<'_> {
+        self.stand(&self.crowd.fresh)
+    }
+
     pub fn slow(&self) -> Standing<'_> {
         self.stand(&self.crowd.slow)
     }
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -281,6 +281,55 @@
     assert_eq!(ids, ["a1", "a2"]);
 }
 
+/// The danger is hundreds that hold a place each and never say what they want.
+#[test]
+fn who_says_nothing_or_half_a_request_is_soon_closed_and_who_asked_before_is_not() {
+    let upstream = Upstream::start(HELLO);
+    let balancer = Plan::with(&[&upstream]).start();
+    let (mut kept, mut silent, mut half) = (balancer.client(), balancer.client(), balancer.client());
+    assert_eq!(kept.ask("a1", "order").status(), "200");
+    half.send("POST /api HTTP/1.1\r\nHost:");
+    let start = Instant::now();
+    assert!(silent.is_closed());
+    assert!((1900 * MS..2400 * MS).contains(&start.elapsed()), "{:?}", start.elapsed());
+    assert_eq!(half.read().expect("an answer").status(), "408");
+    assert!(start.elapsed() < 2800 * MS, "{:?}", start.elapsed());
+    assert_eq!(kept.ask("a2", "order").status(), "200");
+}
+
+/// The danger is a client's fault that counts against every upstream it is tried at.
+#[test]
+fn a_request_that_an_upstream_finds_faulty_is_tried_once_and_its_id_is_not_taken_twice() {
+    let bad = "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n";
+    let (one, two) = (Upstream::start(Habit::Say(bad)), Upstream::start(Habit::Say(bad)));
+    let balancer = Plan::with(&[&one, &two]).start();
+    let mut client = balancer.client();
+    for n in 0..20 {
+        assert_eq!(client.ask(&format!("a{n}"), "browse").status(), "400");
+    }
+    assert_eq!(one.requests().len() + two.requests().len(), 20);
+    assert_eq!(client.ask("a7", "browse").status(), "409");
+    assert_eq!(one.requests().len() + two.requests().len(), 0);
+}
+
+/// The danger is a client that reads nothing of its refusal, since the connection breaks under its own bytes.
+#[test]
+fn a_huge_body_is_refused_before_it_is_read_and_the_client_hears_so() {
+    let upstream = Upstream::start(HELLO);
+    let balancer = Plan::with(&[&upstream]).start();
+    for framing in ["Content-Length: 60000000", "Transfer-Encoding: chunked"] {
+        let mut client = balancer.client();
+        let head = Client::request("a1", "order", 2000).replace("Content-Length: 4", framing);
+        client.send(head.strip_suffix("work").unwrap());
+        let piece = format!("10000\r\n{}\r\n", "x".repeat(65_536));
+        // Some of it: what a client has sent by the time it could have read the answer.
+        let _refused = (0..3).try_for_each(|_| client.0.write_all(piece.as_bytes()));
+        assert_eq!(client.read().expect("a refusal").status(), "413");
+    }
+    let used = balancer.peak_kb();
+    assert!(used < 12 * 1024, "{used} KiB");
+}
+
 /// The danger is a loop on accept, which fails at once for as long as descriptors are short.
 #[test]
 fn running_out_of_descriptors_neither_spins_nor_kills() {
