Spoilt answers are small doubts, and the best pace is that of some hundred answers

A probe of the module's beliefs found 21 % and 38 % of upstream time benched, and half of one balancer's caps at one. Checked with counts by cause: caps were halved 2,914 times for a crowd and 309 times for an overdue posting; nothing was crowded. Ruled out: the room, cold budgets, connections. At fault: a spoilt answer was a Reset, a whole doubt each, though it comes from all alike; and Pace::best only ever fell, so after thousands of answers the luckiest eight made every pace a crowd's. Change: Outcome::Spoilt, a quarter of a doubt; the best counts for 256 to 511 answers.

--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -67,6 +67,11 @@
         &mut self.reader
     }
 
+    /// Whether a part of an answer has come.
+    pub fn has_begun(&self) -> bool {
+        !self.reader.is_idle()
+    }
+
     /// The whole answer, once it has come; `closed` when the upstream has ended its side.
     pub fn next(&mut self, closed: bool) -> Result<Option<Answered>, Fault> {
         loop {
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -75,8 +75,8 @@
     drop(bytes);
     match timeout_at(until, answer(&link, memory)).await {
         Err(_) => Outcome::TimedOut.into(),
-        Ok(None) => Outcome::Reset.into(),
-        Ok(Some(answered)) => {
+        Ok(Err(outcome)) => outcome.into(),
+        Ok(Ok(answered)) => {
             if answered.keep && Instant::now() < until {
                 pool.keep(order.upstream, link);
             }
@@ -85,22 +85,24 @@
     }
 }
 
-/// None when the connection breaks, or says what is no answer, before the answer is whole.
-async fn answer(link: &Link, memory: Memory) -> Option<Answered> {
+/// Whether the connection ended without a word or said what is no whole answer makes a difference: the one
+/// may be a dead upstream's, the other is a live one's.
+async fn answer(link: &Link, memory: Memory) -> Result<Answered, Outcome> {
     let mut side = UpstreamSide::new();
     loop {
-        let count = feed(&link.stream, side.input()).await.ok()?;
+        let ended = |side: &UpstreamSide| if side.has_begun() { Outcome::Spoilt } else { Outcome::Reset };
+        let count = feed(&link.stream, side.input()).await.map_err(|_| ended(&side))?;
         if memory.is_out() {
             log::warn!("memory is out: an answer is given up");
-            return None;
+            return Err(Outcome::Spoilt);
         }
         match side.next(count == 0) {
-            Ok(Some(answered)) => return Some(answered),
-            Ok(None) if count == 0 => return None,
+            Ok(Some(answered)) => return Ok(answered),
+            Ok(None) if count == 0 => return Err(ended(&side)),
             Ok(None) => {}
             Err(fault) => {
                 log::warn!("an upstream's answer is refused: {fault}");
-                return None;
+                return Err(Outcome::Spoilt);
             }
         }
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -38,6 +38,7 @@
 /// A cap is halved above so many times the best pace.
 const CROWDED: f64 = 2.2;
 const PACE_ANSWERS: f64 = 8.0;
+const BEST_ANSWERS: u32 = 256;
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
 const PACE_WINDOW: f64 = 32.0;
@@ -50,6 +51,7 @@
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
 const FADE: Tenths = 4 * SECOND;
 const BENCHED: f64 = 2.0;
+const SPOILT_DOUBT: f64 = 0.25;
 
 /// Further postings while one is out, for each txn settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
@@ -131,7 +133,6 @@
         }
     }
 
-    /// Empties the inboxes, which may fill others, until nobody has anything left to read.
     fn settle(&mut self, now: Tenths, out: &mut Vec<Action>) {
         let inboxes = &mut self.inboxes;
         loop {
@@ -259,7 +260,6 @@
 }
 
 impl Standing {
-    /// How long ago it started, while it may still be cold.
     fn cold_age(&self, now: Tenths, terms: &Terms) -> Option<Tenths> {
         self.entry.started.map(|at| now.saturating_sub(at)).filter(|age| *age < terms.cold.warm_within)
     }
@@ -309,9 +309,11 @@
                     // A full waiting room is the shortest queue to look at; it must not draw more.
                     Outcome::Full | Outcome::TimedOut => {
                         self.halve(terms);
-                        self.doubt(now);
+                        self.doubt(now, 1.0);
                     }
-                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now),
+                    // One in so many from everybody is no sign of this one's health; nothing else is.
+                    Outcome::Spoilt => self.doubt(now, SPOILT_DOUBT),
+                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
                     Outcome::Cancelled | Outcome::Moot => {}
                 }
             }
@@ -319,7 +321,7 @@
                 self.halve(terms);
                 // Silent since that posting left: perhaps it takes txns and answers none.
                 if self.answered < sent {
-                    self.doubt(now);
+                    self.doubt(now, 1.0);
                 }
             }
         }
@@ -330,13 +332,12 @@
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
-    fn doubt(&mut self, now: Tenths) {
-        let level = self.shown.distrust.at(now, FADE);
-        self.shown.distrust = Fading { level: (level * 1.5 + 1.0).min(4.0 * BENCHED), at: now };
+    fn doubt(&mut self, now: Tenths, step: f64) {
+        let level = self.shown.distrust.at(now, FADE) * (1.0 + step / 2.0) + step;
+        self.shown.distrust = Fading { level: level.min(4.0 * BENCHED), at: now };
     }
 }
 
-/// A figure that halves in a given time.
 #[derive(Clone, Copy, Default)]
 struct Fading {
     level: f64,
@@ -360,6 +361,8 @@
     log: f64,
     answers: f64,
     best: f64,
+    older: Option<f64>,
+    count: u32,
     least: f64,
 }
 
@@ -371,14 +374,18 @@
         self.mean()
     }
 
-    /// How many times longer than at its best a unit of cost takes.
     fn crowding(&mut self, took: Tenths, cost: f64) -> f64 {
         let pace = self.note(took, cost, PACE_ANSWERS);
         // Costs are in time of a standard core: one never seen at rest must not take a jam for its best.
         let rest = if cost > 1.0 { REST_PACE } else { pace };
         let seen = if self.answers < PACE_ANSWERS { rest } else { pace.min(rest) };
+        self.count += 1;
+        // The least of thousands is luck: held for good, each pace would be a crowd by the end of a day.
+        if self.count.is_multiple_of(BEST_ANSWERS) {
+            (self.older, self.best) = (Some(self.best), seen);
+        }
         self.best = if self.best > 0.0 { self.best.min(seen) } else { seen };
-        pace / self.best.max(1e-9)
+        pace / self.older.map_or(self.best, |older| older.min(self.best)).max(1e-9)
     }
 
     fn mean(&self) -> f64 {
@@ -452,7 +459,6 @@
 }
 
 impl Seen {
-    /// By how much some upstreams are slower than all, as a logarithm; little where few answers tell.
     fn slower(&self, some: Option<&Pace>) -> f64 {
         some.map_or(0.0, |p| (p.log - self.pace.log) * p.answers / (p.answers + FEW_ANSWERS))
     }
@@ -554,9 +560,7 @@
                 }
             }
             Event::Left { txn } => {
-                if let Some(&number) = self.book.numbers.get(&txn) {
-                    self.close(number, out);
-                }
+                self.book.numbers.get(&txn).copied().into_iter().for_each(|number| self.close(number, out))
             }
             // Neither probes nor talk with peers are used: own outcomes tell as much and cost nothing.
             Event::Listed(_) | Event::Woke { .. } | Event::Probed { .. } | Event::Heard { .. } => {}
@@ -659,7 +663,6 @@
         }
     }
 
-    /// The design's send-by time, and whether any slot is left before the deadline.
     fn plan(&self, now: Tenths, deadline: Tenths) -> (Tenths, bool) {
         let span = self.gauge.wait as Tenths + self.gauge.tp;
         let slots = deadline.saturating_sub(now) / span;
@@ -918,7 +921,6 @@
         self.close(number, out);
     }
 
-    /// No further posting for a held txn: what is out may still answer it.
     fn stop_waiting(&mut self, number: u64, out: &mut Vec<Action>) {
         if self.book.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -95,6 +95,8 @@
     TimedOut,
     ConnectFailed,
     Reset,
+    /// What came is no answer; the upstream lives and may have run the txn.
+    Spoilt,
     Cancelled,
     Moot,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -549,3 +549,51 @@
     "#]]
     .assert_eq(&play.trace);
 }
+
+/// The danger is a fleet benched for what comes from all of it alike.
+#[test]
+fn two_spoilt_answers_bench_nobody_and_a_dozen_do() {
+    let mut shares = String::new();
+    for spoilt in [2, 12] {
+        let mut play = Play::new(terms());
+        play.at(0, [list("a")]);
+        let now = play.warm_up(32);
+        for n in 0..spoilt {
+            let id = format!("s{n}");
+            play.post(now + n * 10, txn(&id, 1));
+            play.at(now + n * 10 + 5, [ended(&id, 0, "a", Outcome::Spoilt, 5)]);
+        }
+        play.at(now + 200, [list("a b")]);
+        play.trace.clear();
+        play.at(now + 200, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+        shares += &format!("{} to a after {spoilt}\n", play.trace.matches("to a").count());
+    }
+    expect![[r#"
+        2 to a after 2
+        0 to a after 12
+    "#]].assert_eq(&shares);
+}
+
+/// The danger is a luckily quick run of answers that makes all later ones a crowd's, to the end of the day.
+#[test]
+fn a_lucky_pace_is_forgotten_after_some_hundred_answers() {
+    let mut posted = String::new();
+    for usual in [64, 600] {
+        let mut play = Play::new(terms());
+        play.at(0, [list("a")]);
+        for n in 0..(32 + usual) {
+            let id = format!("w{n}");
+            let took = if n < 32 { 8 } else { 22 };
+            play.at(n * 30, [txn(&id, 1)]);
+            play.at(n * 30 + took, [ended(&id, 0, "a", Outcome::Ok, took)]);
+        }
+        play.trace.clear();
+        play.at(30_000, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+        posted += &format!("{} of 6 after {usual}\n", play.trace.matches("post").count());
+    }
+    expect![[r#"
+        1 of 6 after 64
+        6 of 6 after 600
+    "#]]
+    .assert_eq(&posted);
+}
