Answers of up to a megabyte are passed on, and a long way makes a posting overdue later

Checked: CPU (0.1 s in the worst second) and memory (1 of 128 MB) were not in the way. The probe showed tp at 6 ms, the way to the other zones at 12 ms and more, and half of the upstreams' time benched; the log refused 1,020 answers as too long. A probe of the lengths: good answers of 375 to 397 KB. At fault: Desk::post let every far posting be overdue; one trusted upstream that was full kept all the others benched; MOST_BODY bound answers too, each tried three times and counted as spoilt. Change: the way to the zone counts in what is overdue; with fewer than a quarter trusted all serve; answers may have 1 MiB.

--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -2,6 +2,7 @@
 
 use pondlb::{Load, Outcome, Tenths};
 
+use super::MOST_ANSWER;
 use super::framing::{Framing, framing};
 use super::head::{Fault, Head};
 use super::reader::{Message, Reader};
@@ -59,7 +60,7 @@
 
 impl UpstreamSide {
     pub fn new() -> Self {
-        UpstreamSide { reader: Reader::new(answer_framing) }
+        UpstreamSide { reader: Reader::with_most(answer_framing, MOST_ANSWER) }
     }
 
     /// Where what is read goes.
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -140,6 +140,18 @@
     }
 }
 
+/// The danger is a good answer that is taken for one without an end.
+#[test]
+fn a_long_answer_is_passed_on_whole_and_one_of_gigabytes_is_not() {
+    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n{}", "x".repeat(400_000));
+    let upstream = Upstream::start(Habit::Say(long.leak()));
+    let balancer = Plan::with(&[&upstream]).start();
+    assert_eq!(balancer.ask("a1", "order").body.len(), 400_000);
+    let upstream = Upstream::start(Habit::Say("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"));
+    let balancer = Plan::with(&[&upstream]).start();
+    assert_eq!(balancer.ask("a1", "order").status(), "502");
+}
+
 #[test]
 fn a_silent_machine_delays_nobody_beyond_the_expiry() {
     let upstream = Upstream::start(Habit::Silent);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -51,13 +51,14 @@
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
 const FADE: Tenths = 4 * SECOND;
 const BENCHED: f64 = 2.0;
+/// With fewer than one in so many trusted, the others serve too.
+const FEW_TRUSTED: usize = 4;
 const SPOILT_DOUBT: f64 = 0.25;
 
 /// Further postings while one is out, for each txn settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
-/// Txns give way when this many times the expected wait would exceed their slack.
 const GIVE_WAY: f64 = 4.0;
 
 /// How long the list service has for one balancer's call; it does not grow with their number.
@@ -393,7 +394,6 @@
     }
 }
 
-/// Spreads the bits of a number; equal at every balancer, so that all draw the same order of upstreams.
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -432,7 +432,6 @@
     }
 }
 
-/// What the desk saw of all upstreams together, where each by itself answers too seldom.
 #[derive(Default)]
 struct Seen {
     names: HashMap<UpstreamId, usize>,
@@ -744,7 +743,6 @@
         false
     }
 
-    /// The lesser loaded of two random upstreams of the lane that are under their caps.
     fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
         let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
         let txn = &self.book.txns[&number];
@@ -779,10 +777,11 @@
             fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
         }
         if fitting.is_empty() {
-            if self.seen.lanes.iter().any(|up| self.seen.board[*up].distrust.at(now, FADE) < BENCHED) {
+            let trusted = |up: &&usize| self.seen.board[**up].distrust.at(now, FADE) < BENCHED;
+            if FEW_TRUSTED * self.seen.lanes.iter().filter(trusted).count() >= self.seen.lanes.len() {
                 return None;
             }
-            // All look bad: the fault may be ours, and traffic still has to flow.
+            // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
         let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
@@ -865,8 +864,9 @@
         } else if txn.out() {
             self.extra -= 1.0;
         }
-        // A heavy txn is no sign of trouble by its size alone: its repeat would be the dearest waste of all.
-        let due = self.gauge.tp.max((OVERDUE_PACE * self.seen.pace.mean() * txn.cost) as Tenths);
+        // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste of all.
+        let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.least);
+        let due = self.gauge.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (txn.cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
