--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -104,6 +104,7 @@
         let mut known = known.transpose().map_err(|e| format!("known: {e}"))?.unwrap_or_default();
         // It stands for all that was known, whatever its last call brought.
         known.whole = true;
+        log::debug!("settings {}", file.settings.get());
         Ok(Setup {
             listen: address(file.listen, "listen", "RELAY_LISTEN")?,
             discovery: address(file.discovery, "discovery", "RELAY_DISCOVERY")?,
--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -29,12 +29,22 @@
     }
 
     pub fn read(&mut self, roster: Roster) -> Rc<[Entry]> {
+        log::debug!("list {} whole {} names {}", roster.version, roster.whole, roster.targets.len());
         if roster.whole {
             let named: BTreeSet<&str> = roster.targets.iter().map(|t| &*t.upstream).collect();
             self.addresses.retain(|upstream, _| named.contains(&**upstream));
         }
         let mut entries = Vec::with_capacity(roster.targets.len());
         for target in roster.targets {
+            log::debug!(
+                "{} is {:?} in {} of {} size {} since {}",
+                target.upstream,
+                target.stage,
+                target.zone,
+                target.kind,
+                target.size,
+                target.started
+            );
             let upstream: UpstreamId = target.upstream.into();
             self.addresses.insert(upstream.clone(), target.address);
             entries.push(Entry {
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -64,7 +64,7 @@
     let link = match pool.take(&order.upstream, order.address, until).await {
         Ok(link) => link,
         Err(why) => {
-            log::debug!("{} can't be reached: {why:?}", order.upstream);
+            log::debug!("{} {}: {} can't be reached: {why:?}", order.id.0, order.id.1, order.upstream);
             return Outcome::ConnectFailed.into();
         }
     };
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -60,6 +60,8 @@
 const EXTRA_SAVED: f64 = 4.0;
 
 const GIVE_WAY: f64 = 4.0;
+/// This part of the room is kept from a txn that all schemes are worth more than, less from others.
+const ROOM_KEPT: f64 = 0.75;
 
 /// How long the list service has for one balancer's call; it does not grow with their number.
 const LIST_CALL: Tenths = 60;
@@ -723,9 +725,6 @@
     /// One posting, or one txn given up; false when nothing more can leave.
     fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
         self.note_out(now, 0.0);
-        if self.seen.out_now + 1.0 > self.seen.room && self.seen.out_mean > self.seen.room {
-            return false;
-        }
         // More than the first, against one that only some upstreams may take keeping all others waiting.
         let heads: Vec<u64> = self.book.held.iter().take(4).map(|(_, number)| *number).collect();
         for number in heads {
@@ -734,7 +733,7 @@
                 self.stop_waiting(number, out);
                 return true;
             }
-            if let Some(up) = self.pick(now, number) {
+            if let Some(up) = self.has_room(number).then(|| self.pick(now, number)).flatten() {
                 self.unhold(number);
                 self.post(now, number, up, inboxes, out);
                 return true;
@@ -743,6 +742,17 @@
         false
     }
 
+    /// With little traffic a balancer holds one txn at a time, so that comparing what is held spares nothing:
+    /// in a jam of the fleet the dearest was declined as often as the cheapest. The last of the room is kept
+    /// for what is worth more.
+    fn has_room(&self, number: u64) -> bool {
+        let value = f64::from_bits(self.book.txns[&number].rank);
+        let above = self.terms.schemes.iter().filter(|s| s.value > value).count();
+        let kept = ROOM_KEPT * above as f64 / self.terms.schemes.len() as f64;
+        let room = (1.0 - kept) * self.seen.room;
+        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+    }
+
     fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
         let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
         let txn = &self.book.txns[&number];
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -631,3 +631,32 @@
     "#]]
     .assert_eq(&format!("{to_far} to far, then\n{}", play.trace));
 }
+
+#[test]
+fn the_last_of_the_room_is_kept_for_what_is_worth_more() {
+    let mut terms = Terms { balancers: 100, ..terms() };
+    terms.schemes[1].value = 8.0;
+    let mut play = Play::new(terms);
+    play.at(0, [list("a b c d")]);
+    // Each answer waits too long: a jam, in which this balancer holds one txn at a time.
+    for n in 0..40 {
+        let (id, at) = (format!("j{n}"), n * 350);
+        let up = play.post(at, txn(&id, 0));
+        play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
+    }
+    play.trace.clear();
+    let mut posted = [0, 0];
+    for n in 0..40 {
+        let (id, at) = (format!("t{n}"), 14_000 + n * 700);
+        let scheme = [0, 1, 1, 0][n as usize % 4];
+        let up = play.post(at, txn(&id, scheme));
+        if !up.is_empty() {
+            posted[scheme as usize] += 1;
+            play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
+        }
+    }
+    expect!["of twenty each, 2 of little value and 7 of much were posted"].assert_eq(&format!(
+        "of twenty each, {} of little value and {} of much were posted",
+        posted[0], posted[1]
+    ));
+}
