--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -110,6 +110,7 @@
 
     async fn call(&mut self, from: Option<u64>) -> Result<Roster, String> {
         let hold = if from.is_some() { HOLD } else { Duration::ZERO };
+        log::debug!("discovery is called: newer than {from:?}");
         match timeout(hold + ANSWER, self.exchange(from)).await {
             Ok(listed) => listed,
             Err(_) => Err("no answer in time".into()),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -63,8 +63,8 @@
 /// This part of the room is kept from a txn that all schemes are worth more than, less from others.
 const ROOM_KEPT: f64 = 0.75;
 
-/// How long the list service has for one balancer's call; it does not grow with their number.
-const LIST_CALL: Tenths = 60;
+/// How long the list service may take for one balancer's call.
+const LIST_CALL: Tenths = 600;
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
@@ -189,14 +189,17 @@
 }
 
 impl Roster {
-    /// The waits differ by as much as all balancers' calls take together, and grow, against a bank of them
-    /// started in step failing each other's calls; but nobody waits until it is deemed told.
+    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the row
+    /// is worked through whether or not who stands in it still listens. So the first calls are spread over the
+    /// time that all take together, and what failed comes back when the row may be empty. That time is well
+    /// under the term: within it everybody has to be able to ask.
     fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
         let Some(term) = self.terms.must_ask else { return };
-        let spread = SECOND.max(LIST_CALL * u64::from(self.terms.balancers)) << self.failures.min(4);
-        let longest = if self.failures == 0 { spread.min(term) } else { spread.min(3 * term) };
+        let all = (LIST_CALL * u64::from(self.terms.balancers)).min(term * 3 / 5).max(SECOND.min(term));
+        let longest = (all << self.failures.saturating_sub(1).min(4)).min(3 * term);
+        let least = if self.failures == 0 { longest / 32 } else { longest / 4 };
         self.failures += 1;
-        self.ask_at = Some(now + rng.generate_range(longest / 8..longest));
+        self.ask_at = Some(now + rng.generate_range(least..longest));
     }
 }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -237,11 +237,11 @@
     }
     expect![[r#"
         0: post first to a
-        898: Watch { on: true }
-        1573: Watch { on: true }
-        2806: Watch { on: true }
-        6181: Watch { on: true }
-        10627: Watch { on: true }
+        887: Watch { on: true }
+        1319: Watch { on: true }
+        2133: Watch { on: true }
+        4151: Watch { on: true }
+        7200: Watch { on: true }
     "#]]
     .assert_eq(&play.trace);
 }
@@ -430,10 +430,44 @@
         let asked = |ms: &u64| play.at(*ms, []).contains(&Action::Watch { on: true });
         calls[(1..100).map(|n| n * 100).find(asked).unwrap() as usize / 1000] += 1;
     }
-    expect!["[29, 196, 182, 194, 188, 192, 19, 0, 0, 0] first calls in each second, 1000 served at once"]
+    expect!["[126, 167, 172, 172, 174, 170, 19, 0, 0, 0] first calls in each second, 1000 served at once"]
         .assert_eq(&format!("{calls:?} first calls in each second, {served} served at once"));
 }
 
+/// The service takes a call after the other, 60 ms each, and turns away who has waited 2 s; it works on what
+/// it has turned away all the same.
+#[test]
+fn a_hundred_restarted_at_once_get_their_lists_from_a_service_that_turns_callers_away() {
+    let terms = Terms { balancers: 100, must_ask: Some(10_000 * MS), ..terms() };
+    let mut plays: Vec<Play> = (0..100).map(|seed| Play::seeded(terms.clone(), seed)).collect();
+    let remembered = Event::Listed(Listing::Remembered(fleet(40).into()));
+    plays.iter_mut().for_each(|play| drop(play.at(0, [remembered.clone()])));
+    let (mut free, mut turned_away) = (0, 0);
+    let mut answers: Vec<(u64, usize, bool)> = Vec::new();
+    let mut told = Vec::new();
+    for now in (0..30_000).step_by(20) {
+        let due: Vec<_> = answers.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, n, ok) in due {
+            let listing = if ok { Listing::Whole(fleet(40).into()) } else { Listing::Lost };
+            plays[n].at(now, [Event::Listed(listing)]);
+            if ok { told.push(now) } else { turned_away += 1 }
+        }
+        for (n, play) in plays.iter_mut().enumerate() {
+            if play.at(now, []).contains(&Action::Watch { on: true }) {
+                let start = now.max(free);
+                free = start + 60;
+                answers.push(if start > now + 2000 { (now + 2000, n, false) } else { (start + 60, n, true) });
+            }
+        }
+    }
+    expect!["100 told, half of them by 3340 ms, the last at 6420 ms; 0 turned away"].assert_eq(&format!(
+        "{} told, half of them by {} ms, the last at {} ms; {turned_away} turned away",
+        told.len(),
+        told[told.len() / 2],
+        told[told.len() - 1]
+    ));
+}
+
 #[test]
 fn each_balancer_uses_a_circle_and_together_they_use_all_upstreams() {
     let mut users = std::collections::BTreeMap::<String, usize>::new();
