--- a/src/balance.rs
+++ b/src/balance.rs
@@ -625,15 +625,23 @@
         let mut all: Vec<usize> = (0..self.seen.board.len()).collect();
         all.sort_by_key(|up| self.seen.board[*up].order);
         self.seen.size = all.iter().copied().filter(live).map(|up| self.seen.board[up].entry.size).sum();
-        let count = self.seen.circle.min(all.len());
-        let (step, number) = (all.len() as f64 / count.max(1) as f64, f64::from(self.terms.own_number));
+        let (own, number) = (self.terms.own_zone, f64::from(self.terms.own_number));
+        let (near, far): (Vec<usize>, Vec<usize>) =
+            all.into_iter().partition(|up| self.seen.board[*up].entry.zone == own);
+        let count = self.seen.circle.min(near.len() + far.len());
+        let half = (count / 2).max(count.saturating_sub(far.len())).min(near.len());
         self.seen.lanes.clear();
-        for part in 0..count {
-            let tries = (0..all.len()).map(|n| {
-                let place = (number * 0.618_034 + part as f64 * 0.414_214 + n as f64 * 0.732_051).fract();
-                all[((part as f64 + place) * step) as usize]
-            });
-            self.seen.lanes.extend(tries.into_iter().find(|up| live(up) && !self.seen.lanes.contains(up)));
+        for (ups, count) in [(near, half), (far, count - half)] {
+            let step = ups.len() as f64 / count.max(1) as f64;
+            for part in 0..count {
+                let tries = (0..ups.len()).map(|n| {
+                    let place = (number * 0.618_034 + part as f64 * 0.414_214 + n as f64 * 0.732_051).fract();
+                    ups[((part as f64 + place) * step) as usize]
+                });
+                let lanes = &self.seen.lanes;
+                let found = tries.into_iter().find(|up| live(up) && !lanes.contains(up));
+                self.seen.lanes.extend(found);
+            }
         }
     }
 
