--- a/src/balance.rs
+++ b/src/balance.rs
@@ -671,7 +671,7 @@
         };
         self.seen.light = self.seen.lanes.iter().take_while(fits).count();
         if !one_lane {
-            self.seen.light = self.seen.light.max(2).min((self.seen.lanes.len() / 2).max(1));
+            self.seen.light = self.seen.light.max(1).min(self.seen.lanes.len().saturating_sub(1).max(1));
         }
     }
 
