--- a/src/balance.rs
+++ b/src/balance.rs
@@ -60,8 +60,14 @@
 const EXTRA_SAVED: f64 = 4.0;
 
 const GIVE_WAY: f64 = 4.0;
-/// This part of the room is kept from a txn that all schemes are worth more than, less from others.
-const ROOM_KEPT: f64 = 0.75;
+/// A part of the room is kept from a txn for each of the schemes that are worth more: from the least of three
+/// two thirds, and never more than the second figure.
+const ROOM_KEPT: f64 = 1.0;
+const MOST_KEPT: f64 = 0.75;
+/// Postings for a unit of listed size before any answer has come.
+const FIRST_ROOM: f64 = 8.0;
+/// Room of which a part of this is taken counts as in use and grows: less is left to what is worth least.
+const IN_USE: f64 = 0.33;
 
 /// How long the list service may take for one balancer's call.
 const LIST_CALL: Tenths = 600;
@@ -657,7 +663,7 @@
             self.draw_circle();
         }
         if self.seen.room == 0.0 {
-            self.seen.room = self.terms.part(FIRST_CAP * self.seen.size);
+            self.seen.room = self.terms.part(FIRST_ROOM * self.seen.size);
         }
         self.seen.used = self.seen.lanes.iter().map(|up| self.seen.board[*up].entry.size).sum();
         let cost: f64 = self.seen.cost_sums.iter().sum();
@@ -728,7 +734,7 @@
     fn make_room(&mut self, late: bool) {
         if late {
             self.seen.room = (self.seen.room * LATE_SHRINKS).max(self.terms.part(self.seen.size));
-        } else if 2.0 * self.seen.out_mean >= self.seen.room {
+        } else if self.seen.out_mean >= IN_USE * self.seen.room {
             self.seen.room *= TIMELY_GROWS;
         }
     }
@@ -760,7 +766,7 @@
         let value = f64::from_bits(self.book.txns[&number].rank);
         let above = self.terms.schemes.iter().filter(|s| s.value > value).count();
         let kept = ROOM_KEPT * above as f64 / self.terms.schemes.len() as f64;
-        let room = (1.0 - kept) * self.seen.room;
+        let room = (1.0 - kept.min(MOST_KEPT)) * self.seen.room;
         self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
     }
 
