--- a/src/balance.rs
+++ b/src/balance.rs
@@ -623,32 +623,26 @@
         self.seen.cost_sums.iter().sum::<f64>() / f64::from(self.seen.cost_count.max(1))
     }
 
-    /// The upstreams this balancer uses: as many as it can meet often enough to know and keep connections to.
-    /// One from each of so many equal parts of the lane order, at a place of its own, so all upstreams are
-    /// used by equally many balancers; gone ones keep their places, or one loss would move everybody.
+    /// The upstreams this balancer uses: as many as it can meet often enough to know and keep connections to,
+    /// half of them in its own zone. Each balancer ranks all upstreams in an order of its own and uses the
+    /// first live ones, so they are used by about equally many, and what comes or goes moves nobody else.
     fn draw_circle(&mut self) {
-        let live = |up: &usize| self.seen.board[*up].entry.stage == Stage::Live;
-        let mut all: Vec<usize> = (0..self.seen.board.len()).collect();
-        all.sort_by_key(|up| self.seen.board[*up].order);
-        self.seen.size = all.iter().copied().filter(live).map(|up| self.seen.board[up].entry.size).sum();
-        let (own, number) = (self.terms.own_zone, f64::from(self.terms.own_number));
-        let (near, far): (Vec<usize>, Vec<usize>) =
-            all.into_iter().partition(|up| self.seen.board[*up].entry.zone == own);
-        let count = self.seen.circle.min(near.len() + far.len());
-        let half = (count / 2).max(count.saturating_sub(far.len())).min(near.len());
-        self.seen.lanes.clear();
-        for (ups, count) in [(near, half), (far, count - half)] {
-            let step = ups.len() as f64 / count.max(1) as f64;
-            for part in 0..count {
-                let tries = (0..ups.len()).map(|n| {
-                    let place = (number * 0.618_034 + part as f64 * 0.414_214 + n as f64 * 0.732_051).fract();
-                    ups[((part as f64 + place) * step) as usize]
-                });
-                let lanes = &self.seen.lanes;
-                let found = tries.into_iter().find(|up| live(up) && !lanes.contains(up));
-                self.seen.lanes.extend(found);
-            }
-        }
+        let board = &self.seen.board;
+        let live = |up: &usize| board[*up].entry.stage == Stage::Live;
+        let own_order = |up: &usize| mix(board[*up].order ^ mix(u64::from(self.terms.own_number)));
+        let mut all: Vec<usize> = (0..board.len()).filter(live).collect();
+        self.seen.size = all.iter().map(|up| board[*up].entry.size).sum();
+        all.sort_by_key(own_order);
+        let (mut near, mut far): (Vec<usize>, Vec<usize>) =
+            all.into_iter().partition(|up| board[*up].entry.zone == self.terms.own_zone);
+        let half = (self.seen.circle / 2).max(self.seen.circle.saturating_sub(far.len()));
+        near.truncate(half);
+        far.truncate(self.seen.circle - near.len());
+        // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in another
+        // zone for most balancers, and half of all txns cross to it.
+        near.sort_by_key(|up| board[*up].order);
+        far.sort_by_key(|up| board[*up].order);
+        self.seen.lanes = [near, far].concat();
     }
 
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
