--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -296,7 +296,7 @@
           t1 0 is let go
           answer to t1: Unfit
         5010: wake
-        8978: wake
+        8868: wake
           watch true
         10010: wake
         owed: 0
@@ -374,10 +374,10 @@
     play.arrive(40_040, "t2", REPEATABLE, 20_000);
     play.end(40_050, "t1", 0, Outcome::Ok);
     play.ends_with(expect![[r#"
-        8978: wake
+        8868: wake
           watch true
         10010: list lost
-        27478: wake
+        18925: wake
           watch true
         40010: listed
         40020: t1 comes
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -60,9 +60,9 @@
 const EXTRA_SAVED: f64 = 4.0;
 
 const GIVE_WAY: f64 = 4.0;
-/// A part of the room is kept from a txn for each of the schemes that are worth more: from the least of three
-/// two thirds, and never more than the second figure.
-const ROOM_KEPT: f64 = 1.0;
+/// A part of the room is kept from a txn that others are worth more than: none where they are worth little
+/// more, up to the second figure where it is worth little beside them.
+const KEPT_STEEP: i32 = 4;
 const MOST_KEPT: f64 = 0.75;
 /// Postings for a unit of listed size before any answer has come.
 const FIRST_ROOM: f64 = 8.0;
@@ -624,7 +624,8 @@
     }
 
     /// The upstreams this balancer uses: as many as it can meet often enough to know and keep connections to,
-    /// half of them in its own zone. Each balancer ranks all upstreams in an order of its own and uses the
+    /// more of its own zone than of others, up to half, but not so many that those of a small zone are in half of
+    /// all circles. Each balancer ranks all upstreams in an order of its own and uses the
     /// first live ones, so they are used by about equally many, and what comes or goes moves nobody else.
     fn draw_circle(&mut self) {
         let board = &self.seen.board;
@@ -635,7 +636,8 @@
         all.sort_by_key(own_order);
         let (mut near, mut far): (Vec<usize>, Vec<usize>) =
             all.into_iter().partition(|up| board[*up].entry.zone == self.terms.own_zone);
-        let half = (self.seen.circle / 2).max(self.seen.circle.saturating_sub(far.len()));
+        let part = 3 * self.seen.circle * near.len() / (2 * (near.len() + far.len()).max(1));
+        let half = part.min(self.seen.circle / 2).max(self.seen.circle.saturating_sub(far.len()));
         near.truncate(half);
         far.truncate(self.seen.circle - near.len());
         // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in another
@@ -758,9 +760,9 @@
     /// for what is worth more.
     fn has_room(&self, number: u64) -> bool {
         let value = f64::from_bits(self.book.txns[&number].rank);
-        let above = self.terms.schemes.iter().filter(|s| s.value > value).count();
-        let kept = ROOM_KEPT * above as f64 / self.terms.schemes.len() as f64;
-        let room = (1.0 - kept.min(MOST_KEPT)) * self.seen.room;
+        let most = self.terms.schemes.iter().map(|s| s.value).fold(value, f64::max);
+        let kept = (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT);
+        let room = (1.0 - kept) * self.seen.room;
         self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
     }
 
