--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,7 @@
 //! All decisions of the balancer: events in, actions out, in order; no I/O, no clock. Callers use
 //! `Balancer::new` and `Balancer::handle`. Inside are the desk (txns), an actor for each upstream and the
-//! roster (the list), who talk by notes in inboxes. docs/design.md tells what was kept and when exceptions act.
+//! roster (the list), who talk by notes in inboxes. docs/design.md tells what was kept, and when
+//! exceptions act.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -195,10 +196,10 @@
 }
 
 impl Roster {
-    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the row
-    /// is worked through whether or not who stands in it still listens. So the first calls are spread over the
-    /// time that all take together, and what failed comes back when the row may be empty. That time is well
-    /// under the term: within it everybody has to be able to ask.
+    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the
+    /// row is worked through whether or not who stands in it still listens. So the first calls are spread
+    /// over the time that all take together, and what failed comes back when the row may be empty. That time
+    /// is well under the term: within it everybody has to be able to ask.
     fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
         let Some(term) = self.terms.must_ask else { return };
         let all = (LIST_CALL * u64::from(self.terms.balancers)).min(term * 3 / 5).max(SECOND.min(term));
@@ -624,9 +625,9 @@
     }
 
     /// The upstreams this balancer uses: as many as it can meet often enough to know and keep connections to,
-    /// more of its own zone than of others, up to half, but not so many that those of a small zone are in half of
-    /// all circles. Each balancer ranks all upstreams in an order of its own and uses the
-    /// first live ones, so they are used by about equally many, and what comes or goes moves nobody else.
+    /// more of its own zone than of others, up to half, but not so many that those of a small zone are in
+    /// half of all circles. Each balancer ranks all upstreams in an order of its own and uses the first live
+    /// ones, so they are used by about equally many, and what comes or goes moves nobody else.
     fn draw_circle(&mut self) {
         let board = &self.seen.board;
         let live = |up: &usize| board[*up].entry.stage == Stage::Live;
@@ -640,8 +641,8 @@
         let half = part.min(self.seen.circle / 2).max(self.seen.circle.saturating_sub(far.len()));
         near.truncate(half);
         far.truncate(self.seen.circle - near.len());
-        // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in another
-        // zone for most balancers, and half of all txns cross to it.
+        // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in
+        // another zone for most balancers, and half of all txns cross to it.
         near.sort_by_key(|up| board[*up].order);
         far.sort_by_key(|up| board[*up].order);
         self.seen.lanes = [near, far].concat();
@@ -887,7 +888,7 @@
         } else if txn.out() {
             self.extra -= 1.0;
         }
-        // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste of all.
+        // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste.
         let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.least);
         let due = self.gauge.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (txn.cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
