A test replaces a whole set at its own addresses while postings are out

Need: the larger fleet's list of tests had none in which every upstream leaves under open postings.

Change: a trace of the exchange: what is out ends where it is, nothing new goes to what drains or is gone, what comes with nobody left is declined at once, and the newcomer at an old address is met under its own id. No defect was found.

--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -408,3 +408,36 @@
     "#]]
     .assert_eq(&lines.collect::<String>());
 }
+
+#[test]
+fn a_whole_set_is_replaced_at_its_own_addresses_while_postings_are_out() {
+    let mut play = Play::new(&[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
+    play.arrive(10, "t1", REPEATABLE, 60_000);
+    play.step(
+        20,
+        Some(Note::Listed(roster(false, &[("u1", 1, "a", "leaving", 0), ("u2", 2, "a", "leaving", 0)]))),
+    );
+    play.arrive(30, "declined", REPEATABLE, 60_000);
+    let replaced = [("u1", 1, "a", "left", 0), ("u2", 2, "a", "left", 0), ("u3", 1, "a", "active", 0)];
+    play.step(40, Some(Note::Listed(roster(false, &replaced))));
+    play.arrive(50, "t2", REPEATABLE, 60_000);
+    play.end(60, "t1", 0, Outcome::Ok);
+    play.end(70, "t2", 0, Outcome::Ok);
+    play.ends_with(expect![[r#"
+        10: t1 comes
+          post t1 0 to u2 at 127.0.0.1:2 until 59960
+        20: listed
+        30: declined comes
+          answer to declined: Declined { cool_down: None }
+        40: listed
+        50: t2 comes
+          post t2 0 to u3 at 127.0.0.1:1 until 60000
+        60: t1 0 ends: Ok
+          t1 0 is let go
+          answer to t1: settled of t1 0
+        70: t2 0 ends: Ok
+          t2 0 is let go
+          answer to t2: settled of t2 0
+        owed: 0
+    "#]]);
+}
