--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -184,7 +184,8 @@
         if let Some(txn) = self.txns.get_mut(&id) {
             txn.out -= 1;
         }
-        log::debug!("{id} {posting} ends at {}: {:?} after {}", out.upstream, end.outcome, now - out.order);
+        let (up, outcome, took, load) = (&out.upstream, end.outcome, now - out.order, end.load);
+        log::debug!("{id} {posting} ends at {up}: {outcome:?} after {took}, {load}");
         if let Some(reply) = end.reply {
             self.give(&id, reply);
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -523,7 +523,7 @@
             }
         };
         match event {
-            Event::Arrived(arrival) => self.arrive(now, arrival),
+            Event::Arrived(arrival) => self.arrive(now, arrival, out),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
@@ -578,7 +578,7 @@
         }
     }
 
-    fn arrive(&mut self, now: Tenths, arrival: Arrival) {
+    fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
         let number = self.book.next;
         self.book.next += 1;
         self.seen.arrivals.add(now, LONG, 1.0);
@@ -592,7 +592,10 @@
         self.book.numbers.insert(arrival.txn, number);
         let t = Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, streaming, postings };
         self.book.txns.insert(number, t);
-        self.hold(now, number);
+        // Against one long txn that is hardly worth its time making dozens late that wait behind it: by the
+        // pooled pace it would itself be late, and all the sooner the more the others are worth.
+        let takes = self.kept(number) * self.seen.pace.mean() * cost;
+        if takes > (deadline - now) as f64 { self.give_up(number, out) } else { self.hold(now, number) }
     }
 
     /// What part of its value counts, by the tenant's share of this balancer as a bucket of one second.
@@ -760,11 +763,15 @@
     /// in a jam of the fleet the dearest was declined as often as the cheapest. The last of the room is kept
     /// for what is worth more.
     fn has_room(&self, number: u64) -> bool {
+        let room = (1.0 - self.kept(number)) * self.seen.room;
+        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+    }
+
+    /// The part that a txn leaves to those that are worth more.
+    fn kept(&self, number: u64) -> f64 {
         let value = f64::from_bits(self.book.txns[&number].rank);
         let most = self.terms.schemes.iter().map(|s| s.value).fold(value, f64::max);
-        let kept = (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT);
-        let room = (1.0 - kept) * self.seen.room;
-        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+        (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT)
     }
 
     fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::rc::Rc;
 
 use crate::Tenths;
@@ -116,6 +117,13 @@
     pub service: Option<Tenths>,
 }
 
+impl fmt::Display for Load {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        self.held.map_or(Ok(()), |held| write!(to, "it holds {held} "))?;
+        self.service.map_or(Ok(()), |service| write!(to, "and takes {service}"))
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Post { txn: TxnId, upstream: UpstreamId, timeout: Option<Tenths> },
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -695,6 +695,34 @@
     ));
 }
 
+#[test]
+fn a_long_txn_of_little_value_is_declined_on_arrival_and_one_of_much_is_not() {
+    let mut terms = terms();
+    terms.schemes[1].value = 8.0;
+    let mut play = Play::new(terms);
+    play.at(0, [list("a b c d")]);
+    let now = play.warm_up(64);
+    let long = |id, scheme, cost| Event::Arrived(Arrival { cost: Some(cost * MS), ..arrival(id, scheme) });
+    play.at(now, [long("short", 0, 700), long("long", 0, 1800)]);
+    play.at(now, [long("dear", 1, 1800)]);
+    let first = std::mem::take(&mut play.trace);
+    // The slower all answer, the sooner a txn is too long.
+    for n in 0..64 {
+        let (id, at) = (format!("s{n}"), now + 1000 + n * 100);
+        let up = play.post(at, txn(&id, 0));
+        play.at(at + 60, [ended(&id, 0, &up, Outcome::Ok, 60)]);
+    }
+    play.trace.clear();
+    play.at(now + 8000, [long("no longer short", 0, 700)]);
+    expect![[r#"
+        1600: decline long, with advice
+        1600: post short to b
+        1600: post dear to c
+        9600: decline no longer short, with advice
+    "#]]
+    .assert_eq(&(first + &play.trace));
+}
+
 #[test]
 fn light_txns_stay_in_the_own_zone_and_all_upstreams_are_used_alike() {
     let mut users = std::collections::BTreeMap::<String, usize>::new();
