--- a/src/balance.rs
+++ b/src/balance.rs
@@ -669,8 +669,10 @@
         let cost: f64 = self.seen.cost_sums.iter().sum();
         let all: f64 = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
         let mut part = all * self.seen.cost_sums[0] / cost.max(1e-9);
-        // Where no hint tells heavy from light there is one lane: an upstream kept for the other would idle.
-        let one_lane = self.seen.cost_sums[1] == 0.0;
+        // One lane where no hint tells heavy from light: an upstream kept for the other would idle. And where
+        // the circle is a part of the list: what is one balancer's light lane is in others' heavy ones, so
+        // that light txns wait behind heavy ones all the same, and each lane has too few to choose from.
+        let one_lane = self.seen.cost_sums[1] == 0.0 || self.seen.used < self.seen.size;
         let fits = |up: &&usize| {
             part -= self.speed(**up);
             one_lane || part >= -self.speed(**up) / 2.0
