A zone from which nothing comes is doubted as a whole: postings into a cut halved

Distrust is kept by upstream, and each is met too seldom to be doubted in time. Change: a zone has a distrust too, raised by each overdue, timed-out or unconnected posting since which nothing has come from the zone, calmed by every answer; while it is benched its upstreams get nothing if others can serve.

--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -185,7 +185,7 @@
             txn.out -= 1;
         }
         let (up, outcome, took, load) = (&out.upstream, end.outcome, now - out.order, end.load);
-        log::debug!("{id} {posting} ends at {up}: {outcome:?} after {took}, {load}");
+        log::debug!("{id} {posting} ends at {up}: {outcome:?} after {took}{load}");
         if let Some(reply) = end.reply {
             self.give(&id, reply);
         }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,9 +52,13 @@
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
 const FADE: Tenths = 4 * SECOND;
 const BENCHED: f64 = 2.0;
+const ANSWER_CALMS: f64 = 0.7;
 /// With fewer than one in so many trusted, the others serve too.
 const FEW_TRUSTED: usize = 4;
 const SPOILT_DOUBT: f64 = 0.25;
+/// How much a zone is doubted for a posting since which nothing has come from it, and at most.
+const ZONE_DOUBT: f64 = 0.5;
+const MOST_ZONE_DOUBT: f64 = 3.0;
 
 /// Further postings while one is out, for each txn settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
@@ -312,7 +316,7 @@
                         self.answered = now;
                         let crowding = self.pace.crowding(took, cost + way);
                         let shown = &mut self.shown;
-                        shown.distrust.level *= 0.7;
+                        shown.distrust.level *= ANSWER_CALMS;
                         if crowding > CROWDED {
                             self.halve(terms);
                         } else if took <= tp {
@@ -406,6 +410,30 @@
     }
 }
 
+/// What is seen of the upstreams of one zone together.
+#[derive(Default)]
+struct Zone {
+    pace: Pace,
+    distrust: Fading,
+    answered: Tenths,
+}
+
+impl Zone {
+    /// A zone cut off is silent as a whole: found by each upstream's own failures, it would take in every
+    /// once-only txn drawn there until its expiry, from every balancer, for as long as the cut lasts.
+    fn unanswered(&mut self, now: Tenths, sent: Tenths) {
+        if self.answered < sent {
+            self.distrust.add(now, FADE, ZONE_DOUBT);
+            self.distrust.level = self.distrust.level.min(MOST_ZONE_DOUBT);
+        }
+    }
+
+    fn answered(&mut self, now: Tenths) {
+        self.answered = now;
+        self.distrust.level *= ANSWER_CALMS;
+    }
+}
+
 fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -455,7 +483,7 @@
     stale: bool,
     pace: Pace,
     kinds: BTreeMap<u32, Pace>,
-    zones: BTreeMap<u32, Pace>,
+    zones: BTreeMap<u32, Zone>,
     arrivals: Fading,
     flow: Fading,
     cost_sums: [f64; 2],
@@ -540,10 +568,14 @@
                 let entry = &self.seen.board[up].entry;
                 let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost * entry.size);
                 // Else a small txn's way there and back would pass for a crowd at its upstream.
-                let way = zone.least;
+                let way = zone.pace.least;
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, way, tp: self.gauge.tp });
+                if matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut) {
+                    zone.unanswered(now, now - took);
+                }
                 if outcome == Outcome::Ok {
-                    zone.note(took, work, PACE_WINDOW);
+                    zone.answered(now);
+                    zone.pace.note(took, work, PACE_WINDOW);
                     self.seen.pace.note(took, cost + way, PACE_WINDOW);
                     self.seen.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
                 }
@@ -805,15 +837,27 @@
                 && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
                 && self.cold_room(now, s, txn.cost)
         };
-        let mut fitting: Vec<usize> = own.iter().copied().filter(|up| fit(up, true)).collect();
-        if fitting.is_empty() {
-            fitting.extend(other.iter().copied().filter(|up| fit(up, true)));
-        }
-        if fitting.is_empty() {
-            let trusted = |up: &&usize| self.seen.board[**up].distrust.at(now, FADE) < BENCHED;
-            if FEW_TRUSTED * self.seen.lanes.iter().filter(trusted).count() >= self.seen.lanes.len() {
+        let near = |up: &usize| {
+            let zone = self.seen.zones.get(&self.seen.board[*up].entry.zone);
+            zone.is_none_or(|zone| zone.distrust.at(now, FADE) < BENCHED)
+        };
+        let trusted = |up: &usize| self.seen.board[*up].distrust.at(now, FADE) < BENCHED;
+        let mut fitting: Vec<usize> = Vec::new();
+        for all_zones in [false, true] {
+            let may = |up: &usize| (all_zones || near(up)) && fit(up, true);
+            fitting.extend(own.iter().copied().filter(may));
+            if fitting.is_empty() {
+                fitting.extend(other.iter().copied().filter(may));
+            }
+            if !fitting.is_empty() {
+                break;
+            }
+            let trusted = self.seen.lanes.iter().filter(|up| (all_zones || near(up)) && trusted(up)).count();
+            if FEW_TRUSTED * trusted >= self.seen.lanes.len() {
                 return None;
             }
+        }
+        if fitting.is_empty() {
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
@@ -849,7 +893,7 @@
     /// By speed: where little is in flight chance alone decides, and slow ones must not get as much. Crossing
     /// zones is for when the own is worse: the others get a part that grows as it answers more slowly.
     fn draw(&self, chance: f64, mut ups: impl Iterator<Item = usize> + Clone) -> usize {
-        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone));
+        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
         let own = self.terms.own_zone;
         let away =
             |zone: u32| (CROSS * (ZONE_STEEP * (pace(own) - pace(zone))).exp()).clamp(CROSS_LEAST, 1.0);
@@ -898,7 +942,7 @@
             self.extra -= 1.0;
         }
         // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste.
-        let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.least);
+        let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
         let due = self.gauge.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (txn.cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
@@ -987,6 +1031,8 @@
                 let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
                 inboxes.upstream(up, UpstreamNote::Overdue { sent });
+                let zone = self.seen.board[up].entry.zone;
+                self.seen.zones.entry(zone).or_default().unanswered(now, sent);
                 if now + self.gauge.quick < txn.deadline {
                     self.copy(now, number);
                 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -117,10 +117,11 @@
     pub service: Option<Tenths>,
 }
 
+/// As it goes on in a line of the log, empty where nothing was said.
 impl fmt::Display for Load {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
-        self.held.map_or(Ok(()), |held| write!(to, "it holds {held} "))?;
-        self.service.map_or(Ok(()), |service| write!(to, "and takes {service}"))
+        self.held.map_or(Ok(()), |held| write!(to, ", it holds {held}"))?;
+        self.service.map_or(Ok(()), |service| write!(to, ", it takes {service}"))
     }
 }
 
