--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -173,6 +173,10 @@
                 let listing = if roster.whole { Listing::Whole } else { Listing::Changes };
                 let entries = self.directory.read(roster);
                 self.events.push(Event::Listed(listing(entries)));
+                let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
+                log::debug!(
+                    "listed upstreams, other zones, kinds: {listed:?}; upstreams, zones, kinds, txns: {known:?}"
+                );
             }
             Note::ListLost => self.events.push(Event::Listed(Listing::Lost)),
         }
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -441,3 +441,43 @@
         owed: 0
     "#]]);
 }
+
+#[test]
+fn what_left_and_names_nobody_has_any_more_are_forgotten_and_no_number_is_used_twice() {
+    let mut directory = Directory::new(terms().1, 0);
+    let (mut sizes, mut zones) = (Vec::new(), std::collections::BTreeSet::new());
+    let mut last = String::new();
+    for n in 0..2000 {
+        let (id, zone) = (format!("s{n}"), format!("zone {n}"));
+        let mut change = roster(false, &[(&id, 4000, &zone, "active", 0), (&last, 4000, "a", "left", 0)]);
+        change.targets[0].kind = format!("kind {n}");
+        zones.insert(directory.read(change)[0].zone);
+        last = id;
+        if n == 200 || n == 1999 {
+            sizes.push(directory.sizes());
+        }
+    }
+    expect!["[1, 1, 1] at a tenth, [1, 1, 1] at the end, 2000 numbers for as many zones"].assert_eq(
+        &format!(
+            "{:?} at a tenth, {:?} at the end, {} numbers for as many zones",
+            sizes[0],
+            sizes[1],
+            zones.len()
+        ),
+    );
+}
+
+#[test]
+fn a_long_list_that_names_each_twice_leaves_one_place_for_each_and_a_short_one_forgets_the_rest() {
+    let mut directory = Directory::new(terms().1, 0);
+    let ids: Vec<String> = (0..10_000).map(|n| format!("s{}", n % 5000)).collect();
+    let targets: Vec<_> = ids.iter().map(|id| (&**id, 4000, "a", "active", 0)).collect();
+    let entries = directory.read(roster(true, &targets));
+    let known = directory.sizes();
+    directory.read(roster(true, &targets[..30]));
+    expect!["10000 entries, [5000, 0, 0] known, then [30, 0, 0]"].assert_eq(&format!(
+        "{} entries, {known:?} known, then {:?}",
+        entries.len(),
+        directory.sizes()
+    ));
+}
