Tests: a remembered list of thousands, cut configurations, a dead discovery and one that turns all away

Need: bad input at the size of the whole fleet. Seen to hold without a change: 5,000 remembered entries, all refusing and some twice, serve within 5 s and 24 MB and decline an order that never ran; a configuration cut short, one without discovery and a dead one leave the list in force, each with its line in the log; a discovery that answers 503 is called 2 to 8 times in 4 s, txns go on, and a drain counts from the first answer.

--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -276,7 +276,11 @@
     }
 
     pub fn start(&self) -> Balancer {
-        let file = place(&self.configuration());
+        self.start_with(&self.configuration())
+    }
+
+    pub fn start_with(&self, configuration: &str) -> Balancer {
+        let file = place(configuration);
         let (mut child, log) = launch(&file, self.descriptors);
         let mut log = BufReader::new(log).lines();
         let address = loop {
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -566,3 +566,88 @@
     let (mut child, _log) = launch(&place(&good.replacen("127.0.0.1:0", &address.to_string(), 1)), 1024);
     assert_eq!(child.wait().unwrap().code(), Some(1));
 }
+
+#[test]
+fn a_remembered_list_of_thousands_most_of_them_gone_serves_until_the_list_comes() {
+    let (upstream, discovery) = (Upstream::start(HELLO), Discovery::start());
+    let mut plan = Plan::with(&[]);
+    plan.discovery = discovery.address;
+    let entry = |n: usize, address| {
+        format!(
+            r#"{{"uid":"s{n}","endpoint":"{address}","az":"a","model":"m1","state":"active","capacity_hint":1}}"#
+        )
+    };
+    let gone = nobody();
+    let known: Vec<String> = (0..5000).map(|n| entry(n % 4990, gone)).collect();
+    let list = format!(r#"{{"rev":1,"all":true,"targets":[{}]}}"#, known.join(","));
+    let start = Instant::now();
+    let balancer = plan.start_with(&plan.configuration().replace(&roster(1, true, "active", &[]), &list));
+    assert_eq!(balancer.health(), "200");
+    // Nobody who is remembered takes a connection: an order never ran and is declined in its time.
+    assert_eq!(balancer.ask("o1", "order").status(), "503");
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    // Each upstream named twice, the gone ones not at all.
+    let twice = [upstream.address, upstream.address];
+    discovery.list(&roster(2, true, "active", &twice));
+    wait_until("the list counts", || {
+        balancer.ask(&format!("b{}", start.elapsed().as_micros()), "browse").status() == "200"
+    });
+    assert_eq!(balancer.ask("o2", "order").status(), "200");
+    assert!(balancer.peak_kb() < 24 << 10, "{}", balancer.peak_kb());
+}
+
+#[test]
+fn a_configuration_cut_short_changes_nothing_and_a_dead_discovery_keeps_the_list() {
+    let (upstream, discovery) = (Upstream::start(HELLO), Discovery::start());
+    let mut plan = Plan::with(&[&upstream]);
+    plan.discovery = discovery.address;
+    let balancer = plan.start();
+    let calls = || discovery.told.lock().unwrap().calls.len();
+    wait_until("the watch stands", || calls() == 1);
+    let whole = plan.configuration();
+    balancer.reconfigure(&whole[..whole.len() / 2]);
+    sleep(50 * MS);
+    balancer.reconfigure(&whole.replace("\"discovery\"", "\"undiscovered\""));
+    sleep(50 * MS);
+    // The old watch still stands: what it tells counts.
+    discovery.list(&roster(2, false, "active", &[upstream.address]));
+    wait_until("the watch goes on", || calls() == 2);
+    plan.discovery = nobody();
+    balancer.reconfigure(&plan.configuration());
+    sleep(50 * MS);
+    for n in 0..5 {
+        assert_eq!(balancer.ask(&format!("a{n}"), "order").status(), "200");
+    }
+    balancer.signal("TERM");
+    let (status, log) = balancer.ended();
+    assert!(status.success());
+    for line in ["EOF while parsing", "discovery is missing", "can't be reached"] {
+        assert!(log.contains(line), "{line}: {log}");
+    }
+}
+
+#[test]
+fn a_discovery_that_turns_all_away_is_asked_ever_more_rarely_and_drains_count_once_it_answers() {
+    let (upstream, other) = (Upstream::start(HELLO), Upstream::start(HELLO));
+    let discovery = Discovery::start();
+    let mut plan = Plan::with(&[&upstream, &other]);
+    plan.discovery = discovery.address;
+    let balancer = plan.start();
+    let start = Instant::now();
+    let calls = || discovery.told.lock().unwrap().calls.len();
+    let mut turned_away = 0;
+    while start.elapsed() < 4 * Duration::from_secs(1) {
+        if calls() > turned_away {
+            turned_away = calls();
+            discovery.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+        assert_eq!(balancer.ask(&format!("a{}", start.elapsed().as_micros()), "order").status(), "200");
+        sleep(20 * MS);
+    }
+    assert!((2..=8).contains(&turned_away), "{turned_away}");
+    discovery.list(&roster(2, true, "leaving", &[other.address]));
+    sleep(500 * MS);
+    let _before = (upstream.requests(), other.requests());
+    assert_eq!(balancer.ask("late", "order").status(), "503");
+    assert_eq!((upstream.requests().len(), other.requests().len()), (0, 0));
+}
