--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -370,6 +370,14 @@
         (status, self.drained.take().unwrap().join().unwrap())
     }
 
+    /// Told to end it does so in order, and its log has all these words.
+    pub fn ends_having_said(self, words: &[&str]) {
+        self.signal("TERM");
+        let (status, log) = self.ended();
+        assert!(status.success());
+        words.iter().for_each(|word| assert!(log.contains(word), "{word}: {log}"));
+    }
+
     /// The most memory that it has held.
     pub fn peak_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
