--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pondlb::Tenths;
+use pondlb::{Balancer, Tenths};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -88,7 +88,7 @@
         let (asks_in, asks) = mpsc::unbounded_channel();
         // A posting that is still connecting when its upstream is told to drain must leave within the grace.
         let connect_within = links.connect_within.min(links.drain_grace / 2);
-        let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within), clock);
+        let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within));
         spawn_local(pool.clone().sweep());
         spawn_local(discover(setup.discovery, setup.known.version, asks, notes_in.clone()));
         let memory = setup.budget.memory;
@@ -102,8 +102,9 @@
         };
         spawn_local(listen(listener, Rc::new(front)));
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
+        let balancer = Balancer::new(terms, setup.seed);
         let carrier = Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone() };
-        let mut exchange = Exchange::new(terms, setup.seed, directory, carrier, SLACK);
+        let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
         exchange.remember(clock.now(), setup.known);
         log::info!("{} listens on {address}: {:?}", setup.name, setup.budget);
         Ok(Service {
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -2,7 +2,7 @@
 use std::mem;
 use std::rc::Rc;
 
-use pondlb::{Action, Balancer, Effect, Event, Listing, Load, Outcome, Tenths, Terms, TxnId, UpstreamId};
+use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Tenths, TxnId, UpstreamId};
 use tokio::sync::oneshot;
 
 use super::{Answer, Directory, End, Note, Order, PostingId};
@@ -23,7 +23,6 @@
 /// A txn until its final answer is given and none of its postings is out.
 struct Txn {
     request: Rc<Message>,
-    repeatable: bool,
     /// None once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
     expiry: Tenths,
@@ -68,8 +67,6 @@
 /// Owns the balancer, and the txns and postings that it has decided on.
 pub struct Exchange<C: Carrier> {
     balancer: Balancer,
-    /// By scheme.
-    repeatable: Vec<bool>,
     directory: Directory,
     carrier: C,
     txns: BTreeMap<TxnId, Txn>,
@@ -85,10 +82,9 @@
 }
 
 impl<C: Carrier> Exchange<C> {
-    pub fn new(terms: Terms, seed: u64, directory: Directory, carrier: C, slack: Tenths) -> Self {
+    pub fn new(balancer: Balancer, directory: Directory, carrier: C, slack: Tenths) -> Self {
         Exchange {
-            repeatable: terms.schemes.iter().map(|s| s.effect == Effect::Repeatable).collect(),
-            balancer: Balancer::new(terms, seed),
+            balancer,
             directory,
             carrier,
             txns: BTreeMap::new(),
@@ -163,8 +159,7 @@
                     arrival.left = arrival.left.min(end.saturating_sub(now));
                 }
                 let (request, expiry) = (Rc::new(request), now + arrival.left);
-                let repeatable = self.repeatable.get(arrival.scheme as usize).copied().unwrap_or_default();
-                let txn = Txn { request, repeatable, answer: Some(answer), expiry, posted: 0, out: 0 };
+                let txn = Txn { request, answer: Some(answer), expiry, posted: 0, out: 0 };
                 self.txns.insert(arrival.txn.clone(), txn);
                 self.events.push(Event::Arrived(arrival));
             }
@@ -258,9 +253,8 @@
                 log::debug!("{id} {posting} is posted to {upstream}");
                 txn.out += 1;
                 let until = timeout.map_or(txn.expiry, |span| txn.expiry.min(now + span));
-                let (request, repeatable, name) = (txn.request.clone(), txn.repeatable, upstream.clone());
-                let order =
-                    Order { id: (id.clone(), posting), upstream: name, address, request, repeatable, until };
+                let (request, name) = (txn.request.clone(), upstream.clone());
+                let order = Order { id: (id.clone(), posting), upstream: name, address, request, until };
                 let _hold = self.carrier.post(order);
                 self.outs.insert((id, posting), Out { order: now, upstream, _hold });
                 return;
--- a/crates/pondlb-server/src/routing/mod.rs
+++ b/crates/pondlb-server/src/routing/mod.rs
@@ -1,14 +1,12 @@
 //! Between the protocols and the decisions: what happened becomes events, actions become work for others.
-//! Nothing here decides about txns, and nothing here knows a socket.
+//! Nothing here decides, and nothing here knows a socket.
 
 mod directory;
 mod exchange;
-mod idle;
 mod notes;
 #[cfg(test)]
 mod tests;
 
 pub use directory::Directory;
 pub use exchange::{Carrier, Exchange};
-pub use idle::IdleLife;
 pub use notes::{Answer, End, Note, Order, PostingId};
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -44,8 +44,6 @@
     pub upstream: UpstreamId,
     pub address: SocketAddr,
     pub request: Rc<Message>,
-    /// It may be posted again whatever became of it.
-    pub repeatable: bool,
     /// When the balancer stops waiting for it.
     pub until: Tenths,
 }
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -90,7 +90,7 @@
         let (terms, names) = terms();
         let trace = Trace::default();
         let directory = Directory::new(names, 0);
-        let mut exchange = Exchange::new(terms, 7, directory, Scribe(trace.clone()), 50);
+        let mut exchange = Exchange::new(Balancer::new(terms, 7), directory, Scribe(trace.clone()), 50);
         exchange.remember(0, roster(true, targets));
         Play { exchange, trace, waiting: Vec::new() }
     }
--- a/crates/pondlb-server/src/transport/pool.rs
+++ b/crates/pondlb-server/src/transport/pool.rs
@@ -4,13 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pondlb::{UpstreamId, floor_from_ns};
+use pondlb::UpstreamId;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::clock::{Clock, span};
 use super::stream::{Waiting, waiting};
-use crate::routing::IdleLife;
 
 /// The connections to upstreams: at most so many, and those that stand idle for the next posting.
 pub struct Pool {
@@ -20,17 +18,12 @@
     /// Idle ones are retired after this, well before their upstream closes them: a posting written to one
     /// that is being closed may or may not have run.
     retire: Duration,
-    /// Some drop them sooner than the settings say, and say nothing.
-    life: RefCell<IdleLife>,
-    clock: Clock,
     connect_within: Duration,
 }
 
 pub struct Link {
     pub stream: TcpStream,
     address: SocketAddr,
-    /// How long it had stood idle when it was taken; none where it is new.
-    pub rested: Option<Duration>,
     _place: Place,
 }
 
@@ -50,26 +43,23 @@
 const SWEEP: Duration = Duration::from_millis(250);
 
 impl Pool {
-    pub fn new(most: usize, retire: Duration, connect_within: Duration, clock: Clock) -> Rc<Self> {
-        let (open, idle, life) = (Cell::new(0), RefCell::default(), RefCell::default());
-        Rc::new(Pool { most, open, idle, retire, life, clock, connect_within })
+    pub fn new(most: usize, retire: Duration, connect_within: Duration) -> Rc<Self> {
+        let (open, idle) = (Cell::new(0), RefCell::default());
+        Rc::new(Pool { most, open, idle, retire, connect_within })
     }
 
-    /// A connection that nothing is under way on: one kept, if it still stands, or a new one. Where what is
-    /// posted must not be lost, none that has rested for longer than others were seen to bear: a repeatable
-    /// txn is only posted again, at less cost than a handshake.
+    /// A connection that nothing is under way on: one kept, if it still stands, or a new one.
     pub async fn take(
         self: &Rc<Self>,
         upstream: &UpstreamId,
         address: SocketAddr,
         until: Instant,
-        may_be_lost: bool,
     ) -> Result<Link, NoLink> {
-        let life = if may_be_lost { None } else { self.life.borrow().most() };
-        let retire = life.map_or(self.retire, |most| span(most).min(self.retire));
-        while let Some(mut kept) = self.take_kept(upstream, retire) {
-            kept.link.rested = Some(kept.since.elapsed());
-            if kept.link.address == address && waiting(&kept.link.stream) == Waiting::Nothing {
+        while let Some(kept) = self.take_kept(upstream) {
+            if kept.link.address == address
+                && kept.since.elapsed() < self.retire
+                && waiting(&kept.link.stream) == Waiting::Nothing
+            {
                 return Ok(kept.link);
             }
         }
@@ -84,7 +74,7 @@
         match timeout_at(until, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => {
                 let _unset = stream.set_nodelay(true);
-                Ok(Link { stream, address, rested: None, _place: place })
+                Ok(Link { stream, address, _place: place })
             }
             Ok(Err(_)) => Err(NoLink::Failed),
             Err(_) => Err(NoLink::TimedOut),
@@ -97,29 +87,14 @@
         self.idle.borrow_mut().entry(upstream).or_default().push_back(kept);
     }
 
-    /// A posting on the connection is over; `lost` where it broke with nothing said.
-    pub fn used(&self, link: &Link, lost: bool) {
-        if let Some(rested) = link.rested {
-            let mut life = self.life.borrow_mut();
-            let before = life.most();
-            life.used(self.clock.now(), floor_from_ns(rested.as_nanos() as u64), lost);
-            if life.most() != before {
-                log::info!(
-                    "idle connections to upstreams are dropped unsaid after: {:?}",
-                    life.most().map(span)
-                );
-            }
-        }
-    }
-
     pub fn close_idle(&self, upstream: &str) {
         let closed = self.idle.borrow_mut().remove(upstream);
         drop(closed);
     }
 
     /// The one used last is taken first, so that the others fall idle long enough to be retired.
-    fn take_kept(&self, upstream: &UpstreamId, retire: Duration) -> Option<Kept> {
-        self.idle.borrow_mut().get_mut(upstream)?.pop_back_if(|kept| kept.since.elapsed() < retire)
+    fn take_kept(&self, upstream: &UpstreamId) -> Option<Kept> {
+        self.idle.borrow_mut().get_mut(upstream)?.pop_back()
     }
 
     fn close_longest_idle(&self) {
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -61,14 +61,13 @@
 /// it may have. Nothing is ever written twice, so that the decisions alone repeat a txn.
 async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order) -> End {
     let until = clock.instant(order.until);
-    let link = match pool.take(&order.upstream, order.address, until, order.repeatable).await {
+    let link = match pool.take(&order.upstream, order.address, until).await {
         Ok(link) => link,
         Err(why) => {
             log::debug!("{} {}: {} can't be reached: {why:?}", order.id.0, order.id.1, order.upstream);
             return Outcome::ConnectFailed.into();
         }
     };
-    log::debug!("{} {}: on a connection that rested for {:?}", order.id.0, order.id.1, link.rested);
     let bytes = write_posting(&order.id.0, &order.request, order.until.saturating_sub(clock.now()));
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
@@ -76,12 +75,8 @@
     drop(bytes);
     match timeout_at(until, answer(&link, memory)).await {
         Err(_) => Outcome::TimedOut.into(),
-        Ok(Err(outcome)) => {
-            pool.used(&link, outcome == Outcome::Reset);
-            outcome.into()
-        }
+        Ok(Err(outcome)) => outcome.into(),
         Ok(Ok(answered)) => {
-            pool.used(&link, false);
             if answered.keep && Instant::now() < until {
                 pool.keep(order.upstream, link);
             }
