The laboratory's first whole path: an emulated fleet, an open load and a judge of the four rules

Upstreams with cores, waiting rooms, cold starts, handshake work, connection caps and load reports, and discovery with whole lists and watches, live as tasks of one loop on loopback; balancers are real processes. Nine kinds of faults on a time line. An order that ran twice in the first try was the laboratory's own client, which sent again to a balancer killed under it; mended.

--- /dev/null
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -0,0 +1,143 @@
+//! Balancers as real processes, started, killed and ended by their own ids.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::fleet::Fleet;
+use crate::http::Wire;
+use crate::scenario::{Effect, Scenario};
+
+const READY_WITHIN: Duration = Duration::from_secs(5);
+const NS: u64 = 1_000_000;
+
+/// What is started for each balancer.
+pub struct Program {
+    pub path: PathBuf,
+    pub arguments: Vec<String>,
+}
+
+pub struct Balancers {
+    program: Program,
+    folder: TempDir,
+    pub addresses: Vec<SocketAddr>,
+    children: Vec<Child>,
+}
+
+impl Balancers {
+    /// Started, and each answering that it is ready.
+    pub async fn start(program: Program, scenario: &Scenario, fleet: &Fleet) -> io::Result<Balancers> {
+        let folder = tempfile::tempdir()?;
+        let mut balancers = Balancers { program, folder, addresses: Vec::new(), children: Vec::new() };
+        // All are held at once, or one could be given twice.
+        let held: Vec<TcpListener> =
+            (0..scenario.balancers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
+        balancers.addresses = held.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+        drop(held);
+        for number in 0..scenario.balancers {
+            let config = config(scenario, fleet, number, balancers.addresses[number as usize]);
+            std::fs::write(balancers.file(number, "json"), config.to_string())?;
+            let child = balancers.spawn(number)?;
+            balancers.children.push(child);
+        }
+        for (number, address) in balancers.addresses.clone().into_iter().enumerate() {
+            balancers.ready(number, address).await?;
+        }
+        Ok(balancers)
+    }
+
+    fn file(&self, number: u32, ending: &str) -> PathBuf {
+        self.folder.path().join(format!("{number}.{ending}"))
+    }
+
+    fn spawn(&self, number: u32) -> io::Result<Child> {
+        let log = std::fs::File::options().create(true).append(true).open(self.file(number, "log"))?;
+        Command::new(&self.program.path)
+            .args(&self.program.arguments)
+            .env("RELAY_CONFIG", self.file(number, "json"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
+    }
+
+    async fn ready(&mut self, number: usize, address: SocketAddr) -> io::Result<()> {
+        let until = Instant::now() + READY_WITHIN;
+        while Instant::now() < until {
+            if let Some(status) = self.children[number].try_wait()? {
+                let log = std::fs::read_to_string(self.file(number as u32, "log")).unwrap_or_default();
+                let said = log.lines().last().unwrap_or_default();
+                return Err(io::Error::other(format!(
+                    "balancer {number} ended before it served, {status}: {said}"
+                )));
+            }
+            if matches!(timeout(Duration::from_millis(500), is_ready(address)).await, Ok(Ok(true))) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(io::Error::other(format!("balancer {number} was not ready within {READY_WITHIN:?}")))
+    }
+
+    /// Killed outright, and started again with what it was given first.
+    pub async fn kill_and_start(&mut self, number: usize) -> io::Result<()> {
+        self.children[number].kill().await?;
+        self.children[number] = self.spawn(number as u32)?;
+        Ok(())
+    }
+
+    /// Which have ended by themselves, and how.
+    pub fn ended(&mut self) -> Vec<(usize, String)> {
+        let ended = self.children.iter_mut().enumerate();
+        ended.filter_map(|(n, child)| Some((n, child.try_wait().ok()??.to_string()))).collect()
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> io::Result<bool> {
+    let mut wire = Wire::new(TcpStream::connect(address).await?);
+    wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
+    Ok(wire.answer().await?.is_some_and(|answer| answer.status == 200))
+}
+
+/// What one balancer is told, in the platform's form.
+fn config(scenario: &Scenario, fleet: &Fleet, number: u32, listen: SocketAddr) -> serde_json::Value {
+    let rules = &scenario.rules;
+    let mut zones: Vec<String> = scenario.upstreams.iter().map(|m| m.zone.clone()).collect();
+    zones.sort();
+    zones.dedup();
+    let schemes: Vec<_> = scenario
+        .schemes
+        .iter()
+        .map(|s| {
+            let effect = if s.effect == Effect::OnceOnly { "at_most_once" } else { "idempotent" };
+            json!({ "Name": s.name, "Effect": effect, "Value": s.value, "SlaTimeNs": s.sla_ms * NS,
+                "ExpiryNs": s.expiry_ms * NS })
+        })
+        .collect();
+    let limits = json!({ "Cancelling": true, "ConnIdleNs": 15_000 * NS, "DialTimeoutNs": 250 * NS,
+        "MaxOpen": 20_000, "MaxPostings": 3, "MaxRetryAfterNs": 2000 * NS, "RetryAfter": true,
+        "SecondCopies": true });
+    let rules = json!({ "ColdShare": rules.cold_share, "DrainGraceNs": rules.drain_grace_ms * NS,
+        "FallMultiple": rules.fall_multiple, "FallNs": rules.fall_ms * NS, "MustAskInNs": 10_000 * NS,
+        "WarmWithinNs": rules.warm_ms * NS });
+    json!({
+        "name": format!("lab-{number}"), "listen": listen.to_string(),
+        "discovery": fleet.discovery[number as usize].to_string(),
+        "seed": format!("{:x}", scenario.seed ^ (u64::from(number) + 1)), "known": fleet.known(number),
+        "settings": {
+            "Balancers": scenario.balancers, "SelfIndex": number, "MyZone": number as usize % zones.len(),
+            "Zones": zones, "MachineTypes": ["m"], "Discovery": "ask", "ExcessValue": 1.0,
+            "Reporting": { "Fields": ["rif"] }, "Limits": limits, "Rules": rules, "Schemes": schemes,
+        },
+    })
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -0,0 +1,381 @@
+//! The emulated fleet: upstreams and discovery on loopback, as tasks of one loop.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::http::{Wire, answer};
+use crate::ledger::{Boot, Ledgers, Run, Told};
+use crate::scenario::{Kind, Machine, Rules, Trouble};
+
+/// The run's clock, in microseconds, and its ledgers.
+pub struct Book {
+    start: Instant,
+    unix_ms: u64,
+    pub ledgers: RefCell<Ledgers>,
+    /// Bodies of answers are numbered, so that none is like another.
+    answers: Cell<u64>,
+}
+
+impl Book {
+    pub fn open() -> Rc<Book> {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let unix_ms = u64::try_from(since.as_millis()).unwrap_or_default();
+        Rc::new(Book { start: Instant::now(), unix_ms, ledgers: RefCell::default(), answers: Cell::new(0) })
+    }
+
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    pub fn instant(&self, at: u64) -> Instant {
+        self.start + Duration::from_micros(at)
+    }
+
+    fn note(&self, run: &Run) -> usize {
+        let mut ledgers = self.ledgers.borrow_mut();
+        ledgers.runs.push(run.clone());
+        ledgers.runs.len() - 1
+    }
+}
+
+/// One upstream: a process that may be dead, and the faults that are on.
+pub struct Upstream {
+    number: usize,
+    machine: Machine,
+    warm: u64,
+    cold_share: f64,
+    pub address: SocketAddr,
+    faults: RefCell<Vec<(Kind, f64)>>,
+    /// When the present process started; none where it has been up since long ago.
+    boot: Cell<Option<u64>>,
+    alive: watch::Sender<bool>,
+    /// When each core is free again.
+    free: RefCell<Vec<u64>>,
+    waiting: Cell<usize>,
+    open: Cell<usize>,
+    held: Cell<usize>,
+}
+
+impl Upstream {
+    fn has(&self, kind: Kind) -> Option<f64> {
+        self.faults.borrow().iter().find(|(k, _)| *k == kind).map(|(_, factor)| *factor)
+    }
+
+    /// The part of its speed that a cold process has.
+    fn present(&self, now: u64) -> f64 {
+        let age = self.boot.get().map_or(self.warm, |at| now.saturating_sub(at));
+        self.cold_share + (1.0 - self.cold_share) * (age as f64 / self.warm.max(1) as f64).min(1.0)
+    }
+
+    async fn listen(self: Rc<Self>, book: Rc<Book>, listener: TcpListener, balancer: u32) {
+        let mut alive = self.alive.subscribe();
+        let mut listener = Some(listener);
+        loop {
+            let Some(open) = &listener else {
+                // Dead: the port is free, and refuses. It is listened on again at the same address.
+                if alive.wait_for(|up| *up).await.is_err() {
+                    return;
+                }
+                listener = bind(Some(self.address_of(balancer))).ok();
+                continue;
+            };
+            tokio::select! {
+                came = open.accept() => {
+                    let Ok((stream, _)) = came else { continue };
+                    if self.open.get() < self.machine.connections {
+                        spawn_local(self.clone().serve(book.clone(), stream, balancer));
+                    }
+                }
+                _ = alive.wait_for(|up| !*up) => listener = None,
+            }
+        }
+    }
+
+    /// Each balancer has an address of its own to it, so that a posting tells whose it is.
+    pub fn address_of(&self, balancer: u32) -> SocketAddr {
+        SocketAddr::from(([127, 1, (balancer >> 8) as u8, (balancer & 255) as u8 + 1], self.address.port()))
+    }
+
+    async fn serve(self: Rc<Self>, book: Rc<Book>, stream: TcpStream, balancer: u32) {
+        let mut alive = self.alive.subscribe();
+        self.open.set(self.open.get() + 1);
+        let mut wire = Wire::new(stream);
+        tokio::select! {
+            _ = self.answers(&book, &mut wire, balancer) => {}
+            _ = alive.wait_for(|up| !*up) => {
+                // A process that dies resets its connections.
+                let _unset = wire.stream.set_zero_linger();
+            }
+        }
+        self.open.set(self.open.get() - 1);
+    }
+
+    async fn answers(&self, book: &Rc<Book>, wire: &mut Wire, balancer: u32) -> io::Result<()> {
+        let mut handshake = (self.machine.handshake_ms * 1000.0) as u64;
+        while wire.begins().await? {
+            let first_byte = book.now();
+            let Some(request) = wire.request().await? else { return Ok(()) };
+            let last_byte = book.now();
+            let id = request.field("Req-Id").unwrap_or_default().to_string();
+            let work = request.field("Req-Cost").and_then(|c| c.parse().ok()).unwrap_or_default();
+            let run =
+                Run { id, upstream: self.number, balancer, first_byte, last_byte, work, ..Run::default() };
+            let entry = book.note(&run);
+            let load = format!("Srv-Load: rif={}\r\n", self.held.get());
+            if self.waiting.get() >= self.machine.waiting {
+                wire.write(&answer(503, "Srv-Declined: 1\r\n", "")).await?;
+                continue;
+            }
+            if self.has(Kind::Errors).is_some() {
+                book.ledgers.borrow_mut().runs[entry].began = Some(book.now());
+                wire.write(&answer(500, &load, "")).await?;
+                continue;
+            }
+            let held = Count::one(&self.held);
+            self.work(book, entry, run.work + std::mem::take(&mut handshake)).await;
+            if self.has(Kind::Hang).is_some() {
+                std::future::pending::<()>().await;
+            }
+            drop(held);
+            let number = book.answers.get();
+            book.answers.set(number + 1);
+            let body = format!("{} by {} as answer {number}", run.id, self.number);
+            let text = answer(200, &load, &body);
+            if self.has(Kind::Cut).is_some() {
+                return wire.write(&text[..text.len() / 2]).await;
+            }
+            if self.has(Kind::Spoil).is_some() {
+                wire.write("\u{1}\u{2}noise, and no answer\r\n\r\n").await?;
+                continue;
+            }
+            book.ledgers.borrow_mut().runs[entry].answer = Some(body);
+            wire.write(&text).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the first core that is free, then for the work's time. A core is a time at which it is free
+    /// again, so hundreds of them need no processor.
+    async fn work(&self, book: &Book, entry: usize, work: u64) {
+        let now = book.now();
+        let slower = self.has(Kind::Slow).unwrap_or(1.0);
+        let takes = work as f64 * slower / (self.machine.speed * self.present(now));
+        let (began, end) = {
+            let mut free = self.free.borrow_mut();
+            let Some(core) = free.iter_mut().min() else { return };
+            let began = now.max(*core);
+            *core = began + takes as u64;
+            (began, *core)
+        };
+        let waiting = Count::one(&self.waiting);
+        sleep_until(book.instant(began)).await;
+        drop(waiting);
+        book.ledgers.borrow_mut().runs[entry].began = Some(began);
+        sleep_until(book.instant(end)).await;
+    }
+
+    fn die(&self) {
+        self.alive.send_replace(false);
+        self.free.borrow_mut().fill(0);
+    }
+
+    fn boot(&self, book: &Book) {
+        self.boot.set(Some(book.now()));
+        book.ledgers.borrow_mut().boots.push(Boot { upstream: self.number, at: book.now() });
+        self.alive.send_replace(true);
+    }
+}
+
+/// Counts one for as long as it is kept, also where its task is ended.
+struct Count<'a>(&'a Cell<usize>);
+
+impl<'a> Count<'a> {
+    fn one(cell: &'a Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Count(cell)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+fn bind(address: Option<SocketAddr>) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))))?;
+    socket.listen(1024)
+}
+
+pub struct Fleet {
+    pub book: Rc<Book>,
+    pub upstreams: Vec<Rc<Upstream>>,
+    state: Rc<List>,
+    pub discovery: Vec<SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// What discovery knows.
+struct List {
+    version: Cell<u64>,
+    /// The versions in which upstreams were told to leave.
+    leaves: RefCell<Vec<Option<u64>>>,
+    down: Cell<bool>,
+    changed: Notify,
+}
+
+impl Fleet {
+    /// Listens for each balancer at addresses of its own.
+    pub fn start(book: Rc<Book>, machines: Vec<Machine>, rules: &Rules, balancers: u32) -> io::Result<Fleet> {
+        let leaves = RefCell::new(vec![None; machines.len()]);
+        let (version, down, changed) = (Cell::new(1), Cell::new(false), Notify::new());
+        let state = Rc::new(List { version, leaves, down, changed });
+        let (mut upstreams, mut tasks, mut discovery) = (Vec::new(), Vec::new(), Vec::new());
+        for (number, machine) in machines.into_iter().enumerate() {
+            let first = bind(Some(SocketAddr::from(([127, 1, 0, 1], 0))))?;
+            let upstream = Rc::new(Upstream {
+                number,
+                free: RefCell::new(vec![0; machine.cores as usize]),
+                machine,
+                warm: rules.warm_ms * 1000,
+                cold_share: rules.cold_share,
+                address: first.local_addr()?,
+                faults: RefCell::default(),
+                boot: Cell::new(None),
+                alive: watch::channel(true).0,
+                waiting: Cell::new(0),
+                open: Cell::new(0),
+                held: Cell::new(0),
+            });
+            let mut first = Some(first);
+            for balancer in 0..balancers {
+                let listener = first.take().map_or_else(|| bind(Some(upstream.address_of(balancer))), Ok)?;
+                tasks.push(spawn_local(upstream.clone().listen(book.clone(), listener, balancer)));
+            }
+            upstreams.push(upstream);
+        }
+        let mut fleet = Fleet { book, upstreams, state, discovery: Vec::new(), tasks };
+        for balancer in 0..balancers {
+            let listener = bind(None)?;
+            discovery.push(listener.local_addr()?);
+            let (book, ups, state) = (fleet.book.clone(), fleet.upstreams.clone(), fleet.state.clone());
+            fleet.tasks.push(spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (book, ups, state) = (book.clone(), ups.clone(), state.clone());
+                    spawn_local(async move { state.serve(&book, &ups, Wire::new(stream), balancer).await });
+                }
+            }));
+        }
+        fleet.discovery = discovery;
+        Ok(fleet)
+    }
+
+    /// The list as a balancer remembers it from before its start.
+    pub fn known(&self, balancer: u32) -> serde_json::Value {
+        self.state.list(&self.book, &self.upstreams, balancer)
+    }
+
+    /// Plays one fault from its moment to its end.
+    pub async fn play(&self, trouble: &Trouble, from: u64) {
+        let at = from + (trouble.at * 1e6) as u64;
+        sleep_until(self.book.instant(at)).await;
+        let Some(upstream) = self.upstreams.get(trouble.which) else { return };
+        match trouble.kind {
+            Kind::Kill => upstream.die(),
+            Kind::Drain => self.state.leaves(trouble.which),
+            Kind::DiscoveryDown => self.state.down.set(true),
+            kind => upstream.faults.borrow_mut().push((kind, trouble.factor)),
+        }
+        self.state.changed.notify_waiters();
+        let Some(lasts) = trouble.lasts else { return };
+        sleep_until(self.book.instant(at + (lasts * 1e6) as u64)).await;
+        match trouble.kind {
+            Kind::Kill => {
+                upstream.boot(&self.book);
+                self.state.news();
+            }
+            Kind::Drain => {}
+            Kind::DiscoveryDown => self.state.down.set(false),
+            kind => upstream.faults.borrow_mut().retain(|(k, _)| *k != kind),
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl List {
+    fn news(&self) {
+        self.version.set(self.version.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    fn leaves(&self, which: usize) {
+        self.news();
+        self.leaves.borrow_mut()[which] = Some(self.version.get());
+    }
+
+    fn list(&self, book: &Book, upstreams: &[Rc<Upstream>], balancer: u32) -> serde_json::Value {
+        let entry = |(number, up): (usize, &Rc<Upstream>)| {
+            let leaves = self.leaves.borrow()[number].is_some();
+            json!({
+                "uid": format!("u{number}"), "endpoint": up.address_of(balancer).to_string(),
+                "az": up.machine.zone, "model": "m", "state": if leaves { "leaving" } else { "active" },
+                "capacity_hint": f64::from(up.machine.cores) * up.machine.speed,
+                "boot_ms": up.boot.get().map_or(0, |at| book.unix_ms + at / 1000),
+            })
+        };
+        let targets: Vec<_> = upstreams.iter().enumerate().map(entry).collect();
+        json!({ "rev": self.version.get(), "all": true, "targets": targets })
+    }
+
+    async fn serve(&self, book: &Book, upstreams: &[Rc<Upstream>], mut wire: Wire, balancer: u32) {
+        while let Ok(Some(request)) = wire.request().await {
+            let number = |name: &str| {
+                let (_, query) = request.path.split_once('?')?;
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+            };
+            if let Some(from) = number("from") {
+                let held = Duration::from_millis(number("hold_ms").unwrap_or_default().min(60_000));
+                let news = async {
+                    while self.version.get() <= from && !self.down.get() {
+                        self.changed.notified().await;
+                    }
+                };
+                let _nothing_new = timeout(held, news).await;
+            }
+            if self.down.get() {
+                let _ended = wire.write(&answer(503, "", "")).await;
+                return;
+            }
+            let list = self.list(book, upstreams, balancer);
+            let leaving: Vec<usize> =
+                (0..upstreams.len()).filter(|n| self.leaves.borrow()[*n].is_some()).collect();
+            if wire.write(&answer(200, "", &list.to_string())).await.is_err() {
+                return;
+            }
+            let (at, mut ledgers) = (book.now(), book.ledgers.borrow_mut());
+            for upstream in leaving {
+                if !ledgers.told.iter().any(|t| (t.balancer, t.upstream) == (balancer, upstream)) {
+                    ledgers.told.push(Told { balancer, upstream, at });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/judge.rs
@@ -0,0 +1,148 @@
+//! The four rules, judged from the ledgers of both sides and from nothing that a balancer says of itself.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::ledger::{Asked, Ledgers, Run, Told};
+use crate::scenario::{Effect, Scenario};
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Broken {
+    pub rule: &'static str,
+    pub what: String,
+}
+
+/// Times that lie closer together than this can't be told apart: both ends of a connection are served by one
+/// loop, in an order that nobody chose.
+const SLACK: u64 = 50_000;
+/// The load is not what was asked for when more than one in a hundred of its sends is later than this.
+const LATE: u64 = 25_000;
+
+/// Why the run says nothing, if it does not.
+pub fn void(ledgers: &Ledgers) -> Option<String> {
+    let late = ledgers.late.iter().filter(|late| **late > LATE).count();
+    (100 * late > ledgers.late.len()).then(|| {
+        format!("{late} of {} sends and ticks were over {} ms late", ledgers.late.len(), LATE / 1000)
+    })
+}
+
+pub fn judge(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    ledgers.runs.iter().for_each(|run| runs.entry(&run.id).or_default().push(run));
+    for crash in &ledgers.crashes {
+        let what = format!(
+            "balancer {} ended by itself, {}, at {} ms",
+            crash.balancer,
+            crash.status,
+            crash.at / 1000
+        );
+        broken.push(Broken { rule: "crash", what });
+    }
+    for asked in &ledgers.asked {
+        let runs = runs.remove(&*asked.id).unwrap_or_default();
+        // What a crash takes with it is the crash's, which is said once.
+        let crashed = ledgers.crashes.iter().any(|c| c.balancer == asked.balancer && asked.intended <= c.at);
+        let found = of_one(scenario, asked, &runs, asked.killed || crashed);
+        broken.extend(
+            found.into_iter().map(|(rule, what)| Broken { rule, what: format!("{}: {what}", asked.id) }),
+        );
+    }
+    for id in runs.keys() {
+        broken.push(Broken { rule: "1 one answer", what: format!("{id} was posted and nobody asked it") });
+    }
+    broken.extend(drains(scenario, ledgers));
+    broken.extend(cold(scenario, ledgers));
+    broken
+}
+
+fn of_one(scenario: &Scenario, asked: &Asked, runs: &[&Run], excused: bool) -> Vec<(&'static str, String)> {
+    let scheme = &scenario.schemes[asked.scheme];
+    let mut found = Vec::new();
+    let Some(sent) = asked.sent else { return found };
+    let expiry = sent + scheme.expiry_ms * 1000;
+    let ran = runs.iter().filter(|run| run.began.is_some()).count();
+    let declined = matches!(asked.status, 429 | 503);
+    match asked.answered {
+        None if !excused => found.push(("1 one answer", "got none".into())),
+        Some(at) if at > expiry + SLACK => {
+            found.push(("1 one answer", format!("came {} ms after the expiry", (at - expiry) / 1000)));
+        }
+        _ => {}
+    }
+    if asked.answers > 1 {
+        found.push(("1 one answer", format!("{} came", asked.answers)));
+    }
+    if asked.status == 200 && !runs.iter().any(|run| run.answer.as_deref() == Some(&*asked.body)) {
+        found.push(("1 one answer", "its answer was not made for it".into()));
+    }
+    let end = asked.answered.unwrap_or(expiry).min(expiry);
+    if let Some(run) = runs.iter().find(|run| run.first_byte > end + SLACK) {
+        let late = (run.first_byte - end) / 1000;
+        found.push(("1 one answer", format!("posted to upstream {} {late} ms after its end", run.upstream)));
+    }
+    if scheme.effect == Effect::OnceOnly && ran > 1 {
+        found.push(("2 one effect", format!("ran {ran} times")));
+    }
+    if scheme.effect == Effect::OnceOnly && ran > 0 && declined {
+        found.push(("2 one effect", "was declined and had run".into()));
+    }
+    // Given up at its SLA time at the latest: what comes later and was never posted was parked.
+    let wait = asked.answered.map_or(0, |at| at.saturating_sub(sent));
+    if declined && runs.is_empty() && wait > scheme.sla_ms * 1000 + SLACK {
+        found.push(("parked", format!("declined after {} ms with nothing posted", wait / 1000)));
+    }
+    found
+}
+
+fn drains(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
+    let grace = scenario.rules.drain_grace_ms * 1000 + SLACK;
+    let late = |told: &Told| {
+        let mine = |run: &&Run| run.upstream == told.upstream && run.balancer == told.balancer;
+        ledgers.runs.iter().filter(mine).find(|run| run.first_byte > told.at + grace).map(|run| Broken {
+            rule: "3 drains",
+            what: format!(
+                "{}: balancer {} posted to upstream {} {} ms after it was told of its drain",
+                run.id,
+                told.balancer,
+                told.upstream,
+                (run.first_byte - told.at) / 1000
+            ),
+        })
+    };
+    ledgers.told.iter().filter_map(late).collect()
+}
+
+/// In each window of the rule that ends with a posting, the work that came against what a cold one bears.
+fn cold(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
+    let (rules, fleet) = (&scenario.rules, scenario.fleet());
+    let (window, warm) = (rules.fall_ms * 1000, rules.warm_ms * 1000);
+    let mut broken = Vec::new();
+    for boot in &ledgers.boots {
+        let Some(machine) = fleet.get(boot.upstream) else { continue };
+        let capacity = f64::from(machine.cores) * machine.speed;
+        let here =
+            |run: &&Run| run.upstream == boot.upstream && (boot.at..boot.at + warm).contains(&run.last_byte);
+        let mut runs: Vec<&Run> = ledgers.runs.iter().filter(here).collect();
+        runs.sort_by_key(|run| run.last_byte);
+        for (n, last) in runs.iter().enumerate() {
+            let from = last.last_byte.saturating_sub(window);
+            let work: u64 = runs[..=n].iter().filter(|run| run.last_byte >= from).map(|run| run.work).sum();
+            let age = (last.last_byte - boot.at) as f64 / warm as f64;
+            let present = rules.cold_share + (1.0 - rules.cold_share) * age;
+            if work as f64 > rules.fall_multiple * present * capacity * window as f64 {
+                let what = format!(
+                    "upstream {} got {} ms of work in {} ms, {} ms after its start",
+                    boot.upstream,
+                    work / 1000,
+                    rules.fall_ms,
+                    (last.last_byte - boot.at) / 1000
+                );
+                broken.push(Broken { rule: "4 cold upstreams", what });
+                break;
+            }
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The laboratory: an emulated fleet, an open load and a judge of the four rules, all on loopback.
+//! docs/lab.md tells why it is built like this.
+
+pub mod balancers;
+pub mod fleet;
+pub mod http;
+pub mod judge;
+pub mod ledger;
+pub mod load;
+pub mod run;
+pub mod scenario;
--- /dev/null
+++ b/crates/pondlb-lab/src/load.rs
@@ -0,0 +1,142 @@
+//! Clients: they follow a plan drawn ahead, whatever becomes of the answers (an open loop).
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep_until, timeout};
+
+use crate::fleet::Book;
+use crate::http::{Message, Wire};
+use crate::ledger::Asked;
+use crate::scenario::{Effect, Planned, Scenario};
+
+/// A client hangs on so long past the expiry, to see what still comes.
+const BEYOND: Duration = Duration::from_millis(500);
+const CONNECT: Duration = Duration::from_millis(500);
+/// How often the clock is looked at: a loop late with its own ticks is late with the fleet's work too.
+const TICK: u64 = 10_000;
+
+/// One balancer as clients see it: its address, the connections they keep to it, how often it was killed.
+pub struct Door {
+    pub address: SocketAddr,
+    pub kills: Cell<u32>,
+    idle: RefCell<Vec<Wire>>,
+}
+
+impl Door {
+    pub fn new(address: SocketAddr) -> Rc<Door> {
+        Rc::new(Door { address, kills: Cell::new(0), idle: RefCell::default() })
+    }
+}
+
+/// Sends all that is planned, counted from `from`, and returns once the last txn has had its time.
+pub async fn follow(
+    scenario: &Rc<Scenario>,
+    plan: Vec<Planned>,
+    doors: &[Rc<Door>],
+    book: &Rc<Book>,
+    from: u64,
+) {
+    let mut open: Vec<JoinHandle<()>> = Vec::with_capacity(plan.len());
+    let ticks = spawn_local(tick(book.clone()));
+    for planned in plan {
+        let intended = from + planned.at_us;
+        sleep_until(book.instant(intended)).await;
+        book.ledgers.borrow_mut().late.push(book.now().saturating_sub(intended));
+        let (scenario, book) = (scenario.clone(), book.clone());
+        let door = doors[planned.balancer as usize].clone();
+        open.push(spawn_local(async move {
+            let asked = ask(&scenario, &planned, &door, &book, intended).await;
+            book.ledgers.borrow_mut().asked.push(asked);
+        }));
+    }
+    for task in open {
+        let _ended = task.await;
+    }
+    ticks.abort();
+}
+
+async fn tick(book: Rc<Book>) {
+    let mut next = book.now();
+    loop {
+        next += TICK;
+        sleep_until(book.instant(next)).await;
+        let late = book.now().saturating_sub(next);
+        book.ledgers.borrow_mut().late.push(late);
+        next += late / TICK * TICK;
+    }
+}
+
+async fn ask(scenario: &Scenario, planned: &Planned, door: &Door, book: &Book, intended: u64) -> Asked {
+    let scheme = &scenario.schemes[planned.scheme];
+    let mut asked = Asked {
+        id: planned.id.clone(),
+        scheme: planned.scheme,
+        balancer: planned.balancer,
+        intended,
+        ..Asked::default()
+    };
+    let kills = door.kills.get();
+    let text = request(planned, scheme.effect, &scheme.name, scheme.expiry_ms);
+    let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
+    // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
+    for kept in [true, false] {
+        let Some(mut wire) = connection(door, kept).await else { continue };
+        if wire.write(&text).await.is_err() {
+            continue;
+        }
+        asked.sent = Some(book.now());
+        match timeout(most, wire.answer()).await {
+            Ok(Ok(Some(answer))) => {
+                note(&mut asked, answer, book.now());
+                // A second answer may come right behind the first.
+                tokio::task::yield_now().await;
+                asked.answers = 1 + u32::from(wire.has_more());
+                door.idle.borrow_mut().push(wire);
+            }
+            // Not where it was killed: it may have taken the request, and another would be the client's own
+            // repeat of an order.
+            Ok(Ok(None)) if kept && door.kills.get() == kills => {
+                asked.sent = None;
+                continue;
+            }
+            _ => {}
+        }
+        break;
+    }
+    asked.killed = door.kills.get() != kills;
+    asked
+}
+
+fn note(asked: &mut Asked, answer: Message, now: u64) {
+    (asked.answered, asked.status, asked.body) = (Some(now), answer.status, answer.body);
+}
+
+/// One kept that nothing has come on, or a new one.
+async fn connection(door: &Door, kept: bool) -> Option<Wire> {
+    if kept {
+        loop {
+            let mut wire = door.idle.borrow_mut().pop()?;
+            if !wire.has_more() {
+                return Some(wire);
+            }
+        }
+    }
+    let stream = timeout(CONNECT, TcpStream::connect(door.address)).await.ok()?.ok()?;
+    Some(Wire::new(stream))
+}
+
+fn request(planned: &Planned, effect: Effect, scheme: &str, expiry_ms: u64) -> String {
+    let head = format!(
+        "Host: lab\r\nReq-Id: {}\r\nReq-Kind: {scheme}\r\nReq-Deadline: {expiry_ms}m\r\nReq-Cost: {}\r\n",
+        planned.id, planned.work_us
+    );
+    match effect {
+        Effect::Repeatable => format!("GET /api HTTP/1.1\r\n{head}\r\n"),
+        Effect::OnceOnly => format!("POST /api HTTP/1.1\r\n{head}Content-Length: 5\r\n\r\norder"),
+    }
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/run.rs
@@ -0,0 +1,149 @@
+//! A run: fleet, balancers and load together, then the verdict and what was measured.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until};
+
+use crate::balancers::{Balancers, Program};
+use crate::fleet::{Book, Fleet};
+use crate::judge::{self, Broken};
+use crate::ledger::{Crash, Ledgers};
+use crate::load::{Door, follow};
+use crate::scenario::{Kind, Scenario};
+
+/// Between the moment when all is ready and the first arrival.
+const LEAD: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Why the run says nothing, if it does not.
+    pub void: Option<String>,
+    pub broken: Vec<Broken>,
+    pub schemes: Vec<Figures>,
+    pub postings: usize,
+}
+
+/// What became of one scheme's txns; times in milliseconds, from the intended send.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    pub name: String,
+    pub asked: usize,
+    pub settled: usize,
+    pub declined: usize,
+    pub reversed: usize,
+    pub unanswered: usize,
+    /// Settled within the SLA time.
+    pub in_time: usize,
+    pub p50: f64,
+    pub p99: f64,
+}
+
+/// Plays the scenario to balancers of that program. An error says why it could not be played at all.
+pub async fn play(program: Program, scenario: Scenario) -> io::Result<(Report, Ledgers)> {
+    let (scenario, book) = (Rc::new(scenario), Book::open());
+    let fleet = Rc::new(Fleet::start(book.clone(), scenario.fleet(), &scenario.rules, scenario.balancers)?);
+    let mut balancers = Balancers::start(program, &scenario, &fleet).await?;
+    let doors: Vec<Rc<Door>> = balancers.addresses.iter().map(|at| Door::new(*at)).collect();
+    let from = book.now() + LEAD.as_micros() as u64;
+    let mut kills = Vec::new();
+    for trouble in scenario.faults.clone() {
+        if trouble.kind == Kind::KillBalancer {
+            kills.push((from + (trouble.at * 1e6) as u64, trouble.which));
+        } else {
+            let fleet = fleet.clone();
+            spawn_local(async move { fleet.play(&trouble, from).await });
+        }
+    }
+    kills.sort_unstable();
+    let load = follow(&scenario, scenario.plan(), &doors, &book, from);
+    tokio::pin!(load);
+    let mut kills = kills.into_iter().peekable();
+    let mut gone = vec![false; doors.len()];
+    loop {
+        let next = kills.peek().map(|(at, _)| book.instant(*at));
+        tokio::select! {
+            () = &mut load => break,
+            () = sleep_until(next.unwrap_or_else(tokio::time::Instant::now)), if next.is_some() => {
+                let Some((_, which)) = kills.next() else { continue };
+                doors[which].kills.set(doors[which].kills.get() + 1);
+                balancers.kill_and_start(which).await?;
+            }
+            () = sleep(Duration::from_millis(100)) => {
+                for (balancer, status) in balancers.ended() {
+                    // Said once: a crash is a crash, not so many txns refused.
+                    if !std::mem::replace(&mut gone[balancer], true) {
+                        let crash = Crash { balancer: balancer as u32, at: book.now(), status };
+                        book.ledgers.borrow_mut().crashes.push(crash);
+                    }
+                }
+            }
+        }
+    }
+    let ledgers = book.ledgers.take();
+    Ok((report(&scenario, &ledgers), ledgers))
+}
+
+fn report(scenario: &Scenario, ledgers: &Ledgers) -> Report {
+    let schemes = (0..scenario.schemes.len()).map(|n| figures(scenario, ledgers, n)).collect();
+    let (void, broken) = (judge::void(ledgers), judge::judge(scenario, ledgers));
+    Report { void, broken, schemes, postings: ledgers.runs.len() }
+}
+
+fn figures(scenario: &Scenario, ledgers: &Ledgers, number: usize) -> Figures {
+    let scheme = &scenario.schemes[number];
+    let mut figures = Figures { name: scheme.name.clone(), ..Figures::default() };
+    // A minute at most, in microseconds, to three digits.
+    let Ok(mut times) = Histogram::<u64>::new_with_bounds(1, 120_000_000, 3) else { return figures };
+    for asked in ledgers.asked.iter().filter(|asked| asked.scheme == number) {
+        figures.asked += 1;
+        match (asked.answered, asked.status) {
+            (None, _) => figures.unanswered += 1,
+            (Some(at), 200) => {
+                let took = at.saturating_sub(asked.intended);
+                times.saturating_record(took);
+                figures.settled += 1;
+                figures.in_time += usize::from(took <= scheme.sla_ms * 1000);
+            }
+            (Some(_), 429 | 503) => figures.declined += 1,
+            (Some(_), _) => figures.reversed += 1,
+        }
+    }
+    figures.p50 = times.value_at_quantile(0.5) as f64 / 1000.0;
+    figures.p99 = times.value_at_quantile(0.99) as f64 / 1000.0;
+    figures
+}
+
+impl Report {
+    /// As people read it.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10}{:>10}\n",
+            "scheme", "asked", "settled", "in time", "declined", "reversed", "no answer", "p50 ms", "p99 ms"
+        );
+        for f in &self.schemes {
+            text += &format!(
+                "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10.1}{:>10.1}\n",
+                f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
+            );
+        }
+        text += &format!("{} postings\n", self.postings);
+        for broken in self.broken.iter().take(MOST_TOLD) {
+            text += &format!("broken, {}: {}\n", broken.rule, broken.what);
+        }
+        if self.broken.len() > MOST_TOLD {
+            text += &format!("and {} more\n", self.broken.len() - MOST_TOLD);
+        }
+        text + &match (&self.void, self.broken.is_empty()) {
+            (Some(why), _) => format!("void: {why}\n"),
+            (None, true) => "the rules held\n".into(),
+            (None, false) => "rules were broken\n".into(),
+        }
+    }
+}
+
+const MOST_TOLD: usize = 20;
--- /dev/null
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -0,0 +1,332 @@
+//! Scenarios: TOML to what is checked, and a seed to the arrivals. No I/O.
+
+use nanorand::{Rng, WyRand};
+use serde::{Deserialize, Serialize};
+
+/// What is wrong with a scenario: the key and the fault, in plain words.
+pub type Fault = String;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub seed: u64,
+    /// How long txns arrive; the run is over once the last of them has had its time.
+    pub seconds: f64,
+    pub balancers: u32,
+    #[serde(default)]
+    pub rules: Rules,
+    pub upstreams: Vec<Machine>,
+    pub schemes: Vec<Scheme>,
+    #[serde(default)]
+    pub faults: Vec<Trouble>,
+}
+
+/// The figures of the four rules, as the balancers are told them and as the judge holds them to.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    pub drain_grace_ms: u64,
+    pub cold_share: f64,
+    pub fall_multiple: f64,
+    pub fall_ms: u64,
+    pub warm_ms: u64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules { drain_grace_ms: 500, cold_share: 0.3, fall_multiple: 4.0, fall_ms: 2000, warm_ms: 5000 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    #[serde(default = "one")]
+    pub count: u32,
+    #[serde(default = "zone")]
+    pub zone: String,
+    #[serde(default = "one")]
+    pub cores: u32,
+    /// Work done in a second of one core, in seconds of a standard core.
+    #[serde(default = "speed")]
+    pub speed: f64,
+    /// Requests that may wait for a core; more are turned away as full.
+    #[serde(default = "waiting")]
+    pub waiting: usize,
+    /// Connections that it holds; more are closed as they come.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    #[serde(default)]
+    pub handshake_ms: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn zone() -> String {
+    "a".into()
+}
+
+fn speed() -> f64 {
+    1.0
+}
+
+fn waiting() -> usize {
+    32
+}
+
+fn connections() -> usize {
+    256
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scheme {
+    pub name: String,
+    pub effect: Effect,
+    pub sla_ms: u64,
+    pub expiry_ms: u64,
+    pub value: f64,
+    /// Txns a second over the whole fleet.
+    pub rate: f64,
+    pub work_ms: f64,
+    /// A part of the txns has ten times that work.
+    #[serde(default)]
+    pub heavy: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    Repeatable,
+    OnceOnly,
+}
+
+/// Something that goes wrong at a moment, for a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// Seconds from the first arrival.
+    pub at: f64,
+    /// Seconds that it lasts; no end where it is left out.
+    #[serde(rename = "for")]
+    pub lasts: Option<f64>,
+    pub kind: Kind,
+    /// Which upstream, or which balancer where one is killed; counted from 0.
+    #[serde(default)]
+    pub which: usize,
+    /// How many times slower.
+    #[serde(default = "factor")]
+    pub factor: f64,
+}
+
+fn factor() -> f64 {
+    8.0
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Work takes longer.
+    Slow,
+    /// Requests are taken and never answered.
+    Hang,
+    /// 500 at once.
+    Errors,
+    /// The process dies: connections reset, new ones refused; it comes back cold.
+    Kill,
+    /// Answers end in their midst.
+    Cut,
+    /// Answers are noise.
+    Spoil,
+    /// The list says that it leaves.
+    Drain,
+    /// Discovery ends its watches and answers 503.
+    DiscoveryDown,
+    /// A balancer is killed outright and started anew.
+    KillBalancer,
+}
+
+/// A txn that will be sent, as drawn ahead.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Planned {
+    pub id: String,
+    pub at_us: u64,
+    pub scheme: usize,
+    pub balancer: u32,
+    pub work_us: u64,
+}
+
+const MOST_SECONDS: f64 = 600.0;
+const MOST_TXNS: f64 = 2_000_000.0;
+const MOST_UPSTREAMS: u32 = 500;
+const MOST_BALANCERS: u32 = 64;
+
+impl Scenario {
+    /// All that is wrong, so that nobody mends one fault only to meet the next.
+    pub fn read(text: &str) -> Result<Scenario, Vec<Fault>> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| vec![e.to_string().trim().into()])?;
+        let faults = scenario.faults_found();
+        if faults.is_empty() { Ok(scenario) } else { Err(faults) }
+    }
+
+    fn faults_found(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut check = |ok: bool, fault: String| faults.extend((!ok).then_some(fault));
+        let within = |value: f64, least: f64, most: f64| value >= least && value <= most;
+        check(
+            within(self.seconds, 0.1, MOST_SECONDS),
+            format!("seconds: {}: 0.1 to 600 wanted", self.seconds),
+        );
+        check(
+            (1..=MOST_BALANCERS).contains(&self.balancers),
+            format!("balancers: {}: 1 to 64", self.balancers),
+        );
+        check(!self.upstreams.is_empty(), "upstreams: the fleet is empty".into());
+        check(!self.schemes.is_empty(), "schemes: there is none".into());
+        let all = self.upstreams.iter().map(|m| u64::from(m.count)).sum::<u64>();
+        check(all <= u64::from(MOST_UPSTREAMS), format!("upstreams: {all} in all: 500 at most"));
+        for (n, m) in self.upstreams.iter().enumerate() {
+            check(m.count >= 1, format!("upstreams[{n}].count: 0: 1 at least"));
+            check((1..=256).contains(&m.cores), format!("upstreams[{n}].cores: {}: 1 to 256", m.cores));
+            check(within(m.speed, 0.01, 100.0), format!("upstreams[{n}].speed: {}: 0.01 to 100", m.speed));
+            check(
+                within(m.handshake_ms, 0.0, 1000.0),
+                format!("upstreams[{n}].handshake_ms: {}: 0 to 1000", m.handshake_ms),
+            );
+        }
+        for (n, s) in self.schemes.iter().enumerate() {
+            let key = |key: &str| format!("schemes[{n}].{key}");
+            check(s.sla_ms >= 1, format!("{}: 0: 1 at least", key("sla_ms")));
+            check(s.expiry_ms <= 60_000, format!("{}: {}: 60000 at most", key("expiry_ms"), s.expiry_ms));
+            check(
+                s.expiry_ms >= s.sla_ms,
+                format!("{}: {} is less than sla_ms", key("expiry_ms"), s.expiry_ms),
+            );
+            check(within(s.rate, 0.0, 100_000.0), format!("{}: {:?}: 0 to 100000", key("rate"), s.rate));
+            check(
+                within(s.work_ms, 0.01, 60_000.0),
+                format!("{}: {}: 0.01 to 60000", key("work_ms"), s.work_ms),
+            );
+            check(within(s.heavy, 0.0, 1.0), format!("{}: {}: 0 to 1", key("heavy"), s.heavy));
+            check(within(s.value, 0.0, 1e6), format!("{}: {}: 0 to 1000000", key("value"), s.value));
+            check(
+                self.schemes[..n].iter().all(|o| o.name != s.name),
+                format!("{}: {:?} is there twice", key("name"), s.name),
+            );
+        }
+        let txns = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds;
+        check(txns <= MOST_TXNS, format!("schemes: {txns:?} txns in all: 2000000 at most"));
+        for (n, f) in self.faults.iter().enumerate() {
+            check(
+                within(f.at, 0.0, self.seconds),
+                format!("faults[{n}].at: {}: within the run wanted", f.at),
+            );
+            check(
+                f.lasts.is_none_or(|s| within(s, 0.0, MOST_SECONDS)),
+                format!("faults[{n}].for: {:?}: 0 to 600", f.lasts),
+            );
+            check(within(f.factor, 1.0, 1e6), format!("faults[{n}].factor: {}: 1 to 1000000", f.factor));
+            let there = match f.kind {
+                Kind::KillBalancer => u64::from(self.balancers),
+                Kind::DiscoveryDown => 1,
+                _ => all,
+            };
+            check((f.which as u64) < there, format!("faults[{n}].which: {}: there are {there}", f.which));
+        }
+        faults
+    }
+
+    /// The machines one by one.
+    pub fn fleet(&self) -> Vec<Machine> {
+        self.upstreams.iter().flat_map(|m| vec![m.clone(); m.count as usize]).collect()
+    }
+
+    /// All arrivals, drawn before anything is sent: a slow balancer can't slow its own load down. The same
+    /// scenario and seed give the same, byte for byte.
+    pub fn plan(&self) -> Vec<Planned> {
+        let mut plan = Vec::new();
+        for (number, scheme) in self.schemes.iter().enumerate().filter(|(_, s)| s.rate > 0.0) {
+            let mut rng = WyRand::new_seed(self.seed ^ ((number as u64 + 1) << 32));
+            let mut at = 0.0;
+            loop {
+                at += -(1.0 - rng.generate::<f64>()).ln() / scheme.rate;
+                if at >= self.seconds {
+                    break;
+                }
+                let heavy = if rng.generate::<f64>() < scheme.heavy { 10.0 } else { 1.0 };
+                let work = scheme.work_ms * 1000.0 * heavy * (0.5 + rng.generate::<f64>());
+                let balancer = rng.generate_range(0..self.balancers);
+                let (at_us, work_us) = ((at * 1e6) as u64, work as u64);
+                plan.push(Planned { id: String::new(), at_us, scheme: number, balancer, work_us });
+            }
+        }
+        plan.sort_by_key(|p| (p.at_us, p.scheme));
+        for (n, planned) in plan.iter_mut().enumerate() {
+            planned.id = format!("t{:x}-{n}", self.seed);
+        }
+        plan
+    }
+
+    pub fn longest_expiry_ms(&self) -> u64 {
+        self.schemes.iter().map(|s| s.expiry_ms).max().unwrap_or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use expect_test::expect;
+
+    use super::*;
+
+    const GOOD: &str = "seed = 1\nseconds = 2.0\nbalancers = 2\n[[upstreams]]\ncount = 2\n[[schemes]]\n\
+        name = \"s\"\neffect = \"once-only\"\nsla_ms = 100\nexpiry_ms = 300\nvalue = 1.0\nrate = 2.0\nwork_ms = 5.0\n";
+
+    #[test]
+    fn one_seed_draws_one_plan_and_another_a_different_one() {
+        let scenario = Scenario::read(GOOD).unwrap();
+        let text = |s: &Scenario| {
+            s.plan().iter().map(|p| serde_json::to_string(p).unwrap() + "\n").collect::<String>()
+        };
+        assert_eq!(text(&scenario), text(&scenario));
+        assert_ne!(text(&scenario), text(&Scenario { seed: 2, ..scenario.clone() }));
+        expect![[r#"
+            {"id":"t1-0","at_us":276463,"scheme":0,"balancer":1,"work_us":5449}
+            {"id":"t1-1","at_us":773601,"scheme":0,"balancer":0,"work_us":6973}
+            {"id":"t1-2","at_us":1215213,"scheme":0,"balancer":1,"work_us":4195}
+        "#]]
+        .assert_eq(&text(&scenario));
+    }
+
+    #[test]
+    fn every_fault_is_told_with_its_key() {
+        let mut trace = String::new();
+        for (from, to) in [
+            ("seconds = 2.0", "seconds = -1.0"),
+            ("balancers = 2", "balancers = 2000000000"),
+            ("count = 2", "count = 0\ncores = 0"),
+            ("rate = 2.0", "rate = 1e300"),
+            ("rate = 2.0", "rate = nan"),
+            ("expiry_ms = 300", "expiry_ms = 30"),
+            ("effect = \"once-only\"", "effect = \"often\""),
+            ("seed = 1", "seed = 1\nspeed = 3"),
+            ("work_ms = 5.0", "work_ms = 5.0\n[[faults]]\nat = 1.0\nkind = \"kill\"\nwhich = 2"),
+        ] {
+            let faults = Scenario::read(&GOOD.replacen(from, to, 1)).unwrap_err();
+            trace += &format!("{}\n", faults.join("; ").lines().last().unwrap_or_default());
+        }
+        expect![[r#"
+            seconds: -1: 0.1 to 600 wanted
+            balancers: 2000000000: 1 to 64
+            upstreams[0].count: 0: 1 at least; upstreams[0].cores: 0: 1 to 256
+            schemes[0].rate: 1e300: 0 to 100000; schemes: 2e300 txns in all: 2000000 at most
+            schemes[0].rate: NaN: 0 to 100000; schemes: NaN txns in all: 2000000 at most
+            schemes[0].expiry_ms: 30 is less than sla_ms
+            unknown variant `often`, expected `repeatable` or `once-only`
+            unknown field `speed`, expected one of `seed`, `seconds`, `balancers`, `rules`, `upstreams`, `schemes`, `faults`
+            faults[0].which: 2: there are 2
+        "#]]
+        .assert_eq(&trace);
+    }
+}
