The laboratory compares two builds, writes reports with plots and leaves no balancer behind

Need: to say what a change does, with its spread; and a laboratory killed outright left its balancers running. A fault that makes connections silent.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -1,13 +1,16 @@
 //! Balancers as real processes, started, killed and ended by their own ids.
 
+use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::Stdio;
+use std::os::fd::AsFd;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 
 use serde_json::json;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
@@ -20,6 +23,7 @@
 const NS: u64 = 1_000_000;
 
 /// What is started for each balancer.
+#[derive(Clone, Debug)]
 pub struct Program {
     pub path: PathBuf,
     pub arguments: Vec<String>,
@@ -27,6 +31,7 @@
 
 pub struct Balancers {
     program: Program,
+    guard: PathBuf,
     folder: TempDir,
     pub addresses: Vec<SocketAddr>,
     children: Vec<Child>,
@@ -34,9 +39,15 @@
 
 impl Balancers {
     /// Started, and each answering that it is ready.
-    pub async fn start(program: Program, scenario: &Scenario, fleet: &Fleet) -> io::Result<Balancers> {
-        let folder = tempfile::tempdir()?;
-        let mut balancers = Balancers { program, folder, addresses: Vec::new(), children: Vec::new() };
+    pub async fn start(program: &Program, scenario: &Scenario, fleet: &Fleet) -> io::Result<Balancers> {
+        let (folder, guard) = (tempfile::tempdir()?, std::env::current_exe()?);
+        let mut balancers = Balancers {
+            program: program.clone(),
+            guard,
+            folder,
+            addresses: Vec::new(),
+            children: Vec::new(),
+        };
         // All are held at once, or one could be given twice.
         let held: Vec<TcpListener> =
             (0..scenario.balancers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
@@ -60,13 +71,15 @@
 
     fn spawn(&self, number: u32) -> io::Result<Child> {
         let log = std::fs::File::options().create(true).append(true).open(self.file(number, "log"))?;
-        Command::new(&self.program.path)
+        Command::new(&self.guard)
+            .arg("guard")
+            .arg(&self.program.path)
             .args(&self.program.arguments)
             .env("RELAY_CONFIG", self.file(number, "json"))
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .kill_on_drop(true)
+            // Not killed when dropped: its standard input closes then, and it still has its balancer to end.
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
     }
@@ -91,7 +104,8 @@
 
     /// Killed outright, and started again with what it was given first.
     pub async fn kill_and_start(&mut self, number: usize) -> io::Result<()> {
-        self.children[number].kill().await?;
+        drop(self.children[number].stdin.take());
+        self.children[number].wait().await?;
         self.children[number] = self.spawn(number as u32)?;
         Ok(())
     }
@@ -103,6 +117,24 @@
     }
 }
 
+/// Starts the program and kills it as soon as nobody holds this process's standard input any more: a laboratory
+/// that is killed outright can end nothing itself, and its balancers would stay for good.
+pub async fn guard(path: &Path, arguments: &[String]) -> io::Result<ExitStatus> {
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+    let start = Command::new(path).args(arguments).stdin(Stdio::null()).kill_on_drop(true).spawn();
+    let mut child = start.map_err(named)?;
+    let mut held =
+        tokio::net::unix::pipe::Receiver::from_file(File::from(io::stdin().as_fd().try_clone_to_owned()?))?;
+    let mut none = [0];
+    tokio::select! {
+        ended = child.wait() => ended,
+        _ = held.read(&mut none) => {
+            child.kill().await?;
+            child.wait().await
+        }
+    }
+}
+
 async fn is_ready(address: SocketAddr) -> io::Result<bool> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
     wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -63,6 +63,7 @@
     waiting: Cell<usize>,
     open: Cell<usize>,
     held: Cell<usize>,
+    requests: Cell<u64>,
 }
 
 impl Upstream {
@@ -130,6 +131,11 @@
             let run =
                 Run { id, upstream: self.number, balancer, first_byte, last_byte, work, ..Run::default() };
             let entry = book.note(&run);
+            self.requests.set(self.requests.get() + 1);
+            if self.has(Kind::Silent).is_some_and(|one_in| self.requests.get().is_multiple_of(one_in as u64))
+            {
+                std::future::pending::<()>().await;
+            }
             let load = format!("Srv-Load: rif={}\r\n", self.held.get());
             if self.waiting.get() >= self.machine.waiting {
                 wire.write(&answer(503, "Srv-Declined: 1\r\n", "")).await?;
@@ -257,6 +263,7 @@
                 waiting: Cell::new(0),
                 open: Cell::new(0),
                 held: Cell::new(0),
+                requests: Cell::new(0),
             });
             let mut first = Some(first);
             for balancer in 0..balancers {
--- a/crates/pondlb-lab/src/lib.rs
+++ b/crates/pondlb-lab/src/lib.rs
@@ -2,10 +2,12 @@
 //! docs/lab.md tells why it is built like this.
 
 pub mod balancers;
+pub mod compare;
 pub mod fleet;
 pub mod http;
 pub mod judge;
 pub mod ledger;
 pub mod load;
+pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -5,7 +5,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use pondlb_lab::balancers::Program;
+use pondlb_lab::balancers::{Program, guard};
+use pondlb_lab::compare::{Pair, a_is_first, differences, table, value_in_time};
+use pondlb_lab::ledger::Ledgers;
+use pondlb_lab::report;
 use pondlb_lab::run::{Report, play};
 use pondlb_lab::scenario::Scenario;
 use tokio::runtime::Builder;
@@ -35,9 +38,38 @@
         /// The result as JSON in place of a table
         #[arg(long)]
         json: bool,
-        /// A folder for both sides' ledgers
+        /// A file for what clients, upstreams and discovery noted, as JSON
         #[arg(long)]
         ledgers: Option<PathBuf>,
+        /// A file for the report, with plots
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
+    /// Plays a scenario to two builds in turns and says what can be said of the difference
+    Compare {
+        scenario: PathBuf,
+        /// One balancer's program
+        #[arg(long)]
+        a: PathBuf,
+        /// The other's
+        #[arg(long)]
+        b: PathBuf,
+        /// Seeds, from the scenario's own on; each is played to both
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u32).range(1..=100))]
+        rounds: u32,
+        /// The result as JSON in place of a table
+        #[arg(long)]
+        json: bool,
+        /// A file for the report of the first seed, both sides
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
+    /// Holds one balancer for a run, and ends it with the run
+    #[command(hide = true)]
+    Guard {
+        program: PathBuf,
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<String>,
     },
     /// Says what is wrong with a scenario, or what it would send
     Check {
@@ -51,6 +83,8 @@
 const BROKEN: u8 = 1;
 const BAD_INPUT: u8 = 2;
 const VOID: u8 = 3;
+/// What a shell says of a program that a signal ended.
+const KILLED: u8 = 137;
 
 fn main() -> ExitCode {
     match told(Line::parse().command) {
@@ -64,6 +98,11 @@
 
 fn told(command: Command) -> Result<u8, String> {
     match command {
+        Command::Guard { program, arguments } => {
+            let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+            let ended = runtime.block_on(guard(&program, &arguments)).map_err(|e| e.to_string())?;
+            Ok(ended.code().and_then(|code| u8::try_from(code).ok()).unwrap_or(KILLED))
+        }
         Command::Check { scenario, plan } => {
             let scenario = read(&scenario)?;
             let arrivals = scenario.plan();
@@ -80,41 +119,87 @@
             }
             Ok(0)
         }
-        Command::Run { scenario, program, argument, seed, json, ledgers } => {
+        Command::Run { scenario, program, argument, seed, json, ledgers, html } => {
             let mut scenario = read(&scenario)?;
-            let program = Program { path: program, arguments: argument };
             scenario.seed = seed.unwrap_or(scenario.seed);
-            let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-            let (report, kept) = LocalSet::new()
-                .block_on(&runtime, async {
-                    tokio::select! {
-                        played = play(program, scenario) => played,
-                        _ = tokio::signal::ctrl_c() => Err(std::io::Error::other("interrupted")),
-                    }
-                })
-                .map_err(|e| e.to_string())?;
-            if let Some(folder) = ledgers {
-                let text = serde_json::to_string(&kept).map_err(|e| e.to_string())?;
-                let written = std::fs::create_dir_all(&folder)
-                    .and_then(|()| std::fs::write(folder.join("ledgers.json"), text));
-                written.map_err(|e| format!("{}: {e}", folder.display()))?;
+            let program = Program { path: program, arguments: argument };
+            let (report, kept) = played(&program, scenario.clone())?;
+            if let Some(path) = ledgers {
+                written(&path, &serde_json::to_string(&kept).map_err(|e| e.to_string())?)?;
+            }
+            if let Some(path) = html {
+                written(&path, &report::html(&scenario, &[(program.path.display().to_string(), &report)])?)?;
             }
             if json {
                 println!("{}", serde_json::to_string(&report).map_err(|e| e.to_string())?);
             } else {
                 print!("{}", report.table());
             }
-            Ok(code(&report))
+            Ok(code(&[&report]))
+        }
+        Command::Compare { scenario, a, b, rounds, json, html } => {
+            let scenario = read(&scenario)?;
+            let program = |path: &PathBuf| Program { path: path.clone(), arguments: Vec::new() };
+            let (first, second) = (program(&a), program(&b));
+            let mut pairs = Vec::new();
+            for round in 0..rounds {
+                let mut scenario = scenario.clone();
+                scenario.seed = scenario.seed.wrapping_add(u64::from(round));
+                let play = |program| played(program, scenario.clone()).map(|(report, _)| report);
+                let (a, b) = if a_is_first(round as usize) {
+                    let a = play(&first)?;
+                    (a, play(&second)?)
+                } else {
+                    let b = play(&second)?;
+                    (play(&first)?, b)
+                };
+                eprintln!(
+                    "seed {}: value in time {:.3} and {:.3}",
+                    scenario.seed,
+                    value_in_time(&scenario, &a),
+                    value_in_time(&scenario, &b)
+                );
+                pairs.push(Pair { seed: scenario.seed, a, b });
+            }
+            let found = differences(&scenario, &pairs);
+            if json {
+                println!("{}", serde_json::to_string(&found).map_err(|e| e.to_string())?);
+            } else {
+                print!("{}", table(&found, &pairs));
+            }
+            if let (Some(path), Some(pair)) = (html, pairs.first()) {
+                let sides =
+                    [(format!("a: {}", a.display()), &pair.a), (format!("b: {}", b.display()), &pair.b)];
+                written(&path, &report::html(&scenario, &sides)?)?;
+            }
+            let sound: Vec<&Report> =
+                pairs.iter().flat_map(|p| [&p.a, &p.b]).filter(|r| r.void.is_none()).collect();
+            Ok(if sound.is_empty() { VOID } else { code(&sound) })
         }
     }
 }
 
+fn played(program: &Program, scenario: Scenario) -> Result<(Report, Ledgers), String> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let run = async {
+        tokio::select! {
+            played = play(program, scenario) => played,
+            _ = tokio::signal::ctrl_c() => Err(std::io::Error::other("interrupted")),
+        }
+    };
+    LocalSet::new().block_on(&runtime, run).map_err(|e| e.to_string())
+}
+
+fn written(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 /// A rule that is seen to be broken is broken on a slow machine too, but for times; so void comes first.
-fn code(report: &Report) -> u8 {
-    match (&report.void, report.broken.is_empty()) {
-        (Some(_), _) => VOID,
-        (None, false) => BROKEN,
-        (None, true) => 0,
+fn code(reports: &[&Report]) -> u8 {
+    match reports.iter().any(|report| report.void.is_some()) {
+        true => VOID,
+        false if reports.iter().any(|report| !report.broken.is_empty()) => BROKEN,
+        false => 0,
     }
 }
 
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -14,6 +14,7 @@
 use crate::judge::{self, Broken};
 use crate::ledger::{Crash, Ledgers};
 use crate::load::{Door, follow};
+use crate::report::Times;
 use crate::scenario::{Kind, Scenario};
 
 /// Between the moment when all is ready and the first arrival.
@@ -26,6 +27,7 @@
     pub broken: Vec<Broken>,
     pub schemes: Vec<Figures>,
     pub postings: usize,
+    pub times: Times,
 }
 
 /// What became of one scheme's txns; times in milliseconds, from the intended send.
@@ -44,7 +46,7 @@
 }
 
 /// Plays the scenario to balancers of that program. An error says why it could not be played at all.
-pub async fn play(program: Program, scenario: Scenario) -> io::Result<(Report, Ledgers)> {
+pub async fn play(program: &Program, scenario: Scenario) -> io::Result<(Report, Ledgers)> {
     let (scenario, book) = (Rc::new(scenario), Book::open());
     let fleet = Rc::new(Fleet::start(book.clone(), scenario.fleet(), &scenario.rules, scenario.balancers)?);
     let mut balancers = Balancers::start(program, &scenario, &fleet).await?;
@@ -85,13 +87,14 @@
         }
     }
     let ledgers = book.ledgers.take();
-    Ok((report(&scenario, &ledgers), ledgers))
+    Ok((report(&scenario, &ledgers, from), ledgers))
 }
 
-fn report(scenario: &Scenario, ledgers: &Ledgers) -> Report {
+fn report(scenario: &Scenario, ledgers: &Ledgers, from: u64) -> Report {
     let schemes = (0..scenario.schemes.len()).map(|n| figures(scenario, ledgers, n)).collect();
     let (void, broken) = (judge::void(ledgers), judge::judge(scenario, ledgers));
-    Report { void, broken, schemes, postings: ledgers.runs.len() }
+    let times = Times::of(scenario, ledgers, from);
+    Report { void, broken, schemes, postings: ledgers.runs.len(), times }
 }
 
 fn figures(scenario: &Scenario, ledgers: &Ledgers, number: usize) -> Figures {
@@ -122,12 +125,12 @@
     /// As people read it.
     pub fn table(&self) -> String {
         let mut text = format!(
-            "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10}{:>10}\n",
+            "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>11}{:>10}{:>10}\n",
             "scheme", "asked", "settled", "in time", "declined", "reversed", "no answer", "p50 ms", "p99 ms"
         );
         for f in &self.schemes {
             text += &format!(
-                "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>9}{:>10.1}{:>10.1}\n",
+                "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>11}{:>10.1}{:>10.1}\n",
                 f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
             );
         }
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -116,7 +116,7 @@
     /// Which upstream, or which balancer where one is killed; counted from 0.
     #[serde(default)]
     pub which: usize,
-    /// How many times slower.
+    /// How many times slower; for silent connections, one in how many requests.
     #[serde(default = "factor")]
     pub factor: f64,
 }
@@ -140,6 +140,8 @@
     Cut,
     /// Answers are noise.
     Spoil,
+    /// Every `factor`th request's connection says nothing from then on; the request never runs.
+    Silent,
     /// The list says that it leaves.
     Drain,
     /// Discovery ends its watches and answers 503.
--- a/crates/pondlb-lab/tests/judged.rs
+++ b/crates/pondlb-lab/tests/judged.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::thread;
+use std::time::Duration;
 
 use expect_test::expect;
 
@@ -103,6 +104,39 @@
         crashes: exit 1, "crash"
     "#]]
     .assert_eq(&trace);
+    assert!(comes(|| faults.iter().all(|(fault, _)| planted(fault) == 0)), "a balancer lives on");
+}
+
+/// The danger is a machine full of balancers that nobody ends.
+#[test]
+fn a_laboratory_killed_outright_leaves_no_balancer_behind() {
+    let folder = tempfile::tempdir().unwrap();
+    let scenario = file(folder.path(), "s.toml", &SCENARIO.replace("seconds = 2.5", "seconds = 60.0"));
+    let line =
+        ["run", &scenario, "--program", env!("CARGO_BIN_EXE_pondlb-planted"), "--argument", "left-behind"];
+    let mut run = Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).args(line).spawn().unwrap();
+    assert!(comes(|| planted("left-behind") == 1), "the balancer never came up");
+    run.kill().unwrap();
+    run.wait().unwrap();
+    assert!(comes(|| planted("left-behind") == 0), "the balancer lives on");
+}
+
+/// Whether it is so within five seconds.
+fn comes(so: impl Fn() -> bool) -> bool {
+    (0..100).any(|_| {
+        thread::sleep(Duration::from_millis(50));
+        so()
+    })
+}
+
+/// How many planted balancers run with that argument.
+fn planted(argument: &str) -> usize {
+    let lines = std::fs::read_dir("/proc")
+        .unwrap()
+        .flatten()
+        .filter_map(|entry| std::fs::read_to_string(entry.path().join("cmdline")).ok());
+    let path = env!("CARGO_BIN_EXE_pondlb-planted");
+    lines.filter(|line| *line == format!("{path}\0{argument}\0")).count()
 }
 
 #[test]
@@ -140,7 +174,7 @@
         11 | hearts = 2
            | ^^^^^^
         unknown field `hearts`, expected one of `count`, `zone`, `cores`, `speed`, `waiting`, `connections`, `handshake_ms`
-        2: /nowhere: No such file or directory (os error 2)
+        2: balancer 0 ended before it served, exit status: 2: /nowhere: No such file or directory (os error 2)
         2: balancer 0 ended before it served, exit status: 1:
     "#]]
     .assert_eq(&trace);
