--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -1,11 +1,14 @@
 //! The program from start to exit.
 
+mod line;
 mod phase;
 mod service;
 mod setup;
 
 use std::process::ExitCode;
 
+use clap::Parser;
+use line::{Command, Line};
 pub use phase::Phase;
 use service::Service;
 use setup::Setup;
@@ -18,12 +21,24 @@
 const CANNOT_SERVE: u8 = 1;
 
 pub fn main() -> ExitCode {
+    match Line::parse().command {
+        None | Some(Command::Serve) => serve(),
+        Some(Command::Check { file }) => check(file),
+        Some(Command::Explain { key }) => explain(key.as_deref()),
+    }
+}
+
+fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn serve() -> ExitCode {
     let wanted = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(wanted).format_timestamp_millis().init();
-    let setup = match Setup::read(|name| std::env::var(name).ok()) {
+    let setup = match Setup::read(environment) {
         Ok(setup) => setup,
-        Err(fault) => {
-            log::error!("configuration: {fault}");
+        Err(faults) => {
+            faults.iter().for_each(|fault| log::error!("configuration: {fault}"));
             return ExitCode::from(BAD_CONFIGURATION);
         }
     };
@@ -39,3 +54,36 @@
         }
     }
 }
+
+fn check(file: Option<String>) -> ExitCode {
+    let from = |name: &str| file.clone().filter(|_| name == "RELAY_CONFIG").or_else(|| environment(name));
+    match Setup::read(from) {
+        Ok(setup) => {
+            let schemes = setup.deployment.names.schemes.join(", ");
+            println!("{} would listen on {} and ask {}", setup.name, setup.listen, setup.discovery);
+            println!("upstreams known: {}; schemes: {schemes}", setup.known.targets.len());
+            ExitCode::SUCCESS
+        }
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            ExitCode::from(BAD_CONFIGURATION)
+        }
+    }
+}
+
+fn explain(key: Option<&str>) -> ExitCode {
+    let keys = line::keys();
+    let Some(key) = key else {
+        keys.iter().for_each(|(name, _)| println!("{name}"));
+        return ExitCode::SUCCESS;
+    };
+    let wanted = key.strip_prefix("settings.").unwrap_or(key);
+    let is_meant = |name: &str| name == wanted || name.rsplit('.').next() == Some(wanted);
+    let found: Vec<_> = keys.iter().filter(|(name, _)| is_meant(name)).collect();
+    found.iter().for_each(|(name, meaning)| println!("{name}: {meaning}"));
+    if found.is_empty() {
+        eprintln!("{key}: no such key; `explain` by itself lists them");
+        return ExitCode::from(BAD_CONFIGURATION);
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -153,7 +153,9 @@
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
             Ok(setup) => setup,
-            Err(fault) => return log::error!("configuration: {fault}; the one before stays in force"),
+            Err(faults) => {
+                return log::error!("configuration: {}; the one before stays in force", faults.join("; "));
+            }
         };
         let given = setup.given();
         for key in given.changed_since(&self.given) {
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -90,31 +90,39 @@
 const FEW_TXNS: u64 = 4;
 
 impl Setup {
-    /// `env` looks up a variable of the environment; what the file leaves out may stand there.
-    pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Setup, String> {
-        let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        let file: File = decode(&text)?;
+    /// `env` looks up a variable of the environment; what the file leaves out may stand there. All that is wrong
+    /// is told, so that nobody mends one fault only to meet the next.
+    pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Setup, Vec<String>> {
+        let path = env("RELAY_CONFIG").ok_or_else(|| vec!["RELAY_CONFIG is not set".to_string()])?;
+        let text = std::fs::read_to_string(&path).map_err(|e| vec![format!("RELAY_CONFIG: {path}: {e}")])?;
+        let file: File = decode(&text).map_err(|fault| vec![fault])?;
         let address = |given: Option<SocketAddr>, key: &str, variable: &str| match (given, env(variable)) {
             (Some(address), _) => Ok(address),
             (None, Some(text)) => text.parse().map_err(|e| format!("{variable}: {text:?}: {e}")),
             (None, None) => Err(format!("{key} is missing, and {variable} is not set")),
         };
-        let known = file.known.map(|known| Roster::decode(known.get().as_bytes()));
-        let mut known = known.transpose().map_err(|e| format!("known: {e}"))?.unwrap_or_default();
+        let mut faults = Vec::new();
+        let listen = noted(&mut faults, address(file.listen, "listen", "RELAY_LISTEN"));
+        let discovery = noted(&mut faults, address(file.discovery, "discovery", "RELAY_DISCOVERY"));
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed));
+        let seed = noted(&mut faults, seed);
+        let budget = noted(&mut faults, Budget::of(&file.limits));
+        let known = file.known.map(|known| Roster::decode(known.get().as_bytes())).transpose();
+        let known = noted(&mut faults, known.map_err(|e| format!("known: {e}")));
+        let terms = pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
+        let deployment = noted(&mut faults, terms);
+        let (Some(listen), Some(discovery), Some(seed)) = (listen, discovery, seed) else {
+            return Err(faults);
+        };
+        let (Some(budget), Some(known), Some(deployment)) = (budget, known, deployment) else {
+            return Err(faults);
+        };
+        let mut known = known.unwrap_or_default();
         // It stands for all that was known, whatever its last call brought.
         known.whole = true;
         log::debug!("settings {}", file.settings.get());
-        Ok(Setup {
-            listen: address(file.listen, "listen", "RELAY_LISTEN")?,
-            discovery: address(file.discovery, "discovery", "RELAY_DISCOVERY")?,
-            name: file.name.or_else(|| env("RELAY_NAME")).unwrap_or_else(|| "pondlb".into()),
-            seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed))?,
-            budget: Budget::of(&file.limits)?,
-            known,
-            deployment: pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"))?,
-            settings: file.settings,
-        })
+        let name = file.name.or_else(|| env("RELAY_NAME")).unwrap_or_else(|| "pondlb".into());
+        Ok(Setup { name, listen, discovery, seed, budget, known, deployment, settings: file.settings })
     }
 
     pub fn given(&self) -> Given {
@@ -142,6 +150,10 @@
     }
 }
 
+fn noted<T>(faults: &mut Vec<String>, read: Result<T, String>) -> Option<T> {
+    read.map_err(|fault| faults.push(fault)).ok()
+}
+
 fn decode<T: DeserializeOwned>(text: &str) -> Result<T, String> {
     let mut reader = serde_json::Deserializer::from_str(text);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -7,6 +7,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use expect_test::expect;
 use helper::*;
 
 const MS: Duration = Duration::from_millis(1);
@@ -566,6 +567,44 @@
     assert_eq!(child.wait().unwrap().code(), Some(1));
 }
 
+#[test]
+fn the_command_line_says_all_faults_of_a_file_and_what_a_key_means() {
+    let mut plan = Plan::with(&[]);
+    plan.discovery = SocketAddr::from(([127, 0, 0, 1], 9));
+    let good = plan.configuration();
+    let bad =
+        good.replacen("8c1f30d27a5be964", "seed", 1).replacen("\"memory_mb\":192", "\"memory_mb\":1", 1);
+    let (good, bad) = (place(&good), place(&bad));
+    let mut trace = String::new();
+    for line in [
+        vec!["check", good.to_str().unwrap()],
+        vec!["check", bad.to_str().unwrap()],
+        vec!["check", "/nowhere"],
+        vec!["check"],
+        vec!["explain", "settings.Limits.MaxOpen"],
+        vec!["explain", "sockets"],
+        vec!["explain", "sokets"],
+    ] {
+        let program =
+            std::process::Command::new(env!("CARGO_BIN_EXE_pondlb-server")).env_clear().args(&line).output();
+        let out = program.unwrap();
+        let said = String::from_utf8([out.stdout, out.stderr].concat()).unwrap();
+        trace += &format!("{}: {}\n", out.status.code().unwrap(), said.trim());
+    }
+    expect![[r#"
+        0: n0 would listen on 127.0.0.1:0 and ask 127.0.0.1:9
+        upstreams known: 0; schemes: browse, order
+        2: seed: "seed": invalid digit found in string
+        limits.memory_mb: 1 are too few to serve
+        2: RELAY_CONFIG: /nowhere: No such file or directory (os error 2)
+        2: RELAY_CONFIG is not set
+        0: Limits.MaxOpen: requests open at once
+        0: limits.sockets: descriptors; bounds the connections (where nothing is said: 1024)
+        2: sokets: no such key; `explain` by itself lists them
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn a_remembered_list_of_thousands_most_of_them_gone_serves_until_the_list_comes() {
     let (upstream, discovery) = (Upstream::start(HELLO), Discovery::start());
