The laboratory plays bursts, lost zones and upstreams replaced at their own address

Change: `[[bursts]]`, `kill-zone`, `replace`; drains are judged by uid, so that the one in place may be posted to.

--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -58,6 +58,8 @@
     /// When the present process started; none where it has been up since long ago.
     boot: Cell<Option<u64>>,
     alive: watch::Sender<bool>,
+    /// How many have been replaced here; each has a uid of its own.
+    life: Cell<u32>,
     /// When each core is free again.
     free: RefCell<Vec<u64>>,
     waiting: Cell<usize>,
@@ -128,8 +130,8 @@
             let last_byte = book.now();
             let id = request.field("Req-Id").unwrap_or_default().to_string();
             let work = request.field("Req-Cost").and_then(|c| c.parse().ok()).unwrap_or_default();
-            let run =
-                Run { id, upstream: self.number, balancer, first_byte, last_byte, work, ..Run::default() };
+            let (upstream, life) = (self.number, self.life.get());
+            let run = Run { id, upstream, life, balancer, first_byte, last_byte, work, ..Run::default() };
             let entry = book.note(&run);
             self.requests.set(self.requests.get() + 1);
             if self.has(Kind::Silent).is_some_and(|one_in| self.requests.get().is_multiple_of(one_in as u64))
@@ -224,6 +226,9 @@
     socket.listen(1024)
 }
 
+/// Between the end of an upstream's process and the start of the one in its place.
+const REPLACED_AFTER: u64 = 100_000;
+
 pub struct Fleet {
     pub book: Rc<Book>,
     pub upstreams: Vec<Rc<Upstream>>,
@@ -260,6 +265,7 @@
                 faults: RefCell::default(),
                 boot: Cell::new(None),
                 alive: watch::channel(true).0,
+                life: Cell::new(0),
                 waiting: Cell::new(0),
                 open: Cell::new(0),
                 held: Cell::new(0),
@@ -298,9 +304,11 @@
         let at = from + (trouble.at * 1e6) as u64;
         sleep_until(self.book.instant(at)).await;
         let Some(upstream) = self.upstreams.get(trouble.which) else { return };
+        let in_zone = self.upstreams.iter().filter(|up| up.machine.zone == trouble.zone);
         match trouble.kind {
             Kind::Kill => upstream.die(),
-            Kind::Drain => self.state.leaves(trouble.which),
+            Kind::KillZone => in_zone.clone().for_each(|up| up.die()),
+            Kind::Drain | Kind::Replace => self.state.leaves(trouble.which),
             Kind::DiscoveryDown => self.state.down.set(true),
             kind => upstream.faults.borrow_mut().push((kind, trouble.factor)),
         }
@@ -312,6 +320,18 @@
                 upstream.boot(&self.book);
                 self.state.news();
             }
+            Kind::KillZone => {
+                in_zone.for_each(|up| up.boot(&self.book));
+                self.state.news();
+            }
+            Kind::Replace => {
+                upstream.die();
+                // Its tasks have to see that it died before another listens there.
+                sleep_until(self.book.instant(self.book.now() + REPLACED_AFTER)).await;
+                upstream.life.set(upstream.life.get() + 1);
+                upstream.boot(&self.book);
+                self.state.stays(trouble.which);
+            }
             Kind::Drain => {}
             Kind::DiscoveryDown => self.state.down.set(false),
             kind => upstream.faults.borrow_mut().retain(|(k, _)| *k != kind),
@@ -331,6 +351,11 @@
         self.changed.notify_waiters();
     }
 
+    fn stays(&self, which: usize) {
+        self.leaves.borrow_mut()[which] = None;
+        self.news();
+    }
+
     fn leaves(&self, which: usize) {
         self.news();
         self.leaves.borrow_mut()[which] = Some(self.version.get());
@@ -340,7 +365,7 @@
         let entry = |(number, up): (usize, &Rc<Upstream>)| {
             let leaves = self.leaves.borrow()[number].is_some();
             json!({
-                "uid": format!("u{number}"), "endpoint": up.address_of(balancer).to_string(),
+                "uid": format!("u{number}-{}", up.life.get()), "endpoint": up.address_of(balancer).to_string(),
                 "az": up.machine.zone, "model": "m", "state": if leaves { "leaving" } else { "active" },
                 "capacity_hint": f64::from(up.machine.cores) * up.machine.speed,
                 "boot_ms": up.boot.get().map_or(0, |at| book.unix_ms + at / 1000),
@@ -379,8 +404,10 @@
             }
             let (at, mut ledgers) = (book.now(), book.ledgers.borrow_mut());
             for upstream in leaving {
-                if !ledgers.told.iter().any(|t| (t.balancer, t.upstream) == (balancer, upstream)) {
-                    ledgers.told.push(Told { balancer, upstream, at });
+                let life = upstreams[upstream].life.get();
+                let is_it = |t: &Told| (t.balancer, t.upstream, t.life) == (balancer, upstream, life);
+                if !ledgers.told.iter().any(is_it) {
+                    ledgers.told.push(Told { balancer, upstream, life, at });
                 }
             }
         }
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -99,7 +99,8 @@
 fn drains(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
     let grace = scenario.rules.drain_grace_ms * 1000 + SLACK;
     let late = |told: &Told| {
-        let mine = |run: &&Run| run.upstream == told.upstream && run.balancer == told.balancer;
+        let mine =
+            |run: &&Run| (run.upstream, run.life, run.balancer) == (told.upstream, told.life, told.balancer);
         ledgers.runs.iter().filter(mine).find(|run| run.first_byte > told.at + grace).map(|run| Broken {
             rule: "3 drains",
             what: format!(
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -27,6 +27,8 @@
 pub struct Run {
     pub id: String,
     pub upstream: usize,
+    /// How many of its processes there had been before under other uids.
+    pub life: u32,
     pub balancer: u32,
     pub first_byte: u64,
     pub last_byte: u64,
@@ -42,6 +44,7 @@
 pub struct Told {
     pub balancer: u32,
     pub upstream: usize,
+    pub life: u32,
     pub at: u64,
 }
 
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -19,6 +19,18 @@
     pub schemes: Vec<Scheme>,
     #[serde(default)]
     pub faults: Vec<Trouble>,
+    #[serde(default)]
+    pub bursts: Vec<Burst>,
+}
+
+/// More of everything for a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    pub at: f64,
+    #[serde(rename = "for")]
+    pub lasts: f64,
+    pub times: f64,
 }
 
 /// The figures of the four rules, as the balancers are told them and as the judge holds them to.
@@ -116,6 +128,9 @@
     /// Which upstream, or which balancer where one is killed; counted from 0.
     #[serde(default)]
     pub which: usize,
+    /// Which zone, where one is lost.
+    #[serde(default)]
+    pub zone: String,
     /// How many times slower; for silent connections, one in how many requests.
     #[serde(default = "factor")]
     pub factor: f64,
@@ -142,8 +157,12 @@
     Spoil,
     /// Every `factor`th request's connection says nothing from then on; the request never runs.
     Silent,
+    /// All upstreams of a zone die, and come back cold.
+    KillZone,
     /// The list says that it leaves.
     Drain,
+    /// The same, and then it ends; another comes under a new uid at its address, cold.
+    Replace,
     /// Discovery ends its watches and answers 503.
     DiscoveryDown,
     /// A balancer is killed outright and started anew.
@@ -218,9 +237,21 @@
                 format!("{}: {:?} is there twice", key("name"), s.name),
             );
         }
-        let txns = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds;
+        let txns = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds * self.most_times();
         check(txns <= MOST_TXNS, format!("schemes: {txns:?} txns in all: 2000000 at most"));
+        for (n, b) in self.bursts.iter().enumerate() {
+            check(
+                within(b.at, 0.0, self.seconds),
+                format!("bursts[{n}].at: {}: within the run wanted", b.at),
+            );
+            check(within(b.lasts, 0.0, MOST_SECONDS), format!("bursts[{n}].for: {}: 0 to 600", b.lasts));
+            check(within(b.times, 1.0, 100.0), format!("bursts[{n}].times: {}: 1 to 100", b.times));
+        }
         for (n, f) in self.faults.iter().enumerate() {
+            let is_zone = f.kind != Kind::KillZone || self.upstreams.iter().any(|m| m.zone == f.zone);
+            check(is_zone, format!("faults[{n}].zone: {:?}: no upstream is there", f.zone));
+            let ends = f.kind != Kind::Replace || f.lasts.is_some();
+            check(ends, format!("faults[{n}].for: missing: how long the old one has to end"));
             check(
                 within(f.at, 0.0, self.seconds),
                 format!("faults[{n}].at: {}: within the run wanted", f.at),
@@ -253,10 +284,14 @@
             let mut rng = WyRand::new_seed(self.seed ^ ((number as u64 + 1) << 32));
             let mut at = 0.0;
             loop {
-                at += -(1.0 - rng.generate::<f64>()).ln() / scheme.rate;
+                at += -(1.0 - rng.generate::<f64>()).ln() / (scheme.rate * self.most_times());
                 if at >= self.seconds {
                     break;
                 }
+                // Drawn at the highest rate, and kept as often as the present one is of that.
+                if rng.generate::<f64>() * self.most_times() >= self.times(at) {
+                    continue;
+                }
                 let heavy = if rng.generate::<f64>() < scheme.heavy { 10.0 } else { 1.0 };
                 let work = scheme.work_ms * 1000.0 * heavy * (0.5 + rng.generate::<f64>());
                 let balancer = rng.generate_range(0..self.balancers);
@@ -271,8 +306,13 @@
         plan
     }
 
-    pub fn longest_expiry_ms(&self) -> u64 {
-        self.schemes.iter().map(|s| s.expiry_ms).max().unwrap_or_default()
+    fn times(&self, at: f64) -> f64 {
+        let on = self.bursts.iter().filter(|b| (b.at..b.at + b.lasts).contains(&at));
+        on.map(|b| b.times).fold(1.0, f64::max)
+    }
+
+    fn most_times(&self) -> f64 {
+        self.bursts.iter().map(|b| b.times).fold(1.0, f64::max)
     }
 }
 
@@ -294,9 +334,11 @@
         assert_eq!(text(&scenario), text(&scenario));
         assert_ne!(text(&scenario), text(&Scenario { seed: 2, ..scenario.clone() }));
         expect![[r#"
-            {"id":"t1-0","at_us":276463,"scheme":0,"balancer":1,"work_us":5449}
-            {"id":"t1-1","at_us":773601,"scheme":0,"balancer":0,"work_us":6973}
-            {"id":"t1-2","at_us":1215213,"scheme":0,"balancer":1,"work_us":4195}
+            {"id":"t1-0","at_us":276463,"scheme":0,"balancer":1,"work_us":3292}
+            {"id":"t1-1","at_us":637172,"scheme":0,"balancer":0,"work_us":5432}
+            {"id":"t1-2","at_us":844290,"scheme":0,"balancer":0,"work_us":6765}
+            {"id":"t1-3","at_us":1300721,"scheme":0,"balancer":0,"work_us":2751}
+            {"id":"t1-4","at_us":1956730,"scheme":0,"balancer":0,"work_us":6458}
         "#]]
         .assert_eq(&text(&scenario));
     }
@@ -326,7 +368,7 @@
             schemes[0].rate: NaN: 0 to 100000; schemes: NaN txns in all: 2000000 at most
             schemes[0].expiry_ms: 30 is less than sla_ms
             unknown variant `often`, expected `repeatable` or `once-only`
-            unknown field `speed`, expected one of `seed`, `seconds`, `balancers`, `rules`, `upstreams`, `schemes`, `faults`
+            unknown field `speed`, expected one of `seed`, `seconds`, `balancers`, `rules`, `upstreams`, `schemes`, `faults`, `bursts`
             faults[0].which: 2: there are 2
         "#]]
         .assert_eq(&trace);
--- a/crates/pondlb-lab/tests/judged.rs
+++ b/crates/pondlb-lab/tests/judged.rs
@@ -165,7 +165,7 @@
         trace += &format!("{}: {}\n", out.status.code().unwrap(), said.trim());
     }
     expect![[r#"
-        0: 290 txns in 2.5 s to 1 balancers and 3 upstreams
+        0: 249 txns in 2.5 s to 1 balancers and 3 upstreams
         2: /missing.toml: No such file or directory (os error 2)
         2: /empty.toml: upstreams: the fleet is empty
         /empty.toml: schemes: there is none
