--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -40,6 +40,12 @@
         self.start + Duration::from_micros(at)
     }
 
+    /// Waits a little: what can't be accepted stands there still, and to try at once would spin.
+    async fn ran_short(&self) {
+        self.ledgers.borrow_mut().short += 1;
+        sleep_until(Instant::now() + Duration::from_millis(10)).await;
+    }
+
     fn note(&self, run: &Run) -> usize {
         let mut ledgers = self.ledgers.borrow_mut();
         ledgers.runs.push(run.clone());
@@ -93,7 +99,10 @@
             };
             tokio::select! {
                 came = open.accept() => {
-                    let Ok((stream, _)) = came else { continue };
+                    let Ok((stream, _)) = came else {
+                        book.ran_short().await;
+                        continue;
+                    };
                     if self.open.get() < self.machine.connections {
                         spawn_local(self.clone().serve(book.clone(), stream, balancer));
                     }
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -21,6 +21,9 @@
 
 /// Why the run says nothing, if it does not.
 pub fn void(ledgers: &Ledgers) -> Option<String> {
+    if ledgers.short > 0 {
+        return Some(format!("the laboratory ran out of descriptors, {} times", ledgers.short));
+    }
     let late = ledgers.late.iter().filter(|late| **late > LATE).count();
     (100 * late > ledgers.late.len()).then(|| {
         format!("{late} of {} sends and ticks were over {} ms late", ledgers.late.len(), LATE / 1000)
@@ -162,11 +165,13 @@
             let times = (0..100).map(|n| if n < count { late } else { 300 }).collect();
             trace += &format!("{:?}\n", void(&Ledgers { late: times, ..Ledgers::default() }));
         }
+        trace += &format!("{:?}\n", void(&Ledgers { short: 3, ..Ledgers::default() }));
         expect![[r#"
             None
             None
             Some("2 of 100 sends and ticks were over 25 ms late")
             Some("50 of 100 sends and ticks were over 25 ms late")
+            Some("the laboratory ran out of descriptors, 3 times")
         "#]]
         .assert_eq(&trace);
     }
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -72,4 +72,6 @@
     pub crashes: Vec<Crash>,
     /// How late each of the load's own sends was, or the clock's own ticks.
     pub late: Vec<u64>,
+    /// How often the laboratory itself had no descriptor left.
+    pub short: u64,
 }
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -16,6 +16,8 @@
 
 /// A client hangs on so long past the expiry, to see what still comes.
 const BEYOND: Duration = Duration::from_millis(500);
+/// EMFILE, of this process, not of the balancer it speaks to.
+const NO_DESCRIPTOR: i32 = 24;
 const CONNECT: Duration = Duration::from_millis(500);
 /// How often the clock is looked at: a loop late with its own ticks is late with the fleet's work too.
 const TICK: u64 = 10_000;
@@ -85,7 +87,7 @@
     let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
     // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
     for kept in [true, false] {
-        let Some(mut wire) = connection(door, kept).await else { continue };
+        let Some(mut wire) = connection(door, book, kept).await else { continue };
         if wire.write(&text).await.is_err() {
             continue;
         }
@@ -117,7 +119,7 @@
 }
 
 /// One kept that nothing has come on, or a new one.
-async fn connection(door: &Door, kept: bool) -> Option<Wire> {
+async fn connection(door: &Door, book: &Book, kept: bool) -> Option<Wire> {
     if kept {
         loop {
             let mut wire = door.idle.borrow_mut().pop()?;
@@ -126,7 +128,11 @@
             }
         }
     }
-    let stream = timeout(CONNECT, TcpStream::connect(door.address)).await.ok()?.ok()?;
+    let stream = timeout(CONNECT, TcpStream::connect(door.address)).await.ok()?;
+    if stream.as_ref().is_err_and(|e| e.raw_os_error() == Some(NO_DESCRIPTOR)) {
+        book.ledgers.borrow_mut().short += 1;
+    }
+    let stream = stream.ok()?;
     Some(Wire::new(stream))
 }
 
