--- a/crates/pondlb-lab/src/compare.rs
+++ b/crates/pondlb-lab/src/compare.rs
@@ -8,7 +8,6 @@
 
 /// Both sides' figures for one seed.
 pub struct Pair {
-    pub seed: u64,
     pub a: Report,
     pub b: Report,
 }
@@ -122,11 +121,8 @@
             vec![(10.0, 20.0), (11.0, 20.0), (9.0, 21.0)],
             vec![(10.0, 9.0), (11.0, 14.0)],
         ] {
-            let pair = |(n, (a, b)): (usize, &(f64, f64))| Pair {
-                seed: n as u64,
-                a: report(*a, false),
-                b: report(*b, n == 3),
-            };
+            let pair =
+                |(n, (a, b)): (usize, &(f64, f64))| Pair { a: report(*a, false), b: report(*b, n == 3) };
             let pairs: Vec<Pair> = sides.iter().chain([&(1.0, 900.0)]).enumerate().map(pair).collect();
             let pairs = if sides.len() == 3 { pairs } else { pairs.into_iter().take(sides.len()).collect() };
             let found = differences(&scenario, &pairs);
--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -59,7 +59,7 @@
     machine: Machine,
     warm: u64,
     cold_share: f64,
-    pub address: SocketAddr,
+    port: u16,
     faults: RefCell<Vec<(Kind, f64)>>,
     /// When the present process started; none where it has been up since long ago.
     boot: Cell<Option<u64>>,
@@ -114,7 +114,7 @@
 
     /// Each balancer has an address of its own to it, so that a posting tells whose it is.
     pub fn address_of(&self, balancer: u32) -> SocketAddr {
-        SocketAddr::from(([127, 1, (balancer >> 8) as u8, (balancer & 255) as u8 + 1], self.address.port()))
+        SocketAddr::from(([127, 1, (balancer >> 8) as u8, (balancer & 255) as u8 + 1], self.port))
     }
 
     async fn serve(self: Rc<Self>, book: Rc<Book>, stream: TcpStream, balancer: u32) {
@@ -249,8 +249,8 @@
 /// What discovery knows.
 struct List {
     version: Cell<u64>,
-    /// The versions in which upstreams were told to leave.
-    leaves: RefCell<Vec<Option<u64>>>,
+    /// Which upstreams are listed as leaving.
+    leaves: RefCell<Vec<bool>>,
     down: Cell<bool>,
     changed: Notify,
 }
@@ -258,7 +258,7 @@
 impl Fleet {
     /// Listens for each balancer at addresses of its own.
     pub fn start(book: Rc<Book>, machines: Vec<Machine>, rules: &Rules, balancers: u32) -> io::Result<Fleet> {
-        let leaves = RefCell::new(vec![None; machines.len()]);
+        let leaves = RefCell::new(vec![false; machines.len()]);
         let (version, down, changed) = (Cell::new(1), Cell::new(false), Notify::new());
         let state = Rc::new(List { version, leaves, down, changed });
         let (mut upstreams, mut tasks, mut discovery) = (Vec::new(), Vec::new(), Vec::new());
@@ -270,7 +270,7 @@
                 machine,
                 warm: rules.warm_ms * 1000,
                 cold_share: rules.cold_share,
-                address: first.local_addr()?,
+                port: first.local_addr()?.port(),
                 faults: RefCell::default(),
                 boot: Cell::new(None),
                 alive: watch::channel(true).0,
@@ -361,18 +361,18 @@
     }
 
     fn stays(&self, which: usize) {
-        self.leaves.borrow_mut()[which] = None;
+        self.leaves.borrow_mut()[which] = false;
         self.news();
     }
 
     fn leaves(&self, which: usize) {
         self.news();
-        self.leaves.borrow_mut()[which] = Some(self.version.get());
+        self.leaves.borrow_mut()[which] = true;
     }
 
     fn list(&self, book: &Book, upstreams: &[Rc<Upstream>], balancer: u32) -> serde_json::Value {
         let entry = |(number, up): (usize, &Rc<Upstream>)| {
-            let leaves = self.leaves.borrow()[number].is_some();
+            let leaves = self.leaves.borrow()[number];
             json!({
                 "uid": format!("u{number}-{}", up.life.get()), "endpoint": up.address_of(balancer).to_string(),
                 "az": up.machine.zone, "model": "m", "state": if leaves { "leaving" } else { "active" },
@@ -406,8 +406,7 @@
                 return;
             }
             let list = self.list(book, upstreams, balancer);
-            let leaving: Vec<usize> =
-                (0..upstreams.len()).filter(|n| self.leaves.borrow()[*n].is_some()).collect();
+            let leaving: Vec<usize> = (0..upstreams.len()).filter(|n| self.leaves.borrow()[*n]).collect();
             if wire.write(&answer(200, "", &list.to_string())).await.is_err() {
                 return;
             }
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -159,7 +159,7 @@
                     value_in_time(&scenario, &a),
                     value_in_time(&scenario, &b)
                 );
-                pairs.push(Pair { seed: scenario.seed, a, b });
+                pairs.push(Pair { a, b });
             }
             let found = differences(&scenario, &pairs);
             if json {
@@ -196,10 +196,12 @@
 
 /// A rule that is seen to be broken is broken on a slow machine too, but for times; so void comes first.
 fn code(reports: &[&Report]) -> u8 {
-    match reports.iter().any(|report| report.void.is_some()) {
-        true => VOID,
-        false if reports.iter().any(|report| !report.broken.is_empty()) => BROKEN,
-        false => 0,
+    if reports.iter().any(|report| report.void.is_some()) {
+        VOID
+    } else if reports.iter().any(|report| !report.broken.is_empty()) {
+        BROKEN
+    } else {
+        0
     }
 }
 
