Heavy txns ask two upstreams for their load before they leave, and what they tell decides

Cause: a balancer of two txns a second knows nothing of its upstreams by its own postings, and giving way declined nine in ten of what was given up (docs/assumptions.md). Now, where probing is allowed, a txn of the mean cost or more asks the two that it draws (with a key: the key's two of the whole list, by speed) and goes where less is held; where even that would take half of its time left, it is declined at once. Room, giving way and too long act where nothing can be asked. A circle of the whole list is kept only where a key decides.

--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -105,6 +105,8 @@
     dial_timeout_ns: u64,
     max_open: u32,
     max_postings: u32,
+    #[serde(default)]
+    probing: bool,
     max_retry_after_ns: u64,
     retry_after: bool,
     second_copies: bool,
@@ -162,6 +164,7 @@
         max_postings: limits.max_postings,
         second_copies: limits.second_copies,
         cancelling: limits.cancelling,
+        probing: limits.probing,
         cool_down: limits.retry_after.then(|| floor_from_ns(limits.max_retry_after_ns)),
         cold: ColdTerms {
             share: rules.cold_share,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,7 +11,8 @@
 use nanorand::{Rng, WyRand};
 
 use crate::{
-    Action, Arrival, Effect, Entry, Event, Listing, Outcome, Scope, Stage, Tenths, Terms, TxnId, UpstreamId,
+    Action, Arrival, Effect, Entry, Event, Listing, Load, Outcome, Scope, Stage, Tenths, Terms, TxnId,
+    UpstreamId,
 };
 
 const SECOND: Tenths = 10_000;
@@ -66,6 +67,16 @@
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
+const WORTH_WAIT: f64 = 0.5;
+const WHOLE: bool = false;
+const ASK_FROM: f64 = 1.0;
+const REPORT_FADE: Tenths = 3 * SECOND;
+const PROBED: usize = 2;
+const FRESH: Tenths = 200;
+const PROBE_WAIT: Tenths = 250;
+const PROBE_LIMIT: Tenths = 1500;
+const FULL: f64 = 100.0;
+
 const GIVE_WAY: f64 = 4.0;
 /// A part of the room is kept from a txn that others are worth more than: none where they are worth little
 /// more, up to the second figure where it is worth little beside them.
@@ -213,6 +224,7 @@
     Posted { cost: f64 },
     Ended { outcome: Outcome, took: Tenths, cost: f64, way: f64, tp: Tenths },
     Overdue { sent: Tenths },
+    Reported { outcome: Outcome, load: Load },
 }
 
 enum DeskNote {
@@ -303,6 +315,10 @@
     /// Work posted of late, against its budget while it is cold.
     cold_work: Fading,
     gone: Tenths,
+    /// When it was last heard of its load, what it said, and the cost posted since.
+    heard: Tenths,
+    report: Load,
+    since: f64,
 }
 
 impl Standing {
@@ -317,7 +333,20 @@
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
         let (in_flight, cost_out, cap) = (0, 0.0, terms.part(FIRST_CAP).max(1.0));
         let (distrust, cold_work) = (Fading::default(), Fading::default());
-        let shown = Standing { entry, order, in_flight, cost_out, cap, distrust, cold_work, gone: 0 };
+        let (heard, report, since, gone) = (0, Load::default(), 0.0, 0);
+        let shown = Standing {
+            entry,
+            order,
+            in_flight,
+            cost_out,
+            cap,
+            distrust,
+            cold_work,
+            gone,
+            heard,
+            report,
+            since,
+        };
         Upstream { shown, answered: 0, answered_sent: 0, pace: Pace::default() }
     }
 
@@ -336,6 +365,7 @@
             UpstreamNote::Posted { cost } => {
                 self.shown.in_flight += 1;
                 self.shown.cost_out += cost;
+                self.shown.since += cost;
                 self.shown.cold_work.add(now, terms.cold.window.max(1), cost);
             }
             UpstreamNote::Ended { outcome, took, cost, way, tp } => {
@@ -367,6 +397,14 @@
                     Outcome::Cancelled | Outcome::Moot => {}
                 }
             }
+            UpstreamNote::Reported { outcome, load } => {
+                match outcome {
+                    Outcome::Ok => (self.shown.report, self.shown.since) = (load, 0.0),
+                    Outcome::Full => self.shown.report.held = Some(FULL),
+                    _ => self.doubt(now, 1.0),
+                }
+                self.shown.heard = now;
+            }
             // As above, a later one was answered: this is heavy, or its connection silent, and no crowd.
             UpstreamNote::Overdue { sent } if sent < self.answered_sent => {}
             UpstreamNote::Overdue { sent } => {
@@ -490,6 +528,9 @@
     held: Option<Tenths>,
     streaming: bool,
     postings: Vec<Posting>,
+    /// The upstreams asked for their load before it is posted, and when.
+    asked: Vec<usize>,
+    asked_at: Tenths,
 }
 
 impl Txn {
@@ -633,8 +674,13 @@
             Event::Left { txn } => {
                 self.book.numbers.get(&txn).copied().into_iter().for_each(|number| self.close(number, out))
             }
-            // Neither probes nor talk with peers are used: own outcomes tell as much and cost nothing.
-            Event::Listed(_) | Event::Woke { .. } | Event::Probed { .. } | Event::Heard { .. } => {}
+            Event::Probed { upstream, outcome, load, .. } => {
+                if let Some(&up) = self.seen.names.get(&upstream) {
+                    inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
+                }
+            }
+            // Talk with peers is not used.
+            Event::Listed(_) | Event::Woke { .. } | Event::Heard { .. } => {}
         }
     }
 
@@ -648,13 +694,29 @@
         let deadline = now + self.terms.schemes[scheme].sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
-        let (arrived, held, streaming, postings) = (now, None, false, Vec::new());
+        let (arrived, held, streaming, postings, asked, asked_at) =
+            (now, None, false, Vec::new(), Vec::new(), 0);
         self.book.numbers.insert(arrival.txn, number);
-        let t = Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, streaming, postings };
+        let t = Txn {
+            id,
+            scheme,
+            cost,
+            key,
+            heavy,
+            arrived,
+            deadline,
+            rank,
+            held,
+            streaming,
+            postings,
+            asked,
+            asked_at,
+        };
         self.book.txns.insert(number, t);
         // Against one long txn that is hardly worth its time making dozens late that wait behind it: by the
         // pooled pace it would itself be late, and all the sooner the more the others are worth.
-        let takes = self.kept(number) * self.seen.pace.mean() * cost;
+        let takes =
+            if self.terms.probing { 0.0 } else { 1.0 } * self.kept(number) * self.seen.pace.mean() * cost;
         if takes > (deadline - now) as f64 { self.give_up(number, out) } else { self.hold(now, number) }
     }
 
@@ -700,11 +762,12 @@
         all.sort_by_key(own_order);
         let (mut near, mut far): (Vec<usize>, Vec<usize>) =
             all.into_iter().partition(|up| board[*up].entry.zone == self.terms.own_zone);
-        let part = 3 * self.seen.circle * near.len() / (2 * (near.len() + far.len()).max(1));
-        let half = part.min(self.seen.circle / 2).max(self.seen.circle.saturating_sub(far.len()));
-        self.seen.partial = near.len() + far.len() > self.seen.circle;
+        let circle = self.seen.circle.min(near.len() + far.len());
+        let part = 3 * circle * near.len() / (2 * (near.len() + far.len()).max(1));
+        let half = part.min(circle / 2).max(circle.saturating_sub(far.len()));
+        self.seen.partial = near.len() + far.len() > circle;
         near.truncate(half);
-        far.truncate(self.seen.circle - near.len());
+        far.truncate(circle - near.len());
         // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in
         // another zone for most balancers, and half of all txns cross to it.
         near.sort_by_key(|up| board[*up].order);
@@ -715,10 +778,17 @@
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
     fn lay_lanes(&mut self, now: Tenths) {
         let met = MEET * self.seen.arrivals.at(now, LONG);
-        let wanted = LEAST_CIRCLE.max((met as usize + 1).next_power_of_two() / 2);
+        let keyed = self.terms.warm_keys && self.terms.probing;
+        let wanted = if keyed || WHOLE {
+            usize::MAX
+        } else {
+            LEAST_CIRCLE.max((met as usize + 1).next_power_of_two() / 2)
+        };
         if self.seen.stale
             || wanted > self.seen.circle
-            || wanted < self.seen.circle && met < 0.7 * self.seen.circle as f64
+            || wanted < self.seen.circle
+                && self.seen.circle < usize::MAX
+                && met < 0.7 * self.seen.circle as f64
         {
             (self.seen.circle, self.seen.stale) = (wanted, false);
             self.draw_circle();
@@ -778,7 +848,7 @@
             let txn = &self.book.txns[&number];
             let flow = self.seen.flow.at(now, LONG);
             let slack = txn.deadline.saturating_sub(self.gauge.tp).saturating_sub(now);
-            if GIVE_WAY * self.book.held_cost <= slack as f64 * flow || flow == 0.0 {
+            if GIVE_WAY * self.book.held_cost <= slack as f64 * flow || flow == 0.0 || self.terms.probing {
                 return;
             }
             self.stop_waiting(number, out);
@@ -813,7 +883,9 @@
                 self.stop_waiting(number, out);
                 return true;
             }
-            if let Some(up) = self.has_room(number).then(|| self.pick(now, number)).flatten() {
+            if let Some(up) =
+                (self.terms.probing || self.has_room(number)).then(|| self.pick(now, number, out)).flatten()
+            {
                 self.unhold(number);
                 self.post(now, number, up, inboxes, out);
                 return true;
@@ -837,7 +909,7 @@
         (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT)
     }
 
-    fn pick(&mut self, now: Tenths, number: u64) -> Option<usize> {
+    fn pick(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) -> Option<usize> {
         let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
         let txn = &self.book.txns[&number];
         let split = self.seen.light.min(self.seen.lanes.len());
@@ -888,13 +960,80 @@
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
+        if self.terms.probing {
+            if fitting.is_empty() {
+                return None;
+            }
+            let txn = &self.book.txns[&number];
+            if txn.asked.is_empty() {
+                let mut asked = Vec::new();
+                if let Some(key) = txn.key.filter(|_| self.terms.warm_keys) {
+                    let rank = |up: &usize| {
+                        let drawn = mix(key ^ self.seen.board[*up].order) as f64 / u64::MAX as f64;
+                        -drawn.max(1e-18).ln() / self.speed(*up)
+                    };
+                    fitting.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
+                    asked.extend(fitting.iter().copied().take(PROBED));
+                } else {
+                    for _ in 0..PROBED.min(fitting.len()) {
+                        let chance = self.rng.generate::<f64>();
+                        let up = self.draw(chance, fitting.iter().copied().filter(|up| !asked.contains(up)));
+                        asked.push(up);
+                    }
+                }
+                for &up in &asked {
+                    if txn.cost < ASK_FROM * self.mean_cost() {
+                        break;
+                    }
+                    if self.seen.board[up].heard + FRESH <= now || self.seen.board[up].heard == 0 {
+                        out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
+                    }
+                }
+                let txn = self.book.txns.get_mut(&number)?;
+                (txn.asked, txn.asked_at) = (asked, now);
+                self.book.alarms.push(Reverse((now + PROBE_WAIT, number, Some(u32::MAX))));
+                self.book.alarms.push(Reverse((now + PROBE_LIMIT, number, Some(u32::MAX))));
+            }
+            let txn = &self.book.txns[&number];
+            let heard = |up: &usize| {
+                txn.cost < ASK_FROM * self.mean_cost()
+                    || self.seen.board[*up].heard > 0 && self.seen.board[*up].heard + FRESH > txn.asked_at
+            };
+            let count = txn.asked.iter().filter(|up| heard(up)).count();
+            let ready = count == txn.asked.len()
+                || count > 0 && now >= txn.asked_at + PROBE_WAIT
+                || now >= txn.asked_at + PROBE_LIMIT;
+            if !ready {
+                return None;
+            }
+            let load = |up: &usize| self.load(now, *up, txn.cost);
+            let known: Vec<usize> = fitting
+                .iter()
+                .copied()
+                .filter(|up| txn.asked.contains(up) && (heard(up) || count == 0))
+                .collect();
+            let among = if known.is_empty() { fitting } else { known };
+            let best = among.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))?;
+            let s = &self.seen.board[best];
+            let told = self.told(now, s);
+            let wait = told / self.speed(best);
+            if wait > WORTH_WAIT * (1.0 - self.kept(number)) * txn.deadline.saturating_sub(now) as f64 {
+                self.give_up(number, out);
+                return None;
+            }
+            return Some(best);
+        }
         let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
         let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
             (0, _) => return None,
             (1, _) => (fitting[0], fitting[0]),
             // The key draws the two in place of chance, the same two at every balancer: they know the key.
             (_, Some(key)) => {
-                fitting.sort_unstable_by_key(|up| mix(key ^ self.seen.board[*up].order));
+                let rank = |up: &usize| {
+                    let drawn = mix(key ^ self.seen.board[*up].order) as f64 / u64::MAX as f64;
+                    -drawn.max(1e-18).ln() / self.speed(*up)
+                };
+                fitting.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
                 (fitting[0], fitting[1])
             }
             // Twice its time is not left: two drawn at random may both be too slow for it.
@@ -936,11 +1075,19 @@
         ups.clone().find(passed).or(ups.next()).unwrap_or_default()
     }
 
+    /// The cost that an upstream told of, and what was posted there since; what it told fades.
+    fn told(&self, now: Tenths, s: &Standing) -> f64 {
+        let held = s.report.held.unwrap_or_default() * self.mean_cost() + s.since;
+        Fading { level: if s.report.held.is_none() { 0.0 } else { held }, at: s.heard }.at(now, REPORT_FADE)
+    }
+
     /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
     fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
         let s = &self.seen.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        (s.cost_out + cost + away * self.mean_cost()) / self.speed(up) * (1.0 + s.distrust.at(now, FADE))
+        let told = self.told(now, s);
+        (s.cost_out.max(told) + cost + away * self.mean_cost()) / self.speed(up)
+            * (1.0 + s.distrust.at(now, FADE))
     }
 
     /// A cold upstream may get its part of what warm ones are seen to bear (settled cost by size), in
@@ -974,6 +1121,7 @@
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
+        txn.asked.clear();
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -17,6 +17,8 @@
     pub max_postings: u32,
     pub second_copies: bool,
     pub cancelling: bool,
+    /// Upstreams may be asked for their load.
+    pub probing: bool,
     /// The longest cool-down that clients heed; none where no advice is passed on.
     pub cool_down: Option<Tenths>,
     pub cold: ColdTerms,
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -27,6 +27,7 @@
         max_postings: 3,
         second_copies: true,
         cancelling: true,
+        probing: false,
         cool_down: Some(800 * MS),
         cold: ColdTerms { share: 0.2, warm_within: 10_000 * MS, multiple: 2.0, window: 1000 * MS },
     }
