What is told decides as a step of the draw of two; work too long for where it would go is declined

Reports tell how many cores work at once (held less waiting), so that a txn's own time there is known.

--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reading {
     pub held: Option<usize>,
+    pub waiting: Option<usize>,
     pub service: Option<usize>,
     pub schemes: u32,
 }
@@ -132,7 +133,7 @@
             text.parse().map(Some).map_err(|_| self.bad("HealthInfo", row))
         };
         let service = value(reading.service)?.map(|ms| (ms * 10.0).max(0.0).round() as Tenths);
-        Ok(Load { held: value(reading.held)?, service })
+        Ok(Load { held: value(reading.held)?, waiting: value(reading.waiting)?, service })
     }
 }
 
@@ -202,7 +203,7 @@
             pondlb_terms::decode(fields.word("Config")?).map_err(|fault| format!("Config: {fault}"))?;
         let place = |name| deployment.report.iter().position(|field| field == name);
         let schemes = deployment.terms.schemes.len() as u32;
-        let reading = Reading { held: place("rif"), service: place("lat_ms"), schemes };
+        let reading = Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), schemes };
         let terms = Box::new(deployment.terms);
         return Ok(Line::Start { who, seed: fields.number("Salt")?, terms, reading });
     }
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -124,5 +124,6 @@
         let text = report.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='))?;
         text.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)
     };
-    Load { held: value("rif"), service: value("lat_ms").map(|ms| (ms * 10.0).round() as Tenths) }
+    let service = value("lat_ms").map(|ms| (ms * 10.0).round() as Tenths);
+    Load { held: value("rif"), waiting: value("q"), service }
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -67,15 +67,18 @@
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
-const WORTH_WAIT: f64 = 0.5;
-const WHOLE: bool = false;
+/// Where upstreams may be asked: txns of so many mean costs ask two, who have so long for both to answer, and so
+/// long for one. What was told counts as new for `FRESH`, and its weight halves in the last figure.
 const ASK_FROM: f64 = 1.0;
-const REPORT_FADE: Tenths = 3 * SECOND;
-const PROBED: usize = 2;
+const ASKED_BOTH: Tenths = 250;
+const ASKED_ANY: Tenths = 1500;
 const FRESH: Tenths = 200;
-const PROBE_WAIT: Tenths = 250;
-const PROBE_LIMIT: Tenths = 1500;
+const REPORT_FADE: Tenths = 3 * SECOND;
+/// A wait of more than this part of its time left is not worth it for a txn.
+const WORTH_WAIT: f64 = 0.5;
+/// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
+const SERVICE: f64 = 1.0;
 
 const GIVE_WAY: f64 = 4.0;
 /// A part of the room is kept from a txn that others are worth more than: none where they are worth little
@@ -555,6 +558,8 @@
     partial: bool,
     pace: Pace,
     kinds: BTreeMap<u32, Pace>,
+    /// How many txns an upstream works on at once, by what those with a queue tell.
+    cores: f64,
     zones: BTreeMap<u32, Zone>,
     arrivals: Fading,
     flow: Fading,
@@ -603,7 +608,7 @@
     fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
         let (gauge, quotas) = (Gauge::new(&terms), vec![(0.0, 0); terms.tenants.len()]);
         let costs = Histogram::new(3, 24).expect("the bins are fixed");
-        let (seen, book) = (Seen::default(), Book::default());
+        let (seen, book) = (Seen { cores: 1.0, ..Seen::default() }, Book::default());
         Desk { gauge, quotas, terms, rng, seen, book, costs, extra: EXTRA_SAVED }
     }
 
@@ -676,7 +681,7 @@
             }
             Event::Probed { upstream, outcome, load, .. } => {
                 if let Some(&up) = self.seen.names.get(&upstream) {
-                    inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
+                    self.report(up, outcome, load, inboxes);
                 }
             }
             // Talk with peers is not used.
@@ -684,6 +689,13 @@
         }
     }
 
+    fn report(&mut self, up: usize, outcome: Outcome, load: Load, inboxes: &mut Inboxes) {
+        if let (Some(held), Some(waiting)) = (load.held, load.waiting.filter(|waiting| *waiting >= 1.0)) {
+            self.seen.cores += ((held - waiting).max(1.0) - self.seen.cores) / PACE_WINDOW;
+        }
+        inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
+    }
+
     fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
         let number = self.book.next;
         self.book.next += 1;
@@ -778,8 +790,7 @@
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
     fn lay_lanes(&mut self, now: Tenths) {
         let met = MEET * self.seen.arrivals.at(now, LONG);
-        let keyed = self.terms.warm_keys && self.terms.probing;
-        let wanted = if keyed || WHOLE {
+        let wanted = if self.terms.warm_keys {
             usize::MAX
         } else {
             LEAST_CIRCLE.max((met as usize + 1).next_power_of_two() / 2)
@@ -883,11 +894,13 @@
                 self.stop_waiting(number, out);
                 return true;
             }
-            if let Some(up) =
-                (self.terms.probing || self.has_room(number)).then(|| self.pick(now, number, out)).flatten()
-            {
+            if let Some(up) = self.has_room(number).then(|| self.pick(now, number, out)).flatten() {
                 self.unhold(number);
-                self.post(now, number, up, inboxes, out);
+                if self.is_late(now, number, up) {
+                    self.give_up(number, out);
+                } else {
+                    self.post(now, number, up, inboxes, out);
+                }
                 return true;
             }
         }
@@ -899,7 +912,16 @@
     /// for what is worth more.
     fn has_room(&self, number: u64) -> bool {
         let room = (1.0 - self.kept(number)) * self.seen.room;
-        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+        self.terms.probing || self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+    }
+
+    /// Whether it had better not wait where it would go, by what is told to be waiting there.
+    fn is_late(&self, now: Tenths, number: u64, up: usize) -> bool {
+        let txn = &self.book.txns[&number];
+        let (told, left) = (self.told(now, up), txn.deadline.saturating_sub(now) as f64);
+        let takes = SERVICE * txn.cost * self.seen.cores;
+        let wait = told > WORTH_WAIT * (1.0 - self.kept(number)) * left * self.speed(up);
+        self.terms.probing && (wait || told + takes > left * self.speed(up))
     }
 
     /// The part that a txn leaves to those that are worth more.
@@ -912,6 +934,7 @@
     fn pick(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) -> Option<usize> {
         let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
         let txn = &self.book.txns[&number];
+        let cost = txn.cost;
         let split = self.seen.light.min(self.seen.lanes.len());
         let (mut own, mut other) = self.seen.lanes.split_at(split);
         if txn.heavy && !other.is_empty() {
@@ -960,94 +983,60 @@
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
-        if self.terms.probing {
-            if fitting.is_empty() {
-                return None;
-            }
-            let txn = &self.book.txns[&number];
-            if txn.asked.is_empty() {
-                let mut asked = Vec::new();
-                if let Some(key) = txn.key.filter(|_| self.terms.warm_keys) {
-                    let rank = |up: &usize| {
-                        let drawn = mix(key ^ self.seen.board[*up].order) as f64 / u64::MAX as f64;
-                        -drawn.max(1e-18).ln() / self.speed(*up)
-                    };
-                    fitting.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
-                    asked.extend(fitting.iter().copied().take(PROBED));
-                } else {
-                    for _ in 0..PROBED.min(fitting.len()) {
-                        let chance = self.rng.generate::<f64>();
-                        let up = self.draw(chance, fitting.iter().copied().filter(|up| !asked.contains(up)));
-                        asked.push(up);
-                    }
-                }
-                for &up in &asked {
-                    if txn.cost < ASK_FROM * self.mean_cost() {
-                        break;
-                    }
-                    if self.seen.board[up].heard + FRESH <= now || self.seen.board[up].heard == 0 {
-                        out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
-                    }
-                }
-                let txn = self.book.txns.get_mut(&number)?;
-                (txn.asked, txn.asked_at) = (asked, now);
-                self.book.alarms.push(Reverse((now + PROBE_WAIT, number, Some(u32::MAX))));
-                self.book.alarms.push(Reverse((now + PROBE_LIMIT, number, Some(u32::MAX))));
-            }
-            let txn = &self.book.txns[&number];
-            let heard = |up: &usize| {
-                txn.cost < ASK_FROM * self.mean_cost()
-                    || self.seen.board[*up].heard > 0 && self.seen.board[*up].heard + FRESH > txn.asked_at
-            };
-            let count = txn.asked.iter().filter(|up| heard(up)).count();
-            let ready = count == txn.asked.len()
-                || count > 0 && now >= txn.asked_at + PROBE_WAIT
-                || now >= txn.asked_at + PROBE_LIMIT;
-            if !ready {
-                return None;
-            }
-            let load = |up: &usize| self.load(now, *up, txn.cost);
-            let known: Vec<usize> = fitting
-                .iter()
-                .copied()
-                .filter(|up| txn.asked.contains(up) && (heard(up) || count == 0))
-                .collect();
-            let among = if known.is_empty() { fitting } else { known };
-            let best = among.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))?;
-            let s = &self.seen.board[best];
-            let told = self.told(now, s);
-            let wait = told / self.speed(best);
-            if wait > WORTH_WAIT * (1.0 - self.kept(number)) * txn.deadline.saturating_sub(now) as f64 {
-                self.give_up(number, out);
-                return None;
+        let two = self.two(now, number, fitting, chances);
+        if !self.terms.probing {
+            return self.least(now, &two, cost);
+        }
+        let asks = cost >= ASK_FROM * self.mean_cost();
+        let txn = self.book.txns.get_mut(&number)?;
+        if asks && txn.asked.is_empty() {
+            for &up in two.iter().filter(|up| self.seen.board[**up].heard + FRESH <= now) {
+                out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
             }
-            return Some(best);
+            (txn.asked, txn.asked_at) = (two.clone(), now);
+            let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(u32::MAX))));
+            self.book.alarms.extend(waits);
         }
+        // Some wait like a txn before they answer: who answers first has the shortest queue.
+        let (asked, since) = (&txn.asked, now - txn.asked_at);
+        let heard = |up: &&usize| self.seen.board[**up].heard + FRESH > txn.asked_at;
+        let told: Vec<usize> = asked.iter().filter(heard).copied().collect();
+        let enough =
+            told.len() == asked.len() || since >= ASKED_ANY || !told.is_empty() && since >= ASKED_BOTH;
+        let live = |up: &usize| self.seen.lanes.contains(up);
+        match told.into_iter().filter(live).collect::<Vec<_>>() {
+            _ if !enough => None,
+            told if told.is_empty() => self.least(now, &two, cost),
+            told => self.least(now, &told, cost),
+        }
+    }
+
+    fn least(&self, now: Tenths, ups: &[usize], cost: f64) -> Option<usize> {
+        let load = |up: &usize| self.load(now, *up, cost);
+        ups.iter().copied().min_by(|a, b| load(a).total_cmp(&load(b)))
+    }
+
+    /// The two of those that fit between which load decides.
+    fn two(&self, now: Tenths, number: u64, mut fitting: Vec<usize>, chances: [f64; 2]) -> Vec<usize> {
+        let txn = &self.book.txns[&number];
         let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
-        let (a, b) = match (fitting.len(), txn.key.filter(|_| self.terms.warm_keys)) {
-            (0, _) => return None,
-            (1, _) => (fitting[0], fitting[0]),
-            // The key draws the two in place of chance, the same two at every balancer: they know the key.
-            (_, Some(key)) => {
-                let rank = |up: &usize| {
-                    let drawn = mix(key ^ self.seen.board[*up].order) as f64 / u64::MAX as f64;
-                    -drawn.max(1e-18).ln() / self.speed(*up)
-                };
-                fitting.sort_unstable_by(|a, b| rank(a).total_cmp(&rank(b)));
-                (fitting[0], fitting[1])
-            }
+        let rank: Box<dyn Fn(usize) -> f64> = match txn.key.filter(|_| self.terms.warm_keys) {
+            _ if fitting.len() < 3 => return fitting,
             // Twice its time is not left: two drawn at random may both be too slow for it.
-            (_, None) if tight => {
-                let load = |up: &usize| self.load(now, *up, txn.cost);
-                return fitting.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
-            }
-            (_, None) => {
+            _ if tight => Box::new(|up| self.load(now, up, txn.cost)),
+            // The key draws the two in place of chance, the same two at every balancer: they know the key.
+            Some(key) => Box::new(move |up| {
+                let drawn = mix(key ^ self.seen.board[up].order) as f64 / u64::MAX as f64;
+                -drawn.max(f64::MIN_POSITIVE).ln() / self.speed(up)
+            }),
+            None => {
                 let a = self.draw(chances[0], fitting.iter().copied());
-                let b = self.draw(chances[1], fitting.iter().copied().filter(|up| *up != a));
-                (a, b)
+                return vec![a, self.draw(chances[1], fitting.iter().copied().filter(|up| *up != a))];
             }
         };
-        Some(if self.load(now, b, txn.cost) < self.load(now, a, txn.cost) { b } else { a })
+        fitting.sort_by(|a, b| rank(*a).total_cmp(&rank(*b)));
+        fitting.truncate(2);
+        fitting
     }
 
     /// Listed size by the pace of all upstreams of its kind, since each is met too seldom to know its own.
@@ -1076,16 +1065,17 @@
     }
 
     /// The cost that an upstream told of, and what was posted there since; what it told fades.
-    fn told(&self, now: Tenths, s: &Standing) -> f64 {
-        let held = s.report.held.unwrap_or_default() * self.mean_cost() + s.since;
-        Fading { level: if s.report.held.is_none() { 0.0 } else { held }, at: s.heard }.at(now, REPORT_FADE)
+    fn told(&self, now: Tenths, up: usize) -> f64 {
+        let s = &self.seen.board[up];
+        let level = s.report.held.map_or(0.0, |held| held * self.mean_cost() + s.since);
+        Fading { level, at: s.heard }.at(now, REPORT_FADE)
     }
 
     /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
     fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
         let s = &self.seen.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        let told = self.told(now, s);
+        let told = self.told(now, up);
         (s.cost_out.max(told) + cost + away * self.mean_cost()) / self.speed(up)
             * (1.0 + s.distrust.at(now, FADE))
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -113,6 +113,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub held: Option<f64>,
+    /// How many of these wait for their turn.
+    pub waiting: Option<f64>,
     /// Its recent time of service, waiting left out.
     pub service: Option<Tenths>,
 }
@@ -121,6 +123,7 @@
 impl fmt::Display for Load {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         self.held.map_or(Ok(()), |held| write!(to, ", it holds {held}"))?;
+        self.waiting.map_or(Ok(()), |waiting| write!(to, ", {waiting} wait"))?;
         self.service.map_or(Ok(()), |service| write!(to, ", it takes {service}"))
     }
 }
