--- a/src/balance.rs
+++ b/src/balance.rs
@@ -983,6 +983,9 @@
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
+        if fitting.iter().any(|up| !self.is_late(now, number, *up)) {
+            fitting.retain(|up| !self.is_late(now, number, *up));
+        }
         let two = self.two(now, number, fitting, chances);
         if !self.terms.probing {
             return self.least(now, &two, cost);
@@ -1023,7 +1026,7 @@
         let rank: Box<dyn Fn(usize) -> f64> = match txn.key.filter(|_| self.terms.warm_keys) {
             _ if fitting.len() < 3 => return fitting,
             // Twice its time is not left: two drawn at random may both be too slow for it.
-            _ if tight => Box::new(|up| self.load(now, up, txn.cost)),
+            None if tight => Box::new(|up| self.load(now, up, txn.cost)),
             // The key draws the two in place of chance, the same two at every balancer: they know the key.
             Some(key) => Box::new(move |up| {
                 let drawn = mix(key ^ self.seen.board[up].order) as f64 / u64::MAX as f64;
