--- a/src/balance.rs
+++ b/src/balance.rs
@@ -72,8 +72,8 @@
 const ASK_FROM: f64 = 1.0;
 const ASKED_BOTH: Tenths = 250;
 const ASKED_ANY: Tenths = 1500;
-const FRESH: Tenths = 200;
-const REPORT_FADE: Tenths = 3 * SECOND;
+const FRESH: Tenths = 1000;
+const REPORT_FADE: Tenths = SECOND;
 /// A wait of more than this part of its time left is not worth it for a txn.
 const WORTH_WAIT: f64 = 0.5;
 /// A probe that is turned away stands for so many held.
@@ -623,8 +623,11 @@
         };
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
-            Event::Ended { txn, posting, upstream, outcome, took, settled, load: _ } => {
+            Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
+                if load.held.is_some() && self.terms.probing {
+                    self.report(up, Outcome::Ok, load, inboxes);
+                }
                 let zone = self.seen.zones.entry(self.seen.board[up].entry.zone).or_default();
                 // Lost with its zone, it says nothing of how long answers take, nor of a jam.
                 let lost = outcome == Outcome::TimedOut && zone.answered < now.saturating_sub(took);
