--- a/src/balance.rs
+++ b/src/balance.rs
@@ -79,6 +79,7 @@
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
 const SERVICE: f64 = 1.0;
+const BUSY: f64 = 1.0;
 
 const GIVE_WAY: f64 = 4.0;
 /// A part of the room is kept from a txn that others are worth more than: none where they are worth little
@@ -560,6 +561,8 @@
     kinds: BTreeMap<u32, Pace>,
     /// How many txns an upstream works on at once, by what those with a queue tell.
     cores: f64,
+    /// What they tell that they hold, for each txn that they work on at once.
+    busy: f64,
     zones: BTreeMap<u32, Zone>,
     arrivals: Fading,
     flow: Fading,
@@ -694,7 +697,10 @@
 
     fn report(&mut self, up: usize, outcome: Outcome, load: Load, inboxes: &mut Inboxes) {
         if let (Some(held), Some(waiting)) = (load.held, load.waiting.filter(|waiting| *waiting >= 1.0)) {
-            self.seen.cores += ((held - waiting).max(1.0) - self.seen.cores) / PACE_WINDOW;
+            self.seen.cores += (held - waiting - self.seen.cores) / PACE_WINDOW;
+        }
+        if let Some(held) = load.held {
+            self.seen.busy += (held / self.seen.cores.max(1.0) - self.seen.busy) / PACE_WINDOW;
         }
         inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
     }
@@ -922,9 +928,11 @@
     fn is_late(&self, now: Tenths, number: u64, up: usize) -> bool {
         let txn = &self.book.txns[&number];
         let (told, left) = (self.told(now, up), txn.deadline.saturating_sub(now) as f64);
-        let takes = SERVICE * txn.cost * self.seen.cores;
+        let takes = SERVICE * txn.cost * self.seen.cores.max(1.0);
         let wait = told > WORTH_WAIT * (1.0 - self.kept(number)) * left * self.speed(up);
-        self.terms.probing && (wait || told + takes > left * self.speed(up))
+        let has_time = left * self.speed(up);
+        let busy = told >= self.mean_cost() || self.seen.busy >= BUSY;
+        self.terms.probing && (wait || busy && told + takes > has_time)
     }
 
     /// The part that a txn leaves to those that are worth more.
