A posting to a cold upstream counts its connection and a light txn's surprise; the budget goes by speed

Dropped: probes (none went there), heavy txns (none over 19 ms), the drawn part of a txn (kept). What came beside the hints was a new connection for each and light hints that were too low; and the budget took it for a machine of the mean speed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -96,6 +96,7 @@
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
+const LEAST_ARRIVES: f64 = 0.25;
 
 pub struct Balancer {
     inboxes: Inboxes,
@@ -225,7 +226,7 @@
 enum UpstreamNote {
     Listed(Entry),
     Unlisted,
-    Posted { cost: f64 },
+    Posted { cost: f64, arrives: f64 },
     Ended { outcome: Outcome, took: Tenths, cost: f64, way: f64, tp: Tenths },
     Overdue { sent: Tenths },
     Reported { outcome: Outcome, load: Load },
@@ -366,11 +367,11 @@
             }
             UpstreamNote::Unlisted if self.shown.entry.stage == Stage::Gone => {}
             UpstreamNote::Unlisted => (self.shown.entry.stage, self.shown.gone) = (Stage::Gone, now),
-            UpstreamNote::Posted { cost } => {
+            UpstreamNote::Posted { cost, arrives } => {
                 self.shown.in_flight += 1;
                 self.shown.cost_out += cost;
                 self.shown.since += cost;
-                self.shown.cold_work.add(now, terms.cold.window.max(1), cost);
+                self.shown.cold_work.add(now, terms.cold.window.max(1), arrives);
             }
             UpstreamNote::Ended { outcome, took, cost, way, tp } => {
                 self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
@@ -816,7 +817,7 @@
         if self.seen.room == 0.0 {
             self.seen.room = self.terms.part(FIRST_ROOM * self.seen.size);
         }
-        self.seen.used = self.seen.lanes.iter().map(|up| self.seen.board[*up].entry.size).sum();
+        self.seen.used = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
         let cost: f64 = self.seen.cost_sums.iter().sum();
         let all: f64 = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
         let mut part = all * self.seen.cost_sums[0] / cost.max(1e-9);
@@ -969,7 +970,7 @@
             in_group
                 && f64::from(s.in_flight) < s.cap
                 && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
-                && self.cold_room(now, s, txn.cost)
+                && self.cold_room(now, *up, self.arrives(txn.cost))
         };
         let trusted = |up: &usize, any_zone: bool| {
             let s = &self.seen.board[*up];
@@ -1097,17 +1098,22 @@
     /// A cold upstream may get its part of what warm ones are seen to bear (settled cost by size), in
     /// every window of the rule: a burst right after its start would push it over. What is less than a txn is
     /// spent by chance, drawn once a window: a free txn for each of many balancers would be hundreds in sum.
-    fn cold_room(&self, now: Tenths, s: &Standing, cost: f64) -> bool {
-        let cold = &self.terms.cold;
+    fn cold_room(&self, now: Tenths, up: usize, cost: f64) -> bool {
+        let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
         let flow = self.seen.flow.at(now, LONG) / self.seen.used;
-        let budget = COLD_MARGIN * cold.multiple * share * flow * s.entry.size * cold.window as f64;
+        let budget = COLD_MARGIN * cold.multiple * share * flow * self.speed(up) * cold.window as f64;
         let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
             / u64::MAX as f64;
         s.cold_work.at(now, cold.window.max(1)) + cost <= budget + drawn * cost
     }
 
+    /// What a posting costs a cold upstream: with a new connection, and light ones are heavier than they look.
+    fn arrives(&self, cost: f64) -> f64 {
+        cost + LEAST_ARRIVES * self.mean_cost()
+    }
+
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
         let deadline = self.book.txns[&number].deadline;
         let (_, slot) = self.plan(now, deadline);
@@ -1130,7 +1136,8 @@
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
         out.push(Action::Post { txn: txn.id.clone(), upstream, timeout });
-        inboxes.upstream(up, UpstreamNote::Posted { cost: txn.cost });
+        let cost = txn.cost;
+        inboxes.upstream(up, UpstreamNote::Posted { cost, arrives: self.arrives(cost) });
         self.book.alarms.push(Reverse((now + due, number, Some(posting))));
         self.note_out(now, 1.0);
         if first && !slot && now < deadline {
