--- a/src/balance.rs
+++ b/src/balance.rs
@@ -629,8 +629,13 @@
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
-                if load.held.is_some() && self.terms.probing {
-                    self.report(up, Outcome::Ok, load, inboxes);
+                if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
+                    self.report(
+                        up,
+                        if outcome == Outcome::Full { outcome } else { Outcome::Ok },
+                        load,
+                        inboxes,
+                    );
                 }
                 let zone = self.seen.zones.entry(self.seen.board[up].entry.zone).or_default();
                 // Lost with its zone, it says nothing of how long answers take, nor of a jam.
