--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,8 +46,6 @@
 const PACE_WINDOW: f64 = 32.0;
 const FEW_ANSWERS: f64 = 4.0;
 const CROSS: f64 = 0.1;
-const CROSS_LEAST: f64 = 0.03;
-const ZONE_STEEP: f64 = 3.0;
 const REST_PACE: f64 = 2.5;
 
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
@@ -78,7 +76,6 @@
 const WORTH_WAIT: f64 = 0.5;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
-const SERVICE: f64 = 1.0;
 const BUSY: f64 = 1.0;
 
 const GIVE_WAY: f64 = 4.0;
@@ -320,9 +317,14 @@
     /// Work posted of late, against its budget while it is cold.
     cold_work: Fading,
     gone: Tenths,
-    /// When it was last heard of its load, what it said, and the cost posted since.
-    heard: Tenths,
-    report: Load,
+    told: Told,
+}
+
+/// What an upstream told last of its load, when, and the cost posted there since.
+#[derive(Clone, Copy, Default)]
+struct Told {
+    at: Tenths,
+    load: Load,
     since: f64,
 }
 
@@ -338,20 +340,8 @@
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
         let (in_flight, cost_out, cap) = (0, 0.0, terms.part(FIRST_CAP).max(1.0));
         let (distrust, cold_work) = (Fading::default(), Fading::default());
-        let (heard, report, since, gone) = (0, Load::default(), 0.0, 0);
-        let shown = Standing {
-            entry,
-            order,
-            in_flight,
-            cost_out,
-            cap,
-            distrust,
-            cold_work,
-            gone,
-            heard,
-            report,
-            since,
-        };
+        let (gone, told) = (0, Told::default());
+        let shown = Standing { entry, order, in_flight, cost_out, cap, distrust, cold_work, gone, told };
         Upstream { shown, answered: 0, answered_sent: 0, pace: Pace::default() }
     }
 
@@ -370,7 +360,7 @@
             UpstreamNote::Posted { cost, arrives } => {
                 self.shown.in_flight += 1;
                 self.shown.cost_out += cost;
-                self.shown.since += cost;
+                self.shown.told.since += cost;
                 self.shown.cold_work.add(now, terms.cold.window.max(1), arrives);
             }
             UpstreamNote::Ended { outcome, took, cost, way, tp } => {
@@ -404,11 +394,11 @@
             }
             UpstreamNote::Reported { outcome, load } => {
                 match outcome {
-                    Outcome::Ok => (self.shown.report, self.shown.since) = (load, 0.0),
-                    Outcome::Full => self.shown.report.held = Some(FULL),
+                    Outcome::Ok => (self.shown.told.load, self.shown.told.since) = (load, 0.0),
+                    Outcome::Full => self.shown.told.load.held = Some(FULL),
                     _ => self.doubt(now, 1.0),
                 }
-                self.shown.heard = now;
+                self.shown.told.at = now;
             }
             // As above, a later one was answered: this is heavy, or its connection silent, and no crowd.
             UpstreamNote::Overdue { sent } if sent < self.answered_sent => {}
@@ -533,9 +523,8 @@
     held: Option<Tenths>,
     streaming: bool,
     postings: Vec<Posting>,
-    /// The upstreams asked for their load before it is posted, and when.
-    asked: Vec<usize>,
-    asked_at: Tenths,
+    /// When it asked for their load before it is posted, and which upstreams.
+    asked: (Tenths, Vec<usize>),
 }
 
 impl Txn {
@@ -571,7 +560,6 @@
     cost_count: u32,
     /// Listed size of all live upstreams, this balancer's room among them, and what it has out.
     size: f64,
-    used: f64,
     room: f64,
     out_now: f64,
     out_mean: f64,
@@ -630,12 +618,8 @@
             Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
-                    self.report(
-                        up,
-                        if outcome == Outcome::Full { outcome } else { Outcome::Ok },
-                        load,
-                        inboxes,
-                    );
+                    let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
+                    self.report(up, told, load, inboxes);
                 }
                 let zone = self.seen.zones.entry(self.seen.board[up].entry.zone).or_default();
                 // Lost with its zone, it says nothing of how long answers take, nor of a jam.
@@ -721,24 +705,10 @@
         let deadline = now + self.terms.schemes[scheme].sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
-        let (arrived, held, streaming, postings, asked, asked_at) =
-            (now, None, false, Vec::new(), Vec::new(), 0);
+        let (arrived, held, streaming, postings, asked) = (now, None, false, Vec::new(), (0, Vec::new()));
         self.book.numbers.insert(arrival.txn, number);
-        let t = Txn {
-            id,
-            scheme,
-            cost,
-            key,
-            heavy,
-            arrived,
-            deadline,
-            rank,
-            held,
-            streaming,
-            postings,
-            asked,
-            asked_at,
-        };
+        let t =
+            Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, streaming, postings, asked };
         self.book.txns.insert(number, t);
         // Against one long txn that is hardly worth its time making dozens late that wait behind it: by the
         // pooled pace it would itself be late, and all the sooner the more the others are worth.
@@ -822,7 +792,6 @@
         if self.seen.room == 0.0 {
             self.seen.room = self.terms.part(FIRST_ROOM * self.seen.size);
         }
-        self.seen.used = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
         let cost: f64 = self.seen.cost_sums.iter().sum();
         let all: f64 = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
         let mut part = all * self.seen.cost_sums[0] / cost.max(1e-9);
@@ -934,7 +903,7 @@
     fn is_late(&self, now: Tenths, number: u64, up: usize) -> bool {
         let txn = &self.book.txns[&number];
         let (told, left) = (self.told(now, up), txn.deadline.saturating_sub(now) as f64);
-        let takes = SERVICE * txn.cost * self.seen.cores.max(1.0);
+        let takes = txn.cost * self.seen.cores.max(1.0);
         let wait = told > WORTH_WAIT * (1.0 - self.kept(number)) * left * self.speed(up);
         let has_time = left * self.speed(up);
         let busy = told >= self.mean_cost() || self.seen.busy >= BUSY;
@@ -949,7 +918,7 @@
     }
 
     fn pick(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) -> Option<usize> {
-        let chances = [self.rng.generate::<f64>(), self.rng.generate::<f64>()];
+        let chance = self.rng.generate::<u64>();
         let txn = &self.book.txns[&number];
         let cost = txn.cost;
         let split = self.seen.light.min(self.seen.lanes.len());
@@ -1000,35 +969,30 @@
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
-        if fitting.iter().any(|up| !self.is_late(now, number, *up)) {
-            fitting.retain(|up| !self.is_late(now, number, *up));
-        }
-        let two = self.two(now, number, fitting, chances);
-        if !self.terms.probing {
+        let timely: Vec<usize> =
+            fitting.iter().copied().filter(|up| !self.is_late(now, number, *up)).collect();
+        let two = self.two(now, number, if timely.is_empty() { &fitting } else { &timely }, chance);
+        if !self.terms.probing || cost < ASK_FROM * self.mean_cost() {
             return self.least(now, &two, cost);
         }
-        let asks = cost >= ASK_FROM * self.mean_cost();
         let txn = self.book.txns.get_mut(&number)?;
-        if asks && txn.asked.is_empty() {
-            for &up in two.iter().filter(|up| self.seen.board[**up].heard + FRESH <= now) {
+        if txn.asked.1.is_empty() {
+            for &up in two.iter().filter(|up| self.seen.board[**up].told.at + FRESH <= now) {
                 out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
             }
-            (txn.asked, txn.asked_at) = (two.clone(), now);
+            txn.asked = (now, two.clone());
             let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(u32::MAX))));
             self.book.alarms.extend(waits);
         }
         // Some wait like a txn before they answer: who answers first has the shortest queue.
-        let (asked, since) = (&txn.asked, now - txn.asked_at);
-        let heard = |up: &&usize| self.seen.board[**up].heard + FRESH > txn.asked_at;
+        let (since, asked) = (now - txn.asked.0, &txn.asked.1);
+        let heard = |up: &&usize| self.seen.board[**up].told.at + FRESH > txn.asked.0;
         let told: Vec<usize> = asked.iter().filter(heard).copied().collect();
-        let enough =
-            told.len() == asked.len() || since >= ASKED_ANY || !told.is_empty() && since >= ASKED_BOTH;
-        let live = |up: &usize| self.seen.lanes.contains(up);
-        match told.into_iter().filter(live).collect::<Vec<_>>() {
-            _ if !enough => None,
-            told if told.is_empty() => self.least(now, &two, cost),
-            told => self.least(now, &told, cost),
+        if told.len() < asked.len() && since < if told.is_empty() { ASKED_ANY } else { ASKED_BOTH } {
+            return None;
         }
+        let told: Vec<usize> = told.into_iter().filter(|up| fitting.contains(up)).collect();
+        self.least(now, if told.is_empty() { &two } else { &told }, cost)
     }
 
     fn least(&self, now: Tenths, ups: &[usize], cost: f64) -> Option<usize> {
@@ -1036,27 +1000,24 @@
         ups.iter().copied().min_by(|a, b| load(a).total_cmp(&load(b)))
     }
 
-    /// The two of those that fit between which load decides.
-    fn two(&self, now: Tenths, number: u64, mut fitting: Vec<usize>, chances: [f64; 2]) -> Vec<usize> {
+    /// The two of those that fit between which load decides, drawn by speed: where little is in flight, slow ones
+    /// must not get as much. A key draws in place of chance, the same two at every balancer: they know the key.
+    fn two(&self, now: Tenths, number: u64, fitting: &[usize], chance: u64) -> Vec<usize> {
         let txn = &self.book.txns[&number];
+        let key = txn.key.filter(|_| self.terms.warm_keys);
+        // Twice its time is not left: two drawn at random may both be too slow for it.
         let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
-        let rank: Box<dyn Fn(usize) -> f64> = match txn.key.filter(|_| self.terms.warm_keys) {
-            _ if fitting.len() < 3 => return fitting,
-            // Twice its time is not left: two drawn at random may both be too slow for it.
-            None if tight => Box::new(|up| self.load(now, up, txn.cost)),
-            // The key draws the two in place of chance, the same two at every balancer: they know the key.
-            Some(key) => Box::new(move |up| {
-                let drawn = mix(key ^ self.seen.board[up].order) as f64 / u64::MAX as f64;
-                -drawn.max(f64::MIN_POSITIVE).ln() / self.speed(up)
-            }),
-            None => {
-                let a = self.draw(chances[0], fitting.iter().copied());
-                return vec![a, self.draw(chances[1], fitting.iter().copied().filter(|up| *up != a))];
-            }
+        let rank = |up: usize| {
+            let s = &self.seen.board[up];
+            let drawn = mix(key.unwrap_or(chance) ^ s.order) as f64 / u64::MAX as f64;
+            let near = key.is_some() || s.entry.zone == self.terms.own_zone;
+            let weight = self.speed(up) * if near { 1.0 } else { CROSS };
+            let by_load = key.is_none() && tight;
+            if by_load { self.load(now, up, txn.cost) } else { -drawn.max(f64::MIN_POSITIVE).ln() / weight }
         };
-        fitting.sort_by(|a, b| rank(*a).total_cmp(&rank(*b)));
-        fitting.truncate(2);
-        fitting
+        let mut two: Vec<(f64, usize)> = fitting.iter().map(|up| (rank(*up), *up)).collect();
+        two.sort_by(|a, b| a.0.total_cmp(&b.0));
+        two.into_iter().map(|(_, up)| up).take(2).collect()
     }
 
     /// Listed size by the pace of all upstreams of its kind, since each is met too seldom to know its own.
@@ -1065,30 +1026,11 @@
         s.entry.size * (-self.seen.slower(self.seen.kinds.get(&s.entry.kind))).exp()
     }
 
-    /// By speed: where little is in flight chance alone decides, and slow ones must not get as much. Crossing
-    /// zones is for when the own is worse: the others get a part that grows as it answers more slowly.
-    fn draw(&self, chance: f64, mut ups: impl Iterator<Item = usize> + Clone) -> usize {
-        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
-        let own = self.terms.own_zone;
-        let away =
-            |zone: u32| (CROSS * (ZONE_STEEP * (pace(own) - pace(zone))).exp()).clamp(CROSS_LEAST, 1.0);
-        let weight = |up: &usize| match self.seen.board[*up].entry.zone {
-            zone if zone == own => self.speed(*up),
-            zone => self.speed(*up) * away(zone),
-        };
-        let mut left = chance * ups.clone().map(|up| weight(&up)).sum::<f64>();
-        let passed = |up: &usize| {
-            left -= weight(up);
-            left < 0.0
-        };
-        ups.clone().find(passed).or(ups.next()).unwrap_or_default()
-    }
-
     /// The cost that an upstream told of, and what was posted there since; what it told fades.
     fn told(&self, now: Tenths, up: usize) -> f64 {
-        let s = &self.seen.board[up];
-        let level = s.report.held.map_or(0.0, |held| held * self.mean_cost() + s.since);
-        Fading { level, at: s.heard }.at(now, REPORT_FADE)
+        let told = self.seen.board[up].told;
+        let level = told.load.held.map_or(0.0, |held| held * self.mean_cost() + told.since);
+        Fading { level, at: told.at }.at(now, REPORT_FADE)
     }
 
     /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
@@ -1107,7 +1049,8 @@
         let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         let share = cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
-        let flow = self.seen.flow.at(now, LONG) / self.seen.used;
+        let flow =
+            self.seen.flow.at(now, LONG) / self.seen.lanes.iter().map(|up| self.speed(*up)).sum::<f64>();
         let budget = COLD_MARGIN * cold.multiple * share * flow * self.speed(up) * cold.window as f64;
         let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
             / u64::MAX as f64;
@@ -1136,7 +1079,7 @@
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = txn.postings.len() + 1 >= self.terms.max_postings as usize;
         let timeout = (repeatable && !self.terms.second_copies && !last && slot).then_some(due);
-        txn.asked.clear();
+        txn.asked.1.clear();
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
