--- a/src/balance.rs
+++ b/src/balance.rs
@@ -93,7 +93,7 @@
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
-const LEAST_ARRIVES: f64 = 0.25;
+const LEAST_ARRIVES: f64 = 0.1;
 
 pub struct Balancer {
     inboxes: Inboxes,
