The loop, places, forgetting and list calls stand beside the module; streams are no decision any more

The loop that delivers notes, the places of upstreams, forgetting and the timing of list calls moved to src/balance/shell.rs as they were. Streamed answers are ignored: no scheme of any kept deployment has them.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,20 +1,24 @@
 //! All decisions of the balancer: events in, actions out, in order; no I/O, no clock. Callers use
 //! `Balancer::new` and `Balancer::handle`. Inside are the desk (txns), an actor for each upstream and the
-//! roster (the list), who talk by notes in inboxes. docs/design.md tells what was kept, and when
-//! exceptions act.
+//! roster (the list), who talk by notes in inboxes. `shell` keeps those, and asks for the list; where a txn
+//! goes, whether again and what is declined is decided here. docs/design.md tells what was kept.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::rc::Rc;
 
 use histogram::Histogram;
 use nanorand::{Rng, WyRand};
 
 use crate::{
-    Action, Arrival, Effect, Entry, Event, Listing, Load, Outcome, Scope, Stage, Tenths, Terms, TxnId,
-    UpstreamId,
+    Action, Arrival, Effect, Entry, Event, Load, Outcome, Scope, Stage, Tenths, Terms, TxnId, UpstreamId,
 };
 
+mod shell;
+
+pub use shell::Balancer;
+use shell::Inboxes;
+
 const SECOND: Tenths = 10_000;
 
 /// The percentile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
@@ -55,8 +59,6 @@
 /// With fewer than one in so many trusted, the others serve too.
 const FEW_TRUSTED: usize = 4;
 const SPOILT_DOUBT: f64 = 0.25;
-/// Zones or kinds beyond so many are forgotten when no upstream is of them.
-const MANY_NAMES: usize = 32;
 /// How much a zone is doubted for a posting since which nothing has come from it, and at most.
 const ZONE_DOUBT: f64 = 0.5;
 const MOST_ZONE_DOUBT: f64 = 3.0;
@@ -88,138 +90,10 @@
 /// Room of which a part of this is taken counts as in use and grows: less is left to what is worth least.
 const IN_USE: f64 = 0.33;
 
-/// How long the list service may take for one balancer's call.
-const LIST_CALL: Tenths = 600;
-
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
 const LEAST_ARRIVES: f64 = 0.1;
 
-pub struct Balancer {
-    inboxes: Inboxes,
-    desk: Desk,
-    roster: Roster,
-    upstreams: Vec<Upstream>,
-    /// Places of upstreams that are forgotten.
-    free: Vec<usize>,
-}
-
-impl Balancer {
-    pub fn new(terms: Terms, seed: u64) -> Self {
-        let terms = Rc::new(terms);
-        let roster = Roster { terms: terms.clone(), failures: 0, ask_at: None };
-        let desk = Desk::new(terms, WyRand::new_seed(seed));
-        Balancer { inboxes: Inboxes::default(), desk, roster, upstreams: Vec::new(), free: Vec::new() }
-    }
-
-    pub fn handle(&mut self, now: Tenths, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
-        for event in events {
-            match event {
-                Event::Listed(listing) => self.list(now, listing),
-                event => self.inboxes.desk.push_back(DeskNote::Event(event)),
-            }
-            self.settle(now, out);
-        }
-        if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
-            out.push(Action::Watch { on: true });
-        }
-        self.desk.ring(now, &mut self.inboxes, out);
-        self.settle(now, out);
-        self.desk.lay_lanes(now);
-        while self.desk.release(now, &mut self.inboxes, out) {
-            self.settle(now, out);
-        }
-        self.desk.shed(now, out);
-        self.desk.set_wake(now, self.roster.ask_at, out);
-    }
-
-    fn list(&mut self, now: Tenths, listing: Listing) {
-        let (entries, whole) = match &listing {
-            Listing::Lost => return self.roster.ask_later(now, &mut self.desk.rng),
-            Listing::Changes(entries) => (entries, false),
-            Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
-        };
-        self.roster.failures = 0;
-        if matches!(listing, Listing::Remembered(_)) {
-            self.roster.ask_later(now, &mut self.desk.rng);
-        }
-        self.forget(now);
-        let mut named = vec![!whole; self.upstreams.len()];
-        for entry in entries.iter() {
-            let up = *self.desk.seen.names.entry(entry.upstream.clone()).or_insert_with(|| {
-                let upstream = Upstream::new(entry, &self.desk.terms);
-                let up = self.free.pop().unwrap_or(self.upstreams.len());
-                self.desk.seen.board.splice(up..named.len().min(up + 1), [upstream.shown.clone()]);
-                self.upstreams.splice(up..named.len().min(up + 1), [upstream]);
-                self.inboxes.upstreams.resize_with(self.upstreams.len(), VecDeque::new);
-                named.resize(self.upstreams.len(), true);
-                up
-            });
-            named[up] = true;
-            self.inboxes.upstream(up, UpstreamNote::Listed(entry.clone()));
-        }
-        for (up, _) in named.iter().enumerate().filter(|(_, named)| !**named) {
-            self.inboxes.upstream(up, UpstreamNote::Unlisted);
-        }
-    }
-
-    /// Against a balancer that grows with each upstream that ever was. What it has sent is kept for as long as
-    /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
-    fn forget(&mut self, now: Tenths) {
-        let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
-        let posted: BTreeSet<usize> = txns.values().flat_map(|t| t.postings.iter().map(|p| p.up)).collect();
-        let since = now.saturating_sub(self.desk.terms.cold.warm_within.max(SECOND));
-        let is_old = |up: &usize| {
-            let s = &seen.board[*up];
-            s.entry.stage == Stage::Gone && s.gone < since && s.in_flight == 0 && !posted.contains(up)
-        };
-        self.free.extend(seen.names.values().copied().filter(is_old));
-        seen.names.retain(|_, up| !is_old(up));
-        let named = || seen.names.values().map(|up| &seen.board[*up].entry);
-        let many = seen.zones.len().max(seen.kinds.len()) > MANY_NAMES;
-        seen.zones.retain(|zone, _| !many || named().any(|entry| entry.zone == *zone));
-        seen.kinds.retain(|kind, _| !many || named().any(|entry| entry.kind == *kind));
-    }
-
-    /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
-    pub fn sizes(&self) -> [usize; 4] {
-        let Seen { names, zones, kinds, .. } = &self.desk.seen;
-        [names.len(), zones.len(), kinds.len(), self.desk.book.txns.len()]
-    }
-
-    fn settle(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        let inboxes = &mut self.inboxes;
-        loop {
-            if let Some(up) = inboxes.ready.pop_front() {
-                while let Some(note) = inboxes.upstreams[up].pop_front() {
-                    self.upstreams[up].receive(now, note, &self.desk.terms);
-                }
-                inboxes.desk.push_back(DeskNote::Standing(up, self.upstreams[up].shown.clone()));
-            } else if let Some(note) = inboxes.desk.pop_front() {
-                self.desk.receive(now, note, inboxes, out);
-            } else {
-                return;
-            }
-        }
-    }
-}
-
-#[derive(Default)]
-struct Inboxes {
-    upstreams: Vec<VecDeque<UpstreamNote>>,
-    ready: VecDeque<usize>,
-    desk: VecDeque<DeskNote>,
-}
-
-impl Inboxes {
-    fn upstream(&mut self, up: usize, note: UpstreamNote) {
-        if self.upstreams[up].is_empty() {
-            self.ready.push_back(up);
-        }
-        self.upstreams[up].push_back(note);
-    }
-}
-
 enum UpstreamNote {
     Listed(Entry),
     Unlisted,
@@ -234,27 +108,6 @@
     Standing(usize, Standing),
 }
 
-struct Roster {
-    terms: Rc<Terms>,
-    failures: u32,
-    ask_at: Option<Tenths>,
-}
-
-impl Roster {
-    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the
-    /// row is worked through whether or not who stands in it still listens. So the first calls are spread
-    /// over the time that all take together, and what failed comes back when the row may be empty. That time
-    /// is well under the term: within it everybody has to be able to ask.
-    fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
-        let Some(term) = self.terms.must_ask else { return };
-        let all = (LIST_CALL * u64::from(self.terms.balancers)).min(term * 3 / 5).max(SECOND.min(term));
-        let longest = (all << self.failures.saturating_sub(1).min(4)).min(3 * term);
-        let least = if self.failures == 0 { longest / 32 } else { longest / 4 };
-        self.failures += 1;
-        self.ask_at = Some(now + rng.generate_range(least..longest));
-    }
-}
-
 /// The pooled window: response times of all upstreams together, and the mean wait before first postings.
 struct Gauge {
     took: Histogram,
@@ -521,7 +374,6 @@
     deadline: Tenths,
     rank: u64,
     held: Option<Tenths>,
-    streaming: bool,
     postings: Vec<Posting>,
     /// When it asked for their load before it is posted, and which upstreams.
     asked: (Tenths, Vec<usize>),
@@ -664,14 +516,6 @@
                 }
                 self.close(number, out);
             }
-            Event::Streaming { txn, posting, .. } => {
-                let Some(&number) = self.book.numbers.get(&txn) else { return };
-                self.unhold(number);
-                if let Some(txn) = self.book.txns.get_mut(&number) {
-                    txn.streaming = true;
-                    self.recall(number, Some(posting), out);
-                }
-            }
             Event::Left { txn } => {
                 self.book.numbers.get(&txn).copied().into_iter().for_each(|number| self.close(number, out))
             }
@@ -680,8 +524,8 @@
                     self.report(up, outcome, load, inboxes);
                 }
             }
-            // Talk with peers is not used.
-            Event::Listed(_) | Event::Woke { .. } | Event::Heard { .. } => {}
+            // Talk with peers is not used; no scheme streams its answers.
+            Event::Listed(_) | Event::Woke { .. } | Event::Heard { .. } | Event::Streaming { .. } => {}
         }
     }
 
@@ -705,10 +549,9 @@
         let deadline = now + self.terms.schemes[scheme].sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).max(1) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
-        let (arrived, held, streaming, postings, asked) = (now, None, false, Vec::new(), (0, Vec::new()));
+        let (arrived, held, postings, asked) = (now, None, Vec::new(), (0, Vec::new()));
         self.book.numbers.insert(arrival.txn, number);
-        let t =
-            Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, streaming, postings, asked };
+        let t = Txn { id, scheme, cost, key, heavy, arrived, deadline, rank, held, postings, asked };
         self.book.txns.insert(number, t);
         // Against one long txn that is hardly worth its time making dozens late that wait behind it: by the
         // pooled pace it would itself be late, and all the sooner the more the others are worth.
@@ -1098,7 +941,7 @@
         let txn = &self.book.txns[&number];
         let may_repeat =
             self.terms.second_copies && self.terms.schemes[txn.scheme].effect != Effect::OnceOnly;
-        let may_post = txn.postings.len() < self.terms.max_postings as usize && !txn.streaming;
+        let may_post = txn.postings.len() < self.terms.max_postings as usize;
         if may_repeat && may_post && txn.held.is_none() && self.extra >= 1.0 {
             self.hold(now, number);
         }
@@ -1141,15 +984,15 @@
         if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
-    fn recall(&mut self, number: u64, keep: Option<u32>, out: &mut Vec<Action>) {
+    fn recall(&mut self, number: u64, out: &mut Vec<Action>) {
         let Some(txn) = self.book.txns.get(&number).filter(|_| self.terms.cancelling) else { return };
-        let outs = (0u32..).zip(&txn.postings).filter(|(posting, p)| p.out && Some(*posting) != keep);
+        let outs = (0u32..).zip(&txn.postings).filter(|(_, p)| p.out);
         out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
     }
 
     fn close(&mut self, number: u64, out: &mut Vec<Action>) {
         self.unhold(number);
-        self.recall(number, None, out);
+        self.recall(number, out);
         if let Some(txn) = self.book.txns.remove(&number) {
             self.book.numbers.remove(&txn.id);
         }
@@ -1162,7 +1005,7 @@
             self.book.alarms.pop();
             let Some(txn) = self.book.txns.get(&number) else { continue };
             if let Some(posting) = posting {
-                let posting = txn.postings.get(posting as usize).filter(|p| p.out && !txn.streaming);
+                let posting = txn.postings.get(posting as usize).filter(|p| p.out);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
                 inboxes.upstream(up, UpstreamNote::Overdue { sent });
                 let zone = self.seen.board[up].entry.zone;
