Upstreams can be asked on sockets, settings are checked for their range, and old and new kinds tested together

The program's probe.path says how to ask, off by default; a probe ends within probe.within_ms, holds one connection no longer and delays nothing. Reports that can't be true (NaN, negative, more waiting than held, wrong count of values) are left out. Settings out of range name key, value and what is accepted.

--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -20,6 +20,7 @@
     pub held: Option<usize>,
     pub waiting: Option<usize>,
     pub service: Option<usize>,
+    pub values: usize,
     pub schemes: u32,
 }
 
@@ -132,8 +133,11 @@
             };
             text.parse().map(Some).map_err(|_| self.bad("HealthInfo", row))
         };
-        let service = value(reading.service)?.map(|ms| (ms * 10.0).max(0.0).round() as Tenths);
-        Ok(Load { held: value(reading.held)?, waiting: value(reading.waiting)?, service })
+        let (held, waiting, service) =
+            (value(reading.held)?, value(reading.waiting)?, value(reading.service)?);
+        // With more or fewer values than were announced, none is known for what it is.
+        let whole = row.split(',').count() == reading.values;
+        Ok(if whole { Load::told(held, waiting, service) } else { Load::default() })
     }
 }
 
@@ -202,8 +206,9 @@
         let deployment =
             pondlb_terms::decode(fields.word("Config")?).map_err(|fault| format!("Config: {fault}"))?;
         let place = |name| deployment.report.iter().position(|field| field == name);
-        let schemes = deployment.terms.schemes.len() as u32;
-        let reading = Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), schemes };
+        let (schemes, values) = (deployment.terms.schemes.len() as u32, deployment.report.len());
+        let reading =
+            Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), values, schemes };
         let terms = Box::new(deployment.terms);
         return Ok(Line::Start { who, seed: fields.number("Salt")?, terms, reading });
     }
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -103,7 +103,8 @@
         spawn_local(listen(listener, Rc::new(front)));
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
-        let carrier = Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone() };
+        let carrier =
+            Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
         exchange.remember(clock.now(), setup.known);
         log::info!("{} listens on {address}: {:?}", setup.name, setup.budget);
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -1,6 +1,7 @@
 //! The one place where the configuration is read, checked and given its defaults.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use pondlb_terms::Deployment;
 use serde::Deserialize;
@@ -10,7 +11,7 @@
 use crate::protocol::discovery::Roster;
 use crate::protocol::reader::MOST_HELD;
 use crate::protocol::{MOST_BODY, MOST_HEAD};
-use crate::transport::Memory;
+use crate::transport::{Memory, Probing};
 
 /// All that the program is told, checked.
 pub struct Setup {
@@ -21,6 +22,7 @@
     pub budget: Budget,
     pub known: Roster,
     pub deployment: Deployment,
+    pub probing: Option<Probing>,
     settings: Box<RawValue>,
 }
 
@@ -30,6 +32,7 @@
     name: String,
     listen: SocketAddr,
     budget: Budget,
+    probing: Option<Probing>,
     settings: Box<RawValue>,
 }
 
@@ -40,6 +43,7 @@
             ("name", self.name != before.name),
             ("listen", self.listen != before.listen),
             ("limits", self.budget != before.budget),
+            ("probe", self.probing != before.probing),
             ("settings", self.settings.get() != before.settings.get()),
         ];
         changes.into_iter().filter_map(|(key, changed)| changed.then_some(key))
@@ -63,9 +67,34 @@
     #[serde(default)]
     limits: Limits,
     known: Option<Box<RawValue>>,
+    probe: Option<Probe>,
     settings: Box<RawValue>,
 }
 
+#[derive(Deserialize)]
+struct Probe {
+    path: Option<String>,
+    #[serde(default = "Probe::within_ms")]
+    within_ms: u64,
+}
+
+impl Probe {
+    fn within_ms() -> u64 {
+        250
+    }
+
+    fn read(self) -> Result<Probing, String> {
+        let path = self.path.ok_or("probe.path is missing: a path that begins with / is accepted")?;
+        if !path.starts_with('/') || path.len() > 256 || !path.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(format!("probe.path: {path:?}: a path that begins with / is accepted"));
+        }
+        if !(1..=10_000).contains(&self.within_ms) {
+            return Err(format!("probe.within_ms: {}: 1 to 10000 are accepted", self.within_ms));
+        }
+        Ok(Probing { path, within: Duration::from_millis(self.within_ms) })
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -111,24 +140,42 @@
         let known = noted(&mut faults, known.map_err(|e| format!("known: {e}")));
         let terms = pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
         let deployment = noted(&mut faults, terms);
+        let probing = noted(&mut faults, file.probe.map(Probe::read).transpose());
         let (Some(listen), Some(discovery), Some(seed)) = (listen, discovery, seed) else {
             return Err(faults);
         };
-        let (Some(budget), Some(known), Some(deployment)) = (budget, known, deployment) else {
+        let (Some(budget), Some(known), Some(mut deployment), Some(probing)) =
+            (budget, known, deployment, probing)
+        else {
             return Err(faults);
         };
+        if probing.is_some() && !deployment.terms.probing {
+            return Err(vec!["settings: Limits.Probing: false: true is accepted beside probe".into()]);
+        }
+        // Who says no way to probe has none: the platform's protocol has no word for it.
+        deployment.terms.probing = probing.is_some();
         let mut known = known.unwrap_or_default();
         // It stands for all that was known, whatever its last call brought.
         known.whole = true;
         log::debug!("settings {}", file.settings.get());
         let name = file.name.or_else(|| env("RELAY_NAME")).unwrap_or_else(|| "pondlb".into());
-        Ok(Setup { name, listen, discovery, seed, budget, known, deployment, settings: file.settings })
+        Ok(Setup {
+            name,
+            listen,
+            discovery,
+            seed,
+            budget,
+            known,
+            deployment,
+            probing,
+            settings: file.settings,
+        })
     }
 
     pub fn given(&self) -> Given {
-        let Setup { name, listen, discovery, budget, settings, .. } = self;
-        let (name, settings) = (name.clone(), settings.clone());
-        Given { discovery: *discovery, name, listen: *listen, budget: *budget, settings }
+        let Setup { name, listen, discovery, budget, probing, settings, .. } = self;
+        let (name, probing, settings) = (name.clone(), probing.clone(), settings.clone());
+        Given { discovery: *discovery, name, listen: *listen, budget: *budget, probing, settings }
     }
 }
 
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -1,5 +1,7 @@
 //! The side that speaks to upstreams: a posting to bytes, bytes to its outcome.
 
+use std::net::SocketAddr;
+
 use pondlb::{Load, Outcome, Tenths};
 
 use super::MOST_ANSWER;
@@ -26,6 +28,11 @@
     out
 }
 
+/// Asks an upstream for its load: no txn, so it has no id.
+pub fn write_probe(path: &str, address: SocketAddr) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes()
+}
+
 /// Reads the one answer that is due on a connection.
 pub struct UpstreamSide {
     reader: Reader,
@@ -122,8 +129,7 @@
     let Ok(Some(report)) = head.one("Srv-Load") else { return Load::default() };
     let value = |name: &str| {
         let text = report.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='))?;
-        text.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0)
+        text.parse::<f64>().ok()
     };
-    let service = value("lat_ms").map(|ms| (ms * 10.0).round() as Tenths);
-    Load { held: value("rif"), waiting: value("q"), service }
+    Load::told(value("rif"), value("q"), value("lat_ms"))
 }
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::mem;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Tenths, TxnId, UpstreamId};
@@ -15,6 +16,8 @@
     type Hold;
 
     fn post(&mut self, order: Order) -> Self::Hold;
+    /// Asks for an upstream's load; `Note::Probed` says what came of it.
+    fn probe(&mut self, upstream: UpstreamId, address: SocketAddr);
     fn watch(&mut self, on: bool);
     fn fetch(&mut self);
     fn close_idle(&mut self, upstream: &str);
@@ -169,6 +172,10 @@
                 }
             }
             Note::Ended { posting, end } => self.ended(now, posting, end),
+            Note::Probed { upstream, outcome, took, load } => {
+                log::debug!("{upstream} is asked: {outcome:?} after {took}{load}");
+                self.events.push(Event::Probed { upstream, outcome, took, load });
+            }
             Note::Listed(roster) => {
                 let listing = if roster.whole { Listing::Whole } else { Listing::Changes };
                 let entries = self.directory.read(roster);
@@ -235,9 +242,14 @@
             Action::CloseIdle { upstream } => self.carrier.close_idle(&upstream),
             Action::Wake { token, after } => self.wake = Some((now + after, token)),
             Action::Log { text } => log::info!("{text}"),
-            Action::Probe { .. } | Action::Tell { .. } => {
-                log::warn!("neither probes nor talk with peers are carried here: {action:?}");
-            }
+            Action::Probe { upstream } => match self.directory.address(&upstream) {
+                Some(address) => self.carrier.probe(upstream, address),
+                None => {
+                    let (outcome, load) = (Outcome::Moot, Load::default());
+                    self.events.push(Event::Probed { upstream, outcome, took: 0, load });
+                }
+            },
+            Action::Tell { .. } => log::warn!("talk with peers is not carried here: {action:?}"),
         }
     }
 
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -77,6 +77,12 @@
         posting: PostingId,
         end: End,
     },
+    Probed {
+        upstream: UpstreamId,
+        outcome: Outcome,
+        took: Tenths,
+        load: Load,
+    },
     Listed(Roster),
     /// A call to discovery failed or its watch broke.
     ListLost,
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -1,10 +1,11 @@
 //! Events and actions on their way, in short traces; what carries them out here only writes it down.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use expect_test::{Expect, expect};
-use pondlb::{Arrival, Balancer, Load, Outcome, Tenths, Terms};
+use pondlb::{Arrival, Balancer, Load, Outcome, Tenths, Terms, UpstreamId};
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
@@ -36,6 +37,10 @@
         Held(self.0.clone(), what)
     }
 
+    fn probe(&mut self, upstream: UpstreamId, _address: SocketAddr) {
+        *self.0.borrow_mut() += &format!("  probe {upstream}\n");
+    }
+
     fn watch(&mut self, on: bool) {
         *self.0.borrow_mut() += &format!("  watch {on}\n");
     }
@@ -121,6 +126,7 @@
             Some(Note::Ended { posting, end }) => {
                 format!("{} {} ends: {:?}", posting.0, posting.1, end.outcome)
             }
+            Some(Note::Probed { upstream, outcome, .. }) => format!("{upstream} is asked: {outcome:?}"),
             Some(Note::Listed(_)) => "listed".into(),
             Some(Note::ListLost) => "list lost".into(),
         };
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -17,4 +17,4 @@
 pub use listener::listen;
 pub use memory::Memory;
 pub use pool::Pool;
-pub use posting::Postings;
+pub use posting::{Postings, Probing};
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -1,6 +1,8 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use pondlb::Outcome;
+use pondlb::{Load, Outcome, UpstreamId};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
@@ -8,9 +10,9 @@
 use super::clock::Clock;
 use super::discovery::Ask;
 use super::memory::Memory;
-use super::pool::{Link, Pool};
+use super::pool::{Link, NoLink, Pool};
 use super::stream::{feed, write_all};
-use crate::protocol::upstream::{Answered, UpstreamSide, write_posting};
+use crate::protocol::upstream::{Answered, UpstreamSide, write_posting, write_probe};
 use crate::routing::{Carrier, End, Note, Order};
 
 /// Carries postings to upstreams, each in a task of its own.
@@ -20,6 +22,14 @@
     pub memory: Memory,
     pub notes: mpsc::UnboundedSender<Note>,
     pub asks: mpsc::UnboundedSender<Ask>,
+    /// How upstreams are asked for their load; nobody is where it is not said.
+    pub probing: Option<Probing>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Probing {
+    pub path: String,
+    pub within: Duration,
 }
 
 /// Ends its task when it is dropped, and with it the connection that the task holds.
@@ -44,6 +54,18 @@
         Hold(task.abort_handle())
     }
 
+    fn probe(&mut self, upstream: UpstreamId, address: SocketAddr) {
+        let Some(probing) = self.probing.clone() else { return };
+        let (pool, clock, memory, notes) = (self.pool.clone(), self.clock, self.memory, self.notes.clone());
+        spawn_local(async move {
+            let (start, until) = (clock.now(), Instant::now() + probing.within);
+            // Against one that never ends: it holds its connection no longer than this.
+            let asked = timeout_at(until, ask(&pool, memory, &probing.path, &upstream, address, until)).await;
+            let (outcome, load) = asked.unwrap_or((Outcome::TimedOut, Load::default()));
+            let _ended = notes.send(Note::Probed { upstream, outcome, took: clock.now() - start, load });
+        });
+    }
+
     fn watch(&mut self, on: bool) {
         let _ended = self.asks.send(Ask::Watch(on));
     }
@@ -57,6 +79,34 @@
     }
 }
 
+async fn ask(
+    pool: &Rc<Pool>,
+    memory: Memory,
+    path: &str,
+    upstream: &UpstreamId,
+    address: SocketAddr,
+    until: Instant,
+) -> (Outcome, Load) {
+    let link = match pool.take(upstream, address, until).await {
+        Ok(link) => link,
+        // Our own want of connections says nothing of the upstream.
+        Err(NoLink::Budget) => return (Outcome::Moot, Load::default()),
+        Err(_) => return (Outcome::ConnectFailed, Load::default()),
+    };
+    if write_all(&link.stream, &write_probe(path, address)).await.is_err() {
+        return (Outcome::ConnectFailed, Load::default());
+    }
+    match answer(&link, memory).await {
+        Ok(Answered { outcome, load, keep, .. }) => {
+            if keep {
+                pool.keep(upstream.clone(), link);
+            }
+            (outcome, load)
+        }
+        Err(outcome) => (outcome, Load::default()),
+    }
+}
+
 /// Whether a posting may have run turns on its last byte: until that is written it can't have, from then on
 /// it may have. Nothing is ever written twice, so that the decisions alone repeat a txn.
 async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order) -> End {
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -1,6 +1,7 @@
 //! The program itself, spoken to over loopback.
 
 mod helper;
+mod mixed;
 
 use std::io::{Read, Write};
 use std::net::SocketAddr;
--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -144,6 +144,7 @@
     if object.schemes.is_empty() {
         return Err("Schemes is empty".into());
     }
+    check(&object)?;
     let (limits, rules) = (object.limits, object.rules);
     let names = Names {
         schemes: object.schemes.iter().map(|s| s.name.clone()).collect(),
@@ -183,6 +184,29 @@
     Ok(Deployment { terms, names, report: object.reporting.fields, links })
 }
 
+/// What can be read and yet can't be true.
+fn check(object: &Object) -> Result<(), Fault> {
+    let balancers = object.balancers;
+    let within = |key: &str, value: f64, least: f64, most: f64| {
+        let fault = || format!("{key}: {value}: {least} to {most} are accepted");
+        if (least..=most).contains(&value) { Ok(()) } else { Err(fault()) }
+    };
+    within("Balancers", balancers.into(), 1.0, u32::MAX.into())?;
+    within("SelfIndex", object.self_index.into(), 0.0, f64::from(balancers) - 1.0)?;
+    within("MyZone", object.my_zone.into(), 0.0, (object.zones.len() as f64 - 1.0).max(0.0))?;
+    within("ExcessValue", object.excess_value, 0.0, 1.0)?;
+    within("Limits.MaxPostings", object.limits.max_postings.into(), 1.0, u32::MAX.into())?;
+    within("Rules.ColdShare", object.rules.cold_share, 0.0, 1.0)?;
+    within("Rules.FallMultiple", object.rules.fall_multiple, 0.0, f64::MAX)?;
+    for (n, scheme) in object.schemes.iter().enumerate() {
+        within(&format!("Schemes[{n}].Value"), scheme.value, 0.0, f64::MAX)?;
+    }
+    for (n, realm) in object.realms.iter().enumerate() {
+        within(&format!("Realms[{n}].QuotaRps"), realm.quota_rps, 0.0, f64::MAX)?;
+    }
+    Ok(())
+}
+
 fn scheme(number: usize, scheme: WireScheme) -> Result<Scheme, Fault> {
     let lacks = |key| format!("Schemes[{number}].{key} is missing, though the scheme is deduplicated");
     let effect = match scheme.effect {
@@ -235,6 +259,13 @@
             ("\"DedupScope\":\"cell\",", ""),
             ("\"KeyTtlNs\":5000000099,", ""),
             ("\"Zones\":[\"z\"]", "\"Zones\":[1]"),
+            ("\"Balancers\":3", "\"Balancers\":0"),
+            ("\"SelfIndex\":1", "\"SelfIndex\":3"),
+            ("\"MyZone\":0", "\"MyZone\":1"),
+            ("\"ColdShare\":0.3", "\"ColdShare\":1.5"),
+            ("\"ExcessValue\":0.1", "\"ExcessValue\":-1"),
+            ("\"MaxPostings\":3", "\"MaxPostings\":0"),
+            ("\"SecondCopies\":true", "\"SecondCopies\":true,\"Probing\":1"),
             ("}]}", "}]"),
             ("}]}", "}]}}"),
         ]
@@ -252,6 +283,13 @@
             Schemes[1].DedupScope is missing, though the scheme is deduplicated
             Schemes[1].KeyTtlNs is missing, though the scheme is deduplicated
             Zones[0]: invalid type: integer `1`, expected a string at line 3 column 99
+            Balancers: 0: 1 to 4294967295 are accepted
+            SelfIndex: 3: 0 to 2 are accepted
+            MyZone: 1: 0 to 0 are accepted
+            Rules.ColdShare: 1.5: 0 to 1 are accepted
+            ExcessValue: -1: 0 to 1 are accepted
+            Limits.MaxPostings: 0: 1 to 4294967295 are accepted
+            Limits.Probing: invalid type: integer `1`, expected a boolean at line 3 column 78
             EOF while parsing an object at line 7 column 105
             trailing characters at line 7 column 107"#]].assert_eq(&made.join("\n"));
     }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -249,6 +249,7 @@
                 match outcome {
                     Outcome::Ok => (self.shown.told.load, self.shown.told.since) = (load, 0.0),
                     Outcome::Full => self.shown.told.load.held = Some(FULL),
+                    Outcome::Cancelled | Outcome::Moot => self.shown.told.load = Load::default(),
                     _ => self.doubt(now, 1.0),
                 }
                 self.shown.told.at = now;
--- a/src/event.rs
+++ b/src/event.rs
@@ -119,6 +119,19 @@
     pub service: Option<Tenths>,
 }
 
+impl Load {
+    /// What can't be true is left out: nothing is to be steered by it.
+    pub fn told(held: Option<f64>, waiting: Option<f64>, service_ms: Option<f64>) -> Self {
+        let sane = |value: &f64| (0.0..=MOST_TOLD).contains(value);
+        let held = held.filter(sane);
+        let waiting = waiting.filter(sane).filter(|waiting| held.is_none_or(|held| *waiting <= held));
+        Load { held, waiting, service: service_ms.filter(sane).map(|ms| (ms * 10.0).round() as Tenths) }
+    }
+}
+
+/// More than this nobody holds.
+const MOST_TOLD: f64 = 1e6;
+
 /// As it goes on in a line of the log, empty where nothing was said.
 impl fmt::Display for Load {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
