--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,8 @@
 const PACE_WINDOW: f64 = 32.0;
 const FEW_ANSWERS: f64 = 4.0;
 const CROSS: f64 = 0.1;
+const CROSS_LEAST: f64 = 0.03;
+const ZONE_STEEP: f64 = 3.0;
 const REST_PACE: f64 = 2.5;
 
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
@@ -851,11 +853,15 @@
         let key = txn.key.filter(|_| self.terms.warm_keys);
         // Twice its time is not left: two drawn at random may both be too slow for it.
         let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
+        // Crossing is for when the own zone is worse: the others get more as it answers more slowly.
+        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
         let rank = |up: usize| {
             let s = &self.seen.board[up];
             let drawn = mix(key.unwrap_or(chance) ^ s.order) as f64 / u64::MAX as f64;
             let near = key.is_some() || s.entry.zone == self.terms.own_zone;
-            let weight = self.speed(up) * if near { 1.0 } else { CROSS };
+            let slower = pace(self.terms.own_zone) - pace(s.entry.zone);
+            let away = (CROSS * (ZONE_STEEP * slower).exp()).clamp(CROSS_LEAST, 1.0);
+            let weight = self.speed(up) * if near { 1.0 } else { away };
             let by_load = key.is_none() && tight;
             if by_load { self.load(now, up, txn.cost) } else { -drawn.max(f64::MIN_POSITIVE).ln() / weight }
         };
