--- a/crates/pondlb-server/src/program/line.rs
+++ b/crates/pondlb-server/src/program/line.rs
@@ -72,6 +72,8 @@
             limits.memory_mb
             limits.sockets
             known
+            probe.path
+            probe.within_ms
             settings
             Balancers
             SelfIndex
@@ -93,6 +95,7 @@
             Limits.MaxPostings
             Limits.SecondCopies
             Limits.Cancelling
+            Limits.Probing
             Limits.RetryAfter
             Limits.MaxRetryAfterNs
             Limits.MaxOpen
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -442,6 +442,29 @@
     assert_eq!(one.requests().len(), 0);
 }
 
+/// The danger is a txn that waits for who says nothing, and a connection that is never given back.
+#[test]
+fn a_probe_that_never_ends_delays_no_answer_and_holds_no_connection() {
+    let upstream = Upstream::start(Habit::TellsNothing("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"));
+    let plan = Plan::with(&[&upstream]);
+    let asking =
+        plan.configuration().replace("\"seed\"", "\"probe\":{\"path\":\"/load\",\"within_ms\":300},\"seed\"");
+    let balancer = plan.start_with(&asking.replace("\"RetryAfter\"", "\"Probing\":true,\"RetryAfter\""));
+    let asked = Instant::now();
+    assert_eq!(balancer.ask("a1", "order").status(), "200");
+    assert!(asked.elapsed() < 290 * MS, "{:?}", asked.elapsed());
+    let mut probes = 0;
+    loop {
+        match upstream.next() {
+            Seen::Request(request) => probes += u32::from(request.head.starts_with("GET /load HTTP/1.1\n")),
+            Seen::Closed => break,
+            Seen::Connected => {}
+        }
+    }
+    assert!(asked.elapsed() < 1000 * MS, "{:?}", asked.elapsed());
+    assert_eq!(probes, 1);
+}
+
 /// The danger is a program that ends at the signal, or goes on listening to who knows nothing any more.
 #[test]
 fn a_configuration_read_anew_moves_discovery_in_mid_call_and_a_faulty_one_changes_nothing() {
@@ -553,6 +576,12 @@
         ("8c1f30d27a5be964", "seed", "seed: \"seed\""),
         ("at_most_once", "at_most_twice", "settings: Schemes[1].Effect: unknown variant `at_most_twice`"),
         ("\"all\":true", "\"all\":1", "known: all: invalid type"),
+        ("\"Balancers\":1", "\"Balancers\":0", "settings: Balancers: 0: 1 to"),
+        ("\"SelfIndex\":0", "\"SelfIndex\":1", "settings: SelfIndex: 1: 0 to 0 are accepted"),
+        ("\"seed\"", "\"probe\":{},\"seed\"", "probe.path is missing: a path"),
+        ("\"seed\"", "\"probe\":{\"path\":\"load\"},\"seed\"", "probe.path: \"load\": a path"),
+        ("\"seed\"", "\"probe\":{\"path\":\"/l\",\"within_ms\":0},\"seed\"", "probe.within_ms: 0: 1 to"),
+        ("\"seed\"", "\"probe\":{\"path\":\"/l\"},\"seed\"", "Limits.Probing: false: true is accepted"),
         ("\"listen\":\"127.0.0.1:0\",", "", "listen is missing, and RELAY_LISTEN is not set"),
     ] {
         assert!(good.contains(from), "{from}");
