--- a/src/balance.rs
+++ b/src/balance.rs
@@ -69,8 +69,8 @@
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
-/// Where upstreams may be asked: txns of so many mean costs ask two, who have so long for both to answer, and so
-/// long for one. What was told counts as new for `FRESH`, and its weight halves in the last figure.
+/// Where upstreams may be asked: txns of so many mean costs ask two, who have so long for both to answer, and
+/// so long for one. What was told counts as new for `FRESH`, and its weight halves in the last figure.
 const ASK_FROM: f64 = 1.0;
 const ASKED_BOTH: Tenths = 250;
 const ASKED_ANY: Tenths = 1500;
@@ -853,8 +853,8 @@
         ups.iter().copied().min_by(|a, b| load(a).total_cmp(&load(b)))
     }
 
-    /// The two of those that fit between which load decides, drawn by speed: where little is in flight, slow ones
-    /// must not get as much. A key draws in place of chance, the same two at every balancer: they know the key.
+    /// The two of those that fit between which load decides, drawn by speed: where little is in flight, slow
+    /// ones must not get as much. A key draws in place of chance, the same two at every balancer: they know the key.
     fn two(&self, now: Tenths, number: u64, fitting: &[usize], chance: u64) -> Vec<usize> {
         let txn = &self.book.txns[&number];
         let key = txn.key.filter(|_| self.terms.warm_keys);
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -1,5 +1,5 @@
-//! The loop of a balancer: who is told what and in which order, which places upstreams have, what is forgotten and
-//! when the list is asked for. Nothing about a txn is decided here.
+//! The loop of a balancer: who is told what and in which order, which places upstreams have, what is forgotten
+//! and when the list is asked for. Nothing about a txn is decided here.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
