--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -64,6 +64,8 @@
     dedup_scope: Option<WireScope>,
     expiry_ns: Option<u64>,
     key_ttl_ns: Option<u64>,
+    /// Nothing is decided by it, yet who gets it wrong will have got the rest of the scheme wrong too.
+    late_value: Option<f64>,
     name: String,
     value: f64,
 }
@@ -200,6 +202,7 @@
     within("Rules.FallMultiple", object.rules.fall_multiple, 0.0, f64::MAX)?;
     for (n, scheme) in object.schemes.iter().enumerate() {
         within(&format!("Schemes[{n}].Value"), scheme.value, 0.0, f64::MAX)?;
+        within(&format!("Schemes[{n}].LateValue"), scheme.late_value.unwrap_or(0.0), 0.0, 1.0)?;
     }
     for (n, realm) in object.realms.iter().enumerate() {
         within(&format!("Realms[{n}].QuotaRps"), realm.quota_rps, 0.0, f64::MAX)?;
@@ -262,6 +265,7 @@
             ("\"Balancers\":3", "\"Balancers\":0"),
             ("\"SelfIndex\":1", "\"SelfIndex\":3"),
             ("\"MyZone\":0", "\"MyZone\":1"),
+            ("\"Value\":3.0", "\"LateValue\":1.2,\"Value\":3.0"),
             ("\"ColdShare\":0.3", "\"ColdShare\":1.5"),
             ("\"ExcessValue\":0.1", "\"ExcessValue\":-1"),
             ("\"MaxPostings\":3", "\"MaxPostings\":0"),
@@ -286,6 +290,7 @@
             Balancers: 0: 1 to 4294967295 are accepted
             SelfIndex: 3: 0 to 2 are accepted
             MyZone: 1: 0 to 0 are accepted
+            Schemes[0].LateValue: 1.2: 0 to 1 are accepted
             Rules.ColdShare: 1.5: 0 to 1 are accepted
             ExcessValue: -1: 0 to 1 are accepted
             Limits.MaxPostings: 0: 1 to 4294967295 are accepted
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -854,7 +854,8 @@
     }
 
     /// The two of those that fit between which load decides, drawn by speed: where little is in flight, slow
-    /// ones must not get as much. A key draws in place of chance, the same two at every balancer: they know the key.
+    /// ones must not get as much. A key draws in place of chance, the same two at every balancer: they know
+    /// the key.
     fn two(&self, now: Tenths, number: u64, fitting: &[usize], chance: u64) -> Vec<usize> {
         let txn = &self.book.txns[&number];
         let key = txn.key.filter(|_| self.terms.warm_keys);
@@ -914,7 +915,7 @@
         s.cold_work.at(now, cold.window.max(1)) + cost <= budget + drawn * cost
     }
 
-    /// What a posting costs a cold upstream: with a new connection, and light ones are heavier than they look.
+    /// What a posting costs a cold upstream: a new connection too, and light ones are heavier than they look.
     fn arrives(&self, cost: f64) -> f64 {
         cost + LEAST_ARRIVES * self.mean_cost()
     }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -1,5 +1,5 @@
-//! The loop of a balancer: who is told what and in which order, which places upstreams have, what is forgotten
-//! and when the list is asked for. Nothing about a txn is decided here.
+//! The loop of a balancer: who is told what and in which order, which places upstreams have, what is
+//! forgotten and when the list is asked for. Nothing about a txn is decided here.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Against a balancer that grows with each upstream that ever was. What it has sent is kept for as long as
+    /// Against a balancer that grows with each upstream that ever was. What it has sent is kept as long as
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
         let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
