--- a/crates/pondlb-server/tests/mixed/mod.rs
+++ b/crates/pondlb-server/tests/mixed/mod.rs
@@ -87,7 +87,7 @@
         let (came, id) = (Instant::now(), request.field("Req-Id").unwrap().to_string());
         let at = {
             let mut lines = book.lines.lock().unwrap();
-            lines.push(Line { id, worker, came, ended: came + 60 * MS * 1000 });
+            lines.push(Line { id, worker, came, ended: came + Duration::from_secs(60) });
             lines.len() - 1
         };
         held.lock().unwrap().0 += 1;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -80,6 +80,7 @@
 const WORTH_WAIT: f64 = 0.5;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
+/// Upstreams are busy when they hold so many for each that they work on at once.
 const BUSY: f64 = 1.0;
 
 const GIVE_WAY: f64 = 4.0;
@@ -94,6 +95,7 @@
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
+/// What a new connection costs there, in mean txns.
 const LEAST_ARRIVES: f64 = 0.1;
 
 enum UpstreamNote {
@@ -565,9 +567,12 @@
         self.book.txns.insert(number, t);
         // Against one long txn that is hardly worth its time making dozens late that wait behind it: by the
         // pooled pace it would itself be late, and all the sooner the more the others are worth.
-        let takes =
-            if self.terms.probing { 0.0 } else { 1.0 } * self.kept(number) * self.seen.pace.mean() * cost;
-        if takes > (deadline - now) as f64 { self.give_up(number, out) } else { self.hold(now, number) }
+        let takes = self.kept(number) * self.seen.pace.mean() * cost;
+        if !self.terms.probing && takes > (deadline - now) as f64 {
+            self.give_up(number, out)
+        } else {
+            self.hold(now, number)
+        }
     }
 
     /// What part of its value counts, by the tenant's share of this balancer as a bucket of one second.
@@ -635,9 +640,7 @@
         };
         if self.seen.stale
             || wanted > self.seen.circle
-            || wanted < self.seen.circle
-                && self.seen.circle < usize::MAX
-                && met < 0.7 * self.seen.circle as f64
+            || wanted < self.seen.circle && met < 0.7 * self.seen.circle as f64
         {
             (self.seen.circle, self.seen.stale) = (wanted, false);
             self.draw_circle();
@@ -754,13 +757,14 @@
 
     /// Whether it had better not wait where it would go, by what is told to be waiting there.
     fn is_late(&self, now: Tenths, number: u64, up: usize) -> bool {
-        let txn = &self.book.txns[&number];
-        let (told, left) = (self.told(now, up), txn.deadline.saturating_sub(now) as f64);
+        if !self.terms.probing {
+            return false;
+        }
+        let (txn, told) = (&self.book.txns[&number], self.told(now, up));
+        let left = txn.deadline.saturating_sub(now) as f64 * self.speed(up);
         let takes = txn.cost * self.seen.cores.max(1.0);
-        let wait = told > WORTH_WAIT * (1.0 - self.kept(number)) * left * self.speed(up);
-        let has_time = left * self.speed(up);
         let busy = told >= self.mean_cost() || self.seen.busy >= BUSY;
-        self.terms.probing && (wait || busy && told + takes > has_time)
+        told > WORTH_WAIT * (1.0 - self.kept(number)) * left || busy && told + takes > left
     }
 
     /// The part that a txn leaves to those that are worth more.
@@ -870,8 +874,11 @@
             let slower = pace(self.terms.own_zone) - pace(s.entry.zone);
             let away = (CROSS * (ZONE_STEEP * slower).exp()).clamp(CROSS_LEAST, 1.0);
             let weight = self.speed(up) * if near { 1.0 } else { away };
-            let by_load = key.is_none() && tight;
-            if by_load { self.load(now, up, txn.cost) } else { -drawn.max(f64::MIN_POSITIVE).ln() / weight }
+            if key.is_none() && tight {
+                self.load(now, up, txn.cost)
+            } else {
+                -drawn.max(f64::MIN_POSITIVE).ln() / weight
+            }
         };
         let mut two: Vec<(f64, usize)> = fitting.iter().map(|up| (rank(*up), *up)).collect();
         two.sort_by(|a, b| a.0.total_cmp(&b.0));
