--- a/src/balance.rs
+++ b/src/balance.rs
@@ -92,6 +92,8 @@
 const FIRST_ROOM: f64 = 8.0;
 /// Room of which a part of this is taken counts as in use and grows: less is left to what is worth least.
 const IN_USE: f64 = 0.33;
+/// Where upstreams may be asked, one has been told enough to have so many out whatever the room.
+const LEAST_ROOM: f64 = 2.0;
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
@@ -751,8 +753,9 @@
     /// in a jam of the fleet the dearest was declined as often as the cheapest. The last of the room is kept
     /// for what is worth more.
     fn has_room(&self, number: u64) -> bool {
-        let room = (1.0 - self.kept(number)) * self.seen.room;
-        self.terms.probing || self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+        let least = if self.terms.probing { LEAST_ROOM } else { 0.0 };
+        let room = least.max((1.0 - self.kept(number)) * self.seen.room);
+        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
     }
 
     /// Whether it had better not wait where it would go, by what is told to be waiting there.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -508,30 +508,48 @@
         .assert_eq(&format!("{to_slow:?} of each hundred to the slow half"));
 }
 
-#[test]
-fn late_waits_shrink_the_room_to_a_part_of_the_time() {
-    let mut play = Play::new(Terms { balancers: 100, ..terms() });
+/// What becomes of light txns after two dozen dear ones waited long, and others tell of no wait.
+fn after_long_waits(terms: Terms) -> String {
+    let mut play = Play::new(Terms { balancers: 100, ..terms });
     play.at(0, [Event::Listed(Listing::Whole(fleet(50).into()))]);
+    let told_by_all = || (0..50).map(|n| told(&format!("u{n}"), Outcome::Ok, 0.0, 0.0));
     for n in 0..24 {
         let id = format!("w{n}");
-        let up = play.post(n * 2500, txn(&id, 1));
-        play.at(n * 2500 + 900, [ended(&id, 0, &up, Outcome::Ok, 900)]);
+        let up =
+            posted_to(&[play.at(n * 2500, [txn(&id, 1)]), play.at(n * 2500 + 30, told_by_all())].concat());
+        play.at(n * 2500 + 330, [ended(&id, 0, &up, Outcome::Ok, 300)]);
     }
     play.trace.clear();
-    play.at(60_000, (0..6).map(|n| txn(&format!("t{n}"), 1)));
-    play.at(60_300, [txn("kept back", 1)]);
+    let light = |id: String| Event::Arrived(Arrival { cost: Some(15 * MS), ..arrival(&id, 1) });
+    play.at(60_000, (0..6).map(|n| light(format!("t{n}"))));
+    play.at(60_300, [light("late".into())]);
     play.at(60_320, (0..6).map(|n| ended(&format!("t{n}"), 0, "u0", Outcome::Ok, 320)));
     play.at(60_600, []);
+    play.trace
+}
+
+#[test]
+fn late_waits_shrink_the_room_and_two_leave_all_the_same_where_upstreams_may_be_asked() {
     expect![[r#"
         60000: post t0 to u6
         60000: post t1 to u12
         60000: post t2 to u34
         60000: post t3 to u12
         60000: post t4 to u9
-        60000: post t5 to u44
-        60300: decline kept back, with advice
+        60000: post t5 to u9
+        60300: decline late, with advice
     "#]]
-    .assert_eq(&play.trace);
+    .assert_eq(&after_long_waits(terms()));
+    expect![[r#"
+        60000: post t0 to u12
+        60000: post t1 to u6
+        60000: post t2 to u13
+        60000: post t3 to u9
+        60000: post t4 to u9
+        60000: post t5 to u6
+        60300: post late to u34
+    "#]]
+    .assert_eq(&after_long_waits(asking()));
 }
 
 #[test]
