Kinds' paces are held against cost by listed size; late is the told wait and own work alone

Cause: Desk::receive set a kind's pace against cost times listed size, and Desk::speed multiplied by size again: listed sizes that are right counted three times (6.5 against 3.5 passed for 6 to 1). Where all sizes are alike, as at the other deployments, it made no difference. Own work takes one core of several, in Desk::load too.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -76,8 +76,6 @@
 const ASKED_ANY: Tenths = 1500;
 const FRESH: Tenths = 1000;
 const REPORT_FADE: Tenths = SECOND;
-/// A wait of more than this part of its time left is not worth it for a txn.
-const WORTH_WAIT: f64 = 0.5;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
 /// Upstreams are busy when they hold so many for each that they work on at once.
@@ -414,6 +412,8 @@
     stale: bool,
     partial: bool,
     pace: Pace,
+    /// As above, for a unit of cost by listed size: what kinds and zones are held against.
+    listed: Pace,
     kinds: BTreeMap<u32, Pace>,
     /// How many txns an upstream works on at once, by what those with a queue tell.
     cores: f64,
@@ -434,7 +434,7 @@
 
 impl Seen {
     fn slower(&self, some: Option<&Pace>) -> f64 {
-        some.map_or(0.0, |p| (p.log - self.pace.log) * p.answers / (p.answers + FEW_ANSWERS))
+        some.map_or(0.0, |p| (p.log - self.listed.log) * p.answers / (p.answers + FEW_ANSWERS))
     }
 }
 
@@ -502,7 +502,7 @@
                     self.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full);
                 }
                 let entry = &self.seen.board[up].entry;
-                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost * entry.size);
+                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / entry.size);
                 // Else a small txn's way there and back would pass for a crowd at its upstream.
                 let way = zone.pace.least;
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, way, tp: self.gauge.tp });
@@ -513,6 +513,7 @@
                     (zone.answered, zone.distrust.level) = (now, zone.distrust.level * ANSWER_CALMS);
                     zone.pace.note(took, work, PACE_WINDOW);
                     self.seen.pace.note(took, cost + way, PACE_WINDOW);
+                    self.seen.listed.note(took, work + way, PACE_WINDOW);
                     self.seen.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
                 }
                 let Some(number) = number else { return };
@@ -767,7 +768,7 @@
         let left = txn.deadline.saturating_sub(now) as f64 * self.speed(up);
         let takes = txn.cost * self.seen.cores.max(1.0);
         let busy = told >= self.mean_cost() || self.seen.busy >= BUSY;
-        told > WORTH_WAIT * (1.0 - self.kept(number)) * left || busy && told + takes > left
+        busy && told + takes > left
     }
 
     /// The part that a txn leaves to those that are worth more.
@@ -906,7 +907,7 @@
         let s = &self.seen.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
         let told = self.told(now, up);
-        (s.cost_out.max(told) + cost + away * self.mean_cost()) / self.speed(up)
+        (s.cost_out.max(told) + cost * self.seen.cores.max(1.0) + away * self.mean_cost()) / self.speed(up)
             * (1.0 + s.distrust.at(now, FADE))
     }
 
