Upstreams at which a txn is late by its own work are not drawn, busy or not

Desk::is_late asked whether anybody was busy, which is right for declining but let slow machines be drawn while nobody was. Where upstreams may not be asked nothing changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -739,7 +739,8 @@
             }
             if let Some(up) = self.has_room(number).then(|| self.pick(now, number, out)).flatten() {
                 self.unhold(number);
-                if self.is_late(now, number, up) {
+                let busy = self.told(now, up) >= self.mean_cost() || self.seen.busy >= BUSY;
+                if busy && self.is_late(now, number, up) {
                     self.give_up(number, out);
                 } else {
                     self.post(now, number, up, inboxes, out);
@@ -759,16 +760,11 @@
         self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
     }
 
-    /// Whether it had better not wait where it would go, by what is told to be waiting there.
+    /// Whether it is foreseen to be late there, by what is told to be waiting and its own work.
     fn is_late(&self, now: Tenths, number: u64, up: usize) -> bool {
-        if !self.terms.probing {
-            return false;
-        }
-        let (txn, told) = (&self.book.txns[&number], self.told(now, up));
+        let txn = &self.book.txns[&number];
         let left = txn.deadline.saturating_sub(now) as f64 * self.speed(up);
-        let takes = txn.cost * self.seen.cores.max(1.0);
-        let busy = told >= self.mean_cost() || self.seen.busy >= BUSY;
-        busy && told + takes > left
+        self.terms.probing && self.told(now, up) + txn.cost * self.seen.cores.max(1.0) > left
     }
 
     /// The part that a txn leaves to those that are worth more.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1068,6 +1068,20 @@
     .assert_eq(&play.trace);
 }
 
+#[test]
+fn a_txn_too_long_for_the_slow_is_not_drawn_there_while_nobody_is_busy() {
+    let mut play = Play::new(Terms { warm_keys: true, ..asking() });
+    let sized = |n: u32| Entry { size: if n < 6 { 1.0 } else { 4.0 }, ..entry(&format!("u{n}"), 0) };
+    play.at(0, [Event::Listed(Listing::Whole((0..8).map(sized).collect()))]);
+    let long = Arrival { cost: Some(500 * MS), key: Some(1), ..arrival("long", 1) };
+    play.at(200, [Event::Arrived(long)]);
+    expect![[r#"
+        200: Probe { upstream: "u7" }
+        200: Probe { upstream: "u6" }
+    "#]]
+    .assert_eq(&play.trace);
+}
+
 #[test]
 fn a_long_wait_told_of_is_declined_at_once_and_a_posting_turned_away_tells_of_one() {
     let mut play = Play::new(asking());
