Giving way acts where upstreams may be asked too, on what the room holds back; three leave at least

Giving way did not act there: it had given up nine in ten of all that was given up (assumptions), since it took txns that wait for a probe for a jam.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -91,7 +91,7 @@
 /// Room of which a part of this is taken counts as in use and grows: less is left to what is worth least.
 const IN_USE: f64 = 0.33;
 /// Where upstreams may be asked, one has been told enough to have so many out whatever the room.
-const LEAST_ROOM: f64 = 2.0;
+const LEAST_ROOM: f64 = 3.0;
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
@@ -702,7 +702,9 @@
             let txn = &self.book.txns[&number];
             let flow = self.seen.flow.at(now, LONG);
             let slack = txn.deadline.saturating_sub(self.gauge.tp).saturating_sub(now);
-            if GIVE_WAY * self.book.held_cost <= slack as f64 * flow || flow == 0.0 || self.terms.probing {
+            // What only waits for an answer to what it asked is in nobody's way.
+            let asks = self.terms.probing && self.has_room(number);
+            if GIVE_WAY * self.book.held_cost <= slack as f64 * flow || flow == 0.0 || asks {
                 return;
             }
             self.stop_waiting(number, out);
