--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,7 @@
 //! All decisions of the balancer: events in, actions out, in order; no I/O, no clock. Callers use
 //! `Balancer::new` and `Balancer::handle`. Inside are the desk (txns), an actor for each upstream and the
-//! roster (the list), who talk by notes in inboxes. `shell` keeps those, and asks for the list; where a txn
-//! goes, whether again and what is declined is decided here. docs/design.md tells what was kept.
+//! roster (when to ask for the list), who talk by notes in inboxes; `shell` keeps those. Where a txn goes,
+//! whether again and what is declined is decided here. docs/design.md tells what was kept.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -95,6 +95,8 @@
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
+/// How long the list service may take for one balancer's call.
+const LIST_CALL: Tenths = 600;
 /// What a new connection costs there, in mean txns.
 const LEAST_ARRIVES: f64 = 0.1;
 
@@ -1056,3 +1058,24 @@
         }
     }
 }
+
+struct Roster {
+    terms: Rc<Terms>,
+    failures: u32,
+    ask_at: Option<Tenths>,
+}
+
+impl Roster {
+    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the
+    /// row is worked through whether or not who stands in it still listens. So the first calls are spread
+    /// over the time that all take together, and what failed comes back when the row may be empty. That time
+    /// is well under the term: within it everybody has to be able to ask.
+    fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
+        let Some(term) = self.terms.must_ask else { return };
+        let all = (LIST_CALL * u64::from(self.terms.balancers)).min(term * 3 / 5).max(SECOND.min(term));
+        let longest = (all << self.failures.saturating_sub(1).min(4)).min(3 * term);
+        let least = if self.failures == 0 { longest / 32 } else { longest / 4 };
+        self.failures += 1;
+        self.ask_at = Some(now + rng.generate_range(least..longest));
+    }
+}
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -1,16 +1,14 @@
-//! The loop of a balancer: who is told what and in which order, which places upstreams have, what is
-//! forgotten and when the list is asked for. Nothing about a txn is decided here.
+//! The loop of a balancer: who is told what and in which order, which places upstreams have and what is
+//! forgotten. Nothing is decided here.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 
-use nanorand::{Rng, WyRand};
+use nanorand::WyRand;
 
-use super::{Desk, DeskNote, SECOND, Seen, Upstream, UpstreamNote};
+use super::{Desk, DeskNote, Roster, SECOND, Seen, Upstream, UpstreamNote};
 use crate::{Action, Event, Listing, Stage, Tenths, Terms};
 
-/// How long the list service may take for one balancer's call.
-const LIST_CALL: Tenths = 600;
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
 const MANY_NAMES: usize = 32;
 
@@ -138,24 +136,3 @@
         self.upstreams[up].push_back(note);
     }
 }
-
-struct Roster {
-    terms: Rc<Terms>,
-    failures: u32,
-    ask_at: Option<Tenths>,
-}
-
-impl Roster {
-    /// Against a bank of them started in step failing each other's calls: those wait in one row, and the
-    /// row is worked through whether or not who stands in it still listens. So the first calls are spread
-    /// over the time that all take together, and what failed comes back when the row may be empty. That time
-    /// is well under the term: within it everybody has to be able to ask.
-    fn ask_later(&mut self, now: Tenths, rng: &mut WyRand) {
-        let Some(term) = self.terms.must_ask else { return };
-        let all = (LIST_CALL * u64::from(self.terms.balancers)).min(term * 3 / 5).max(SECOND.min(term));
-        let longest = (all << self.failures.saturating_sub(1).min(4)).min(3 * term);
-        let least = if self.failures == 0 { longest / 32 } else { longest / 4 };
-        self.failures += 1;
-        self.ask_at = Some(now + rng.generate_range(least..longest));
-    }
-}
