What is foreseen late is declined where it would wait itself; how busy others are is not kept

Cause: lines that were not needed. Desk::report kept a mean of what all upstreams tell, for one bound in Desk::release.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -78,8 +78,6 @@
 const REPORT_FADE: Tenths = SECOND;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
-/// Upstreams are busy when they hold so many for each that they work on at once.
-const BUSY: f64 = 1.0;
 
 const GIVE_WAY: f64 = 4.0;
 /// A part of the room is kept from a txn that others are worth more than: none where they are worth little
@@ -419,8 +417,6 @@
     kinds: BTreeMap<u32, Pace>,
     /// How many txns an upstream works on at once, by what those with a queue tell.
     cores: f64,
-    /// What they tell that they hold, for each txn that they work on at once.
-    busy: f64,
     zones: BTreeMap<u32, Zone>,
     arrivals: Fading,
     flow: Fading,
@@ -550,9 +546,6 @@
         if let (Some(held), Some(waiting)) = (load.held, load.waiting.filter(|waiting| *waiting >= 1.0)) {
             self.seen.cores += (held - waiting - self.seen.cores) / PACE_WINDOW;
         }
-        if let Some(held) = load.held {
-            self.seen.busy += (held / self.seen.cores.max(1.0) - self.seen.busy) / PACE_WINDOW;
-        }
         inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
     }
 
@@ -743,8 +736,8 @@
             }
             if let Some(up) = self.has_room(number).then(|| self.pick(now, number, out)).flatten() {
                 self.unhold(number);
-                let busy = self.told(now, up) >= self.mean_cost() || self.seen.busy >= BUSY;
-                if busy && self.is_late(now, number, up) {
+                // Where nobody waits it costs nobody, and late is worth more than never.
+                if self.told(now, up) >= self.mean_cost() && self.is_late(now, number, up) {
                     self.give_up(number, out);
                 } else {
                     self.post(now, number, up, inboxes, out);
