--- a/src/balance.rs
+++ b/src/balance.rs
@@ -75,7 +75,7 @@
 const ASKED_BOTH: Tenths = 250;
 const ASKED_ANY: Tenths = 1500;
 const FRESH: Tenths = 1000;
-const REPORT_FADE: Tenths = SECOND;
+const REPORT_FADE: Tenths = 3 * SECOND;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
 
