--- a/src/balance.rs
+++ b/src/balance.rs
@@ -855,8 +855,7 @@
     }
 
     /// The two of those that fit between which load decides, drawn by speed: where little is in flight, slow
-    /// ones must not get as much. A key draws in place of chance, the same two at every balancer: they know
-    /// the key.
+    /// ones must not get as much. A key draws in place of chance, alike wherever speeds are held to be alike.
     fn two(&self, now: Tenths, number: u64, fitting: &[usize], chance: u64) -> Vec<usize> {
         let txn = &self.book.txns[&number];
         let key = txn.key.filter(|_| self.terms.warm_keys);
