Absurd hints and listed sizes are bounded: nothing overflows, one answer spoils no pace

Sizes count from 0.01 to 10,000, hints to 28 minutes, where the bins of costs end. The test fails without either.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,6 +53,11 @@
 const CROSS_LEAST: f64 = 0.03;
 const ZONE_STEEP: f64 = 3.0;
 const REST_PACE: f64 = 2.5;
+/// A hint of more, 28 minutes, can't be true; the bins of costs end there.
+const MOST_COST: Tenths = (1 << 24) - 1;
+/// What is listed beyond these can't be true, and one answer from there would spoil the pace of all.
+const LEAST_SIZE: f64 = 0.01;
+const MOST_SIZE: f64 = 1e4;
 
 /// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
 const FADE: Tenths = 4 * SECOND;
@@ -500,7 +505,8 @@
                     self.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full);
                 }
                 let entry = &self.seen.board[up].entry;
-                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / entry.size);
+                let size = entry.size.clamp(LEAST_SIZE, MOST_SIZE);
+                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / size);
                 // Else a small txn's way there and back would pass for a crowd at its upstream.
                 let way = zone.pace.least;
                 inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, way, tp: self.gauge.tp });
@@ -557,7 +563,7 @@
         let share = self.share(now, arrival.tenant as usize);
         let rank = (self.terms.schemes[scheme].value * share).max(0.0).to_bits();
         let deadline = now + self.terms.schemes[scheme].sla.min(arrival.left);
-        let cost = arrival.cost.unwrap_or(1).max(1) as f64;
+        let cost = arrival.cost.unwrap_or(1).clamp(1, MOST_COST) as f64;
         let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
         let (arrived, held, postings, asked) = (now, None, Vec::new(), (0, Vec::new()));
         self.book.numbers.insert(arrival.txn, number);
@@ -587,7 +593,7 @@
     fn weigh(&mut self, cost: f64) -> bool {
         let median = self.costs.quantile_bucket(0.5).ok().flatten();
         let heavy = median.is_some_and(|bin| cost > bin.end() as f64);
-        let _beyond = self.costs.increment((cost as u64).min((1 << 24) - 1));
+        let _beyond = self.costs.increment(cost as u64);
         self.seen.cost_sums[usize::from(heavy)] += cost;
         self.seen.cost_count += 1;
         if self.seen.cost_count >= 2 * WINDOW_OUTCOMES {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1164,6 +1164,7 @@
     play.at(206, [told("b", Outcome::Ok, 3.0, 1.0), told("b", Outcome::TimedOut, 0.0, 0.0)]);
     let replaced = Entry { started: Some(250 * MS), ..entry("b", 0) };
     play.at(300, [Event::Listed(Listing::Changes([replaced].into())), told("b", Outcome::Ok, 1e300, 0.0)]);
+    play.at(1000, [ended("t", 0, "a", Outcome::Ok, 795)]);
     play.at(2000, [list("a"), txn("u", 1), told("b", Outcome::Ok, 0.0, 0.0)]);
     play.at(2005, [told("a", Outcome::Moot, 0.0, 0.0)]);
     let told = [(f64::INFINITY, 1.0), (-1.0, 0.0), (2.0, 3.0), (2.0, f64::NAN), (2.0, 1.0)];
@@ -1175,6 +1176,8 @@
         200: Probe { upstream: "a" }
         200: Probe { upstream: "b" }
         205: post t to a
+        2000: Probe { upstream: "a" }
+        2005: post u to a
         None Some(1.0)
         None Some(0.0)
         Some(2.0) None
@@ -1184,6 +1187,49 @@
     .assert_eq(&play.trace);
 }
 
+/// The dangers: one upstream listed with no size leaves nothing to compare others by, and one absurd hint overflows the
+/// time of its alarm. It still raises the mean cost that what others hold is counted by.
+#[test]
+fn odd_hints_keys_and_sizes_end_nothing() {
+    let mut trace = String::new();
+    for terms in [Terms { warm_keys: true, ..asking() }, terms()] {
+        let mut play = Play::new(terms);
+        let arrives = |id: &str, cost, key| Event::Arrived(Arrival { cost, key, ..arrival(id, 1) });
+        for (at, size) in [(0, 0.0), (100, 1e300)] {
+            play.at(at, [Event::Listed(Listing::Whole([Entry { size, ..entry("odd", 0) }].into()))]);
+            play.at(at + 10, [arrives(&format!("w{at}"), None, Some(3))]);
+            play.at(at + 30, [ended(&format!("w{at}"), 0, "odd", Outcome::Ok, 20)]);
+        }
+        play.at(1000, [list("a"), told("a", Outcome::Ok, 3.0, 2.0)]);
+        for (n, cost) in (0..).zip([Some(0), Some(u64::MAX), None, Some(20 * MS)]) {
+            play.at(1000 + 40 * n, [arrives(&format!("t{n}"), cost, None)]);
+            play.at(1010 + 40 * n, [told("a", Outcome::Ok, 3.0, 2.0)]);
+            play.at(1030 + 40 * n, [ended(&format!("t{n}"), 0, "a", Outcome::Ok, 20)]);
+        }
+        play.at(2000, [told("a", Outcome::Ok, 40.0, 39.0), txn("late", 1)]);
+        trace += &format!("{}\n", play.trace);
+    }
+    expect![[r#"
+        10: post w0 to odd
+        110: Probe { upstream: "odd" }
+        1000: post t0 to a
+        1040: decline t1, with advice
+        1080: decline t2, with advice
+        1120: decline t3, with advice
+        2000: decline late, with advice
+
+        10: post w0 to odd
+        110: decline w100, with advice
+        1000: post t0 to a
+        1040: post t1 to a
+        1080: post t2 to a
+        1120: post t3 to a
+        2000: post late to a
+
+    "#]]
+    .assert_eq(&trace);
+}
+
 /// The danger is a fleet that has just grown: what its listed size could bear was taken for far too little, so that
 /// warm upstreams were jammed beside idle cold ones, which warm up by work only.
 #[test]
