Read once more: the line of streamed answers is skipped, lists in tests are written once

Dead: Event::Streaming, which the move left without a reader; the adapter skips its line. Misplaced: a constant stood between another and what its comment spoke of; the number that only wakes a txn that asks has a name. The mixed test gives Limits.Probing to all, and so shows that who has no probe asks nobody. Looked at and left: the six pairs of duplicates, rows of constants, fields and tables alike in shape alone.

--- a/crates/pondlb-adapter/src/main.rs
+++ b/crates/pondlb-adapter/src/main.rs
@@ -115,6 +115,7 @@
                 host.touch(who)?.waiting.push(Event::Listed(listing));
             }
             Line::Event { who, event } => host.touch(who)?.waiting.push(event),
+            Line::Unneeded => {}
         }
     }
     host.answer(now, output)
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -37,6 +37,7 @@
     Kill { who: u64 },
     View { who: u64, form: Form, page: Option<usize> },
     Event { who: u64, event: Event },
+    Unneeded,
 }
 
 pub fn unknown(who: u64) -> Fault {
@@ -215,6 +216,8 @@
     let reading = reading(who).ok_or_else(|| unknown(who))?;
     let event = match kind {
         "POWER_OFF" => return Ok(Line::Kill { who }),
+        // No scheme streams its answers.
+        "FIRST_BYTE" => return Ok(Line::Unneeded),
         "VIEW" => {
             let form = match fields.word("Form")? {
                 "incr" => Form::Changes,
@@ -253,12 +256,6 @@
         },
         "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
         "ABORTED" => Event::Left { txn: fields.word("OpId")?.into() },
-        "FIRST_BYTE" => Event::Streaming {
-            txn: fields.word("OpId")?.into(),
-            posting: fields.number("Go")?,
-            upstream: fields.word("Upstream")?.into(),
-            took: fields.took()?,
-        },
         "HEALTH" => Event::Probed {
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
--- a/crates/pondlb-server/tests/mixed/mod.rs
+++ b/crates/pondlb-server/tests/mixed/mod.rs
@@ -130,18 +130,13 @@
 }
 
 fn list(version: u64, whole: bool, state: &str, workers: &[(usize, SocketAddr, u128)]) -> String {
-    let mut targets = Vec::new();
-    for (n, address, boot_ms) in workers {
-        targets.push(format!(
-            r#"{{"uid":"w{n}","endpoint":"{address}","az":"a","model":"m1","pod_group":{},"state":"{state}",
-            "capacity_hint":{CORES}.0,"boot_ms":{boot_ms}}}"#,
-            n / 2
-        ));
-    }
-    format!(r#"{{"rev":{version},"all":{whole},"targets":[{}]}}"#, targets.join(","))
+    let of =
+        |(n, at, boot): &(usize, SocketAddr, u128)| target(&format!("w{n}"), *at, state, n / 2, CORES, *boot);
+    roster_of(version, whole, workers.iter().map(of))
 }
 
 fn configuration(kind: Kind, number: usize, of: usize, discovery: SocketAddr, known: &str) -> String {
+    // The settings allow probes to all; who has no `probe` of its own asks nobody all the same.
     let copies = kind != Kind::New;
     let probe = if kind == Kind::New { r#""probe":{"path":"/load","within_ms":100},"# } else { "" };
     let order = if kind == Kind::Planted { "idempotent" } else { "at_most_once" };
@@ -158,9 +153,8 @@
         "Zones":["a"],"MachineTypes":["m1"],"Reporting":{{"Fields":["rif","q"]}},
         "Limits":{{"Cancelling":true,"ConnIdleNs":5000000000,"DialTimeoutNs":250000000,"MaxOpen":20000,
         "MaxPostings":4,"MaxRetryAfterNs":2000000000,"RetryAfter":true,"SecondCopies":{copies},
-        "Probing":{}}},"Rules":{{"ColdShare":{},"DrainGraceNs":500000000,"FallMultiple":{},
+        "Probing":true}},"Rules":{{"ColdShare":{},"DrainGraceNs":500000000,"FallMultiple":{},
         "FallNs":{},"MustAskInNs":10000000000,"WarmWithinNs":{}}},"Schemes":[{},{},{}]}}}}"#,
-        !copies,
         FALL.1,
         FALL.0,
         FALL.2.as_nanos(),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -77,6 +77,7 @@
 /// Where upstreams may be asked: txns of so many mean costs ask two, who have so long for both to answer, and
 /// so long for one. What was told counts as new for `FRESH`, and its weight halves in the last figure.
 const ASK_FROM: f64 = 1.0;
+const ASKED: u32 = u32::MAX;
 const ASKED_BOTH: Tenths = 250;
 const ASKED_ANY: Tenths = 1500;
 const FRESH: Tenths = 1000;
@@ -98,11 +99,12 @@
 
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
-/// How long the list service may take for one balancer's call.
-const LIST_CALL: Tenths = 600;
 /// What a new connection costs there, in mean txns.
 const LEAST_ARRIVES: f64 = 0.1;
 
+/// How long the list service may take for one balancer's call.
+const LIST_CALL: Tenths = 600;
+
 enum UpstreamNote {
     Listed(Entry),
     Unlisted,
@@ -449,7 +451,8 @@
     held: BTreeSet<(Tenths, u64)>,
     by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
     held_cost: f64,
-    /// When a posting is overdue or, without one, when the time left of a held txn becomes too short.
+    /// When a posting is overdue or, without one, when the time left of a held txn becomes too short. One that no
+    /// txn ever has (`ASKED`) only wakes, to see who has answered a probe.
     alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
     wake: Option<Tenths>,
 }
@@ -543,8 +546,8 @@
                     self.report(up, outcome, load, inboxes);
                 }
             }
-            // Talk with peers is not used; no scheme streams its answers.
-            Event::Listed(_) | Event::Woke { .. } | Event::Heard { .. } | Event::Streaming { .. } => {}
+            // Talk with peers is not used.
+            Event::Listed(_) | Event::Woke { .. } | Event::Heard { .. } => {}
         }
     }
 
@@ -841,7 +844,7 @@
                 out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
             }
             txn.asked = (now, two.clone());
-            let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(u32::MAX))));
+            let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(ASKED))));
             self.book.alarms.extend(waits);
         }
         // Some wait like a txn before they answer: who answers first has the shortest queue.
--- a/src/event.rs
+++ b/src/event.rs
@@ -10,13 +10,6 @@
 pub enum Event {
     Listed(Listing),
     Arrived(Arrival),
-    /// The answer of a streamed txn has begun: the posting belongs to the client from here on.
-    Streaming {
-        txn: TxnId,
-        posting: u32,
-        upstream: UpstreamId,
-        took: Tenths,
-    },
     Ended {
         txn: TxnId,
         posting: u32,
