Lists that name an upstream twice or go back are not taken; a term or grace of 0 keeps the rule

Rules.MustAskInNs of 0 where lists are asked for made the range of a random wait empty: a fault now, with key, value and what is accepted. A grace of 0 let no connection come up: the time for it counts the 50 ms that sockets add. A list of 1024 upstreams with the longest names, indented, is 610 KiB of the 1024 that are read.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -49,6 +49,8 @@
 const LAST_CHANCE: Tenths = 4000;
 /// Clients that are new to it come for up to 0.4 s.
 const LEAVING: Tenths = 6000;
+/// So much longer than the settings say is each limit where it is kept on sockets.
+const ON_SOCKETS: Tenths = 500;
 /// For a late loop and the way to the client.
 const SLACK: Tenths = 50;
 const BATCH: usize = 256;
@@ -88,7 +90,7 @@
         let (notes_in, notes) = mpsc::unbounded_channel();
         let (asks_in, asks) = mpsc::unbounded_channel();
         // A posting that is still connecting when its upstream is told to drain must leave within the grace.
-        let connect_within = links.connect_within.min(links.drain_grace / 2);
+        let connect_within = links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2);
         let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery's lists: the calls that ask for them, and the answers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use pondlb::Stage;
@@ -68,7 +69,15 @@
     }
 }
 
-/// Lists are longer than other messages; a fleet of a thousand takes a quarter of this.
+impl Roster {
+    fn named_twice(&self) -> Option<&str> {
+        let mut named = HashSet::with_capacity(self.targets.len());
+        self.targets.iter().map(|target| &*target.upstream).find(|name| !named.insert(*name))
+    }
+}
+
+/// Lists are longer than other messages; a fleet of a thousand takes a quarter of this, or with the longest
+/// names and indented two thirds.
 const MOST_LIST: usize = 1024 * 1024;
 
 /// Asks for the whole list, or for what is newer than a version, for which discovery may wait so long.
@@ -106,6 +115,11 @@
             return Err(format!("discovery answers {:?}", message.head.first));
         }
         let keep = !closed && self.reader.is_idle() && !message.head.lists("Connection", "close");
-        Ok(Some(Listed { roster: Roster::decode(&message.body)?, keep }))
+        let roster = Roster::decode(&message.body)?;
+        // Which of the two is true nobody can say. Among changes the later one is.
+        match roster.named_twice().filter(|_| roster.whole) {
+            Some(upstream) => Err(format!("{upstream} is listed twice")),
+            None => Ok(Some(Listed { roster, keep })),
+        }
     }
 }
--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -154,7 +154,15 @@
             Some((_, hold)) => (span(hold + self.patience.late), Fault::Silent),
             None => (ANSWER, Fault::Failed("no answer in time".into())),
         };
-        Ok(timeout(within, self.exchange(from)).await.map_err(|_| late)??)
+        let roster = timeout(within, self.exchange(from)).await.map_err(|_| late)??;
+        match from {
+            // Of another discovery, or of one that has lost its versions: only a whole list tells what holds.
+            Some((from, _)) if roster.version < from => {
+                self.version = None;
+                Err(format!("version {} is answered to one who has {from}", roster.version).into())
+            }
+            _ => Ok(roster),
+        }
     }
 
     /// Takes the connection, so that a call that is given up closes it.
@@ -203,12 +211,16 @@
         let (mut trace, mut open, mut stream) = (String::new(), Vec::new(), None);
         let stands_in = async {
             for answer in answers {
-                let at = match stream.take() {
-                    Some(stream) => stream,
-                    None => listener.accept().await.unwrap().0,
-                };
                 let mut call = vec![0; 1024];
-                let count = read(&at, &mut call).await.unwrap();
+                let (at, count) = loop {
+                    let at = match stream.take() {
+                        Some(stream) => stream,
+                        None => listener.accept().await.unwrap().0,
+                    };
+                    if let Ok(count @ 1..) = read(&at, &mut call).await {
+                        break (at, count);
+                    }
+                };
                 let call = String::from_utf8_lossy(&call[..count]).lines().next().unwrap().to_string();
                 let called = Instant::now();
                 trace += &format!("{call}\n");
@@ -223,13 +235,13 @@
                 let note = match notes.recv().await.unwrap() {
                     Note::Listed(roster) => format!("listed {}", roster.version),
                     Note::ListLost => "lost".into(),
-                    Note::WatchSilent => {
-                        // As the decisions do.
-                        asks_in.send(Ask::Watch(true)).unwrap();
-                        "silent".into()
-                    }
+                    Note::WatchSilent => "silent".into(),
                     _ => "no note of discovery's".into(),
                 };
+                if !note.starts_with("listed") {
+                    // As the decisions do.
+                    asks_in.send(Ask::Watch(true)).unwrap();
+                }
                 let waited = called.elapsed() >= span(patience.fresh + patience.late);
                 trace += &format!("{note}, {}\n", if waited { "its wait over" } else { "at once" });
             }
@@ -261,4 +273,30 @@
         "#]]
         .assert_eq(&trace);
     }
+
+    #[test]
+    fn of_a_list_that_cannot_be_true_nothing_is_taken_and_one_of_other_versions_is_asked_for_whole() {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let entry = |uid: &str| {
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"127.0.0.1:1","az":"a","model":"m","state":"active","capacity_hint":1}}"#
+            )
+        };
+        let list = |version, names: [&str; 2]| {
+            format!(r#"{{"rev":{version},"all":true,"targets":[{}]}}"#, names.map(entry).join(","))
+        };
+        let (twice, back, whole) = (list(9, ["s1", "s1"]), list(3, ["s1", "s2"]), list(4, ["s1", "s2"]));
+        let trace = runtime.block_on(plays(&[Some(&twice), Some(&back), Some(&whole), Some(&whole)]));
+        expect![[r#"
+            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
+            lost, at once
+            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
+            lost, at once
+            GET /catalog/members HTTP/1.1
+            listed 4, at once
+            GET /catalog/members?from=4&hold_ms=500 HTTP/1.1
+            listed 4, at once
+        "#]]
+        .assert_eq(&trace);
+    }
 }
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -655,9 +655,10 @@
     // Nobody who is remembered takes a connection: an order never ran and is declined in its time.
     assert_eq!(balancer.ask("o1", "order").status(), "503");
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
-    // Each upstream named twice, the gone ones not at all.
+    // One that names each upstream twice is not taken.
     let twice = [upstream.address, upstream.address];
     discovery.list(&roster(2, true, "active", &twice));
+    discovery.list(&roster(2, true, "active", &twice[..1]));
     wait_until("the list counts", || {
         balancer.ask(&format!("b{}", start.elapsed().as_micros()), "browse").status() == "200"
     });
--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -201,6 +201,10 @@
     within("MyZone", object.my_zone.into(), 0.0, (object.zones.len() as f64 - 1.0).max(0.0))?;
     within("ExcessValue", object.excess_value, 0.0, 1.0)?;
     within("Limits.MaxPostings", object.limits.max_postings.into(), 1.0, u32::MAX.into())?;
+    if object.discovery == Discovery::Ask {
+        let (least, most) = (100_000_000.0, 86_400_000_000_000.0);
+        within("Rules.MustAskInNs", object.rules.must_ask_in_ns as f64, least, most)?;
+    }
     within("Rules.ColdShare", object.rules.cold_share, 0.0, 1.0)?;
     within("Rules.FallMultiple", object.rules.fall_multiple, 0.0, f64::MAX)?;
     for (n, scheme) in object.schemes.iter().enumerate() {
@@ -271,6 +275,7 @@
             ("\"Value\":3.0", "\"LateValue\":1.2,\"Value\":3.0"),
             ("\"ColdShare\":0.3", "\"ColdShare\":1.5"),
             ("\"ExcessValue\":0.1", "\"ExcessValue\":-1"),
+            ("\"MustAskInNs\":10000000000", "\"MustAskInNs\":0"),
             ("\"MaxPostings\":3", "\"MaxPostings\":0"),
             ("\"SecondCopies\":true", "\"SecondCopies\":true,\"Probing\":1"),
             ("}]}", "}]"),
@@ -296,6 +301,7 @@
             Schemes[0].LateValue: 1.2: 0 to 1 are accepted
             Rules.ColdShare: 1.5: 0 to 1 are accepted
             ExcessValue: -1: 0 to 1 are accepted
+            Rules.MustAskInNs: 0: 100000000 to 86400000000000 are accepted
             Limits.MaxPostings: 0: 1 to 4294967295 are accepted
             Limits.Probing: invalid type: integer `1`, expected a boolean at line 3 column 78
             EOF while parsing an object at line 7 column 105
