--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -181,8 +181,8 @@
 
 const MOST_SECONDS: f64 = 600.0;
 const MOST_TXNS: f64 = 2_000_000.0;
-const MOST_UPSTREAMS: u32 = 500;
-const MOST_BALANCERS: u32 = 64;
+const MOST_UPSTREAMS: u32 = 1024;
+const MOST_BALANCERS: u32 = 1024;
 
 impl Scenario {
     /// All that is wrong, so that nobody mends one fault only to meet the next.
@@ -202,12 +202,12 @@
         );
         check(
             (1..=MOST_BALANCERS).contains(&self.balancers),
-            format!("balancers: {}: 1 to 64", self.balancers),
+            format!("balancers: {}: 1 to {MOST_BALANCERS}", self.balancers),
         );
         check(!self.upstreams.is_empty(), "upstreams: the fleet is empty".into());
         check(!self.schemes.is_empty(), "schemes: there is none".into());
         let all = self.upstreams.iter().map(|m| u64::from(m.count)).sum::<u64>();
-        check(all <= u64::from(MOST_UPSTREAMS), format!("upstreams: {all} in all: 500 at most"));
+        check(all <= u64::from(MOST_UPSTREAMS), format!("upstreams: {all} in all: {MOST_UPSTREAMS} at most"));
         for (n, m) in self.upstreams.iter().enumerate() {
             check(m.count >= 1, format!("upstreams[{n}].count: 0: 1 at least"));
             check((1..=256).contains(&m.cores), format!("upstreams[{n}].cores: {}: 1 to 256", m.cores));
@@ -362,7 +362,7 @@
         }
         expect![[r#"
             seconds: -1: 0.1 to 600 wanted
-            balancers: 2000000000: 1 to 64
+            balancers: 2000000000: 1 to 1024
             upstreams[0].count: 0: 1 at least; upstreams[0].cores: 0: 1 to 256
             schemes[0].rate: 1e300: 0 to 100000; schemes: 2e300 txns in all: 2000000 at most
             schemes[0].rate: NaN: 0 to 100000; schemes: NaN txns in all: 2000000 at most
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pondlb::{Balancer, Lists, Tenths};
+use pondlb_terms::Links;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -89,9 +90,7 @@
         let (phase, phase_seen) = watch::channel(Phase::Starting);
         let (notes_in, notes) = mpsc::unbounded_channel();
         let (asks_in, asks) = mpsc::unbounded_channel();
-        // A posting that is still connecting when its upstream is told to drain must leave within the grace.
-        let connect_within = links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2);
-        let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within));
+        let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within(&links)));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
         let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
@@ -205,6 +204,12 @@
     }
 }
 
+/// A posting that is still connecting when its upstream is told to drain must leave within the grace. With none
+/// at all, what the limit is longer on sockets is left.
+fn connect_within(links: &Links) -> Tenths {
+    links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2)
+}
+
 /// Connections that wait to be taken. Hundreds may come at once, and one that finds no room here tries again
 /// only after a second.
 const BACKLOG: u32 = 1024;
@@ -222,6 +227,15 @@
 
     use super::*;
 
+    #[test]
+    fn connections_come_up_within_half_the_grace_and_have_time_to_without_one() {
+        let waits = [0, 2000, 5000, 600_000].map(|drain_grace| {
+            let (idle, most_open, expiry) = (150_000, 20_000, None);
+            connect_within(&Links { connect_within: 2500, idle, drain_grace, most_open, expiry })
+        });
+        expect!["[250, 1250, 2500, 2500]"].assert_eq(&format!("{waits:?}"));
+    }
+
     #[test]
     fn the_end_comes_before_the_kill_and_no_sooner_than_clients_stay() {
         let mut trace = String::new();
--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -225,9 +225,12 @@
                 let called = Instant::now();
                 trace += &format!("{call}\n");
                 match answer {
-                    Some(body) => {
-                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-                        write_all(&at, format!("{head}{body}").as_bytes()).await.unwrap();
+                    Some(answer) => {
+                        let head = match answer.starts_with('{') {
+                            true => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len()),
+                            false => String::new(),
+                        };
+                        write_all(&at, format!("{head}{answer}").as_bytes()).await.unwrap();
                         stream = Some(at);
                     }
                     None => open.push(at),
@@ -275,7 +278,8 @@
     }
 
     #[test]
-    fn of_a_list_that_cannot_be_true_nothing_is_taken_and_one_of_other_versions_is_asked_for_whole() {
+    fn of_an_answer_that_is_no_list_nothing_is_taken_and_after_one_of_other_versions_the_whole_is_asked_for()
+    {
         let runtime = Builder::new_current_thread().enable_all().build().unwrap();
         let entry = |uid: &str| {
             format!(
@@ -286,12 +290,19 @@
             format!(r#"{{"rev":{version},"all":true,"targets":[{}]}}"#, names.map(entry).join(","))
         };
         let (twice, back, whole) = (list(9, ["s1", "s1"]), list(3, ["s1", "s2"]), list(4, ["s1", "s2"]));
-        let trace = runtime.block_on(plays(&[Some(&twice), Some(&back), Some(&whole), Some(&whole)]));
+        let elsewhere = "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n";
+        let unending = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{";
+        let answers = [&twice, elsewhere, unending, &back, &whole, &whole].map(Some);
+        let trace = runtime.block_on(plays(&answers));
         expect![[r#"
             GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
             lost, at once
             GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
             lost, at once
+            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
+            silent, its wait over
+            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
+            lost, at once
             GET /catalog/members HTTP/1.1
             listed 4, at once
             GET /catalog/members?from=4&hold_ms=500 HTTP/1.1
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -225,7 +225,7 @@
 fn a_silent_watch_and_an_agent_are_asked_at_once_and_a_failed_call_is_not() {
     let mut trace = String::new();
     for (lists, which) in [(Lists::Asked { within: 10_000 * MS }, "asked"), (Lists::Agent, "agent")] {
-        for balancers in [1, 300] {
+        for balancers in [1, 300, u32::MAX] {
             let mut play = Play::new(Terms { balancers, lists, ..terms() });
             let mut waits = Vec::new();
             let steps = [
@@ -246,8 +246,10 @@
     expect![[r#"
         asked, 1 balancers: [887, 0, 0, 270]
         asked, 300 balancers: [5322, 0, 0, 1617]
+        asked, 4294967295 balancers: [5322, 0, 0, 1617]
         agent, 1 balancers: [0, 0, 0, 105]
         agent, 300 balancers: [0, 0, 0, 105]
+        agent, 4294967295 balancers: [0, 0, 0, 105]
     "#]]
     .assert_eq(&trace);
 }
