Read once more: both kinds of balancers are played by the laboratory; the mixed test's own fleet and judge go

Three planted balancers more prove the new judgements able to fail: one that leaves the group, one with two postings out, one that asks unbidden; one that parks is starved too. Nothing of the balancer is changed.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -151,14 +151,20 @@
         .schemes
         .iter()
         .map(|s| {
-            let effect = if s.effect == Effect::OnceOnly { "at_most_once" } else { "idempotent" };
+            let effect = match s.effect {
+                Effect::Repeatable => "idempotent",
+                Effect::Referenced => "deduplicated",
+                Effect::OnceOnly => "at_most_once",
+            };
             json!({ "Name": s.name, "Effect": effect, "Value": s.value, "SlaTimeNs": s.sla_ms * NS,
-                "ExpiryNs": s.expiry_ms * NS })
+                "ExpiryNs": s.expiry_ms * NS, "DedupScope": "cell", "KeyTtlNs": s.expiry_ms * NS })
         })
         .collect();
+    // The settings allow all to ask; who has no `probe` of its own asks nobody all the same.
+    let asks = scenario.asking.contains(&number);
     let limits = json!({ "Cancelling": true, "ConnIdleNs": 15_000 * NS, "DialTimeoutNs": 250 * NS,
         "MaxOpen": 20_000, "MaxPostings": 3, "MaxRetryAfterNs": 2000 * NS, "RetryAfter": true,
-        "SecondCopies": true });
+        "SecondCopies": !asks, "Probing": true });
     let rules = json!({ "ColdShare": rules.cold_share, "DrainGraceNs": rules.drain_grace_ms * NS,
         "FallMultiple": rules.fall_multiple, "FallNs": rules.fall_ms * NS, "MustAskInNs": 10_000 * NS,
         "WarmWithinNs": rules.warm_ms * NS });
@@ -166,10 +172,11 @@
         "name": format!("lab-{number}"), "listen": listen.to_string(),
         "discovery": fleet.discovery[number as usize].to_string(),
         "seed": format!("{:x}", scenario.seed ^ (u64::from(number) + 1)), "known": fleet.known(number),
+        "probe": asks.then(|| json!({ "path": "/load", "within_ms": 100 })),
         "settings": {
             "Balancers": scenario.balancers, "SelfIndex": number, "MyZone": number as usize % zones.len(),
             "Zones": zones, "MachineTypes": ["m"], "Discovery": "ask", "ExcessValue": 1.0,
-            "Reporting": { "Fields": ["rif"] }, "Limits": limits, "Rules": rules, "Schemes": schemes,
+            "Reporting": { "Fields": ["rif", "q"] }, "Limits": limits, "Rules": rules, "Schemes": schemes,
         },
     })
 }
--- a/crates/pondlb-lab/src/bin/pondlb-planted.rs
+++ b/crates/pondlb-lab/src/bin/pondlb-planted.rs
@@ -100,8 +100,19 @@
             live.get(number % live.len().max(1)).map(|t| t.0)
         };
         let Some(at) = at else { return answer(503, "", "") };
-        let mut body = post(at, request).await;
+        let other = self.targets.borrow().iter().find(|t| t.0 != at).map_or(at, |t| t.0);
         let is_order = request.body == "order";
+        if !is_order && self.fault == "copies" {
+            let request = request.clone();
+            spawn_local(async move { post(other, &request).await });
+        }
+        if self.fault == "asks" && number == 0 {
+            get_load(at).await;
+        }
+        let mut body = post(at, request).await;
+        if is_order && self.fault == "strays" {
+            body = post(other, request).await;
+        }
         if is_order && self.fault == "repeats" {
             body = post(at, request).await;
         }
@@ -133,3 +144,9 @@
     wire.write(&format!("POST /api HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n")).await.ok()?;
     wire.answer().await.ok()?.filter(|answer| answer.status == 200).map(|answer| answer.body)
 }
+
+async fn get_load(at: SocketAddr) -> Option<Message> {
+    let mut wire = Wire::new(TcpStream::connect(at).await.ok()?);
+    wire.write("GET /load HTTP/1.1\r\n\r\n").await.ok()?;
+    wire.answer().await.ok()?
+}
--- a/crates/pondlb-lab/src/compare.rs
+++ b/crates/pondlb-lab/src/compare.rs
@@ -108,7 +108,14 @@
     fn report(p99: f64, void: bool) -> Report {
         let figures = Figures { name: "s".into(), asked: 100, in_time: 90, p99, ..Figures::default() };
         let void = void.then(|| "late".into());
-        Report { void, broken: Vec::new(), schemes: vec![figures], postings: 110, times: Default::default() }
+        Report {
+            void,
+            broken: Vec::new(),
+            schemes: vec![figures],
+            postings: 110,
+            probes: 0,
+            times: Default::default(),
+        }
     }
 
     #[test]
--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// A posting that is out, for as long as this is kept: until its answer leaves, its balancer has closed its
+/// connection, or its upstream has died. The ledgers may have been taken by then.
+struct Out<'a>(&'a Book, usize);
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        if let Some(run) = self.0.ledgers.borrow_mut().runs.get_mut(self.1) {
+            run.ended = Some(self.0.now());
+        }
+    }
+}
+
 /// One upstream: a process that may be dead, and the faults that are on.
 pub struct Upstream {
     number: usize,
@@ -137,17 +149,23 @@
             let first_byte = book.now();
             let Some(request) = wire.request().await? else { return Ok(()) };
             let last_byte = book.now();
+            let load = format!("Srv-Load: rif={},q={}\r\n", self.held.get(), self.waiting.get());
+            if request.path == "/load" {
+                book.ledgers.borrow_mut().probes.push(balancer);
+                wire.write(&answer(200, &load, "")).await?;
+                continue;
+            }
             let id = request.field("Req-Id").unwrap_or_default().to_string();
             let work = request.field("Req-Cost").and_then(|c| c.parse().ok()).unwrap_or_default();
             let (upstream, life) = (self.number, self.life.get());
             let run = Run { id, upstream, life, balancer, first_byte, last_byte, work, ..Run::default() };
             let entry = book.note(&run);
+            let out = Out(book, entry);
             self.requests.set(self.requests.get() + 1);
             if self.has(Kind::Silent).is_some_and(|one_in| self.requests.get().is_multiple_of(one_in as u64))
             {
-                std::future::pending::<()>().await;
+                return wire.begins().await.map(drop);
             }
-            let load = format!("Srv-Load: rif={}\r\n", self.held.get());
             if self.waiting.get() >= self.machine.waiting {
                 wire.write(&answer(503, "Srv-Declined: 1\r\n", "")).await?;
                 continue;
@@ -158,11 +176,22 @@
                 continue;
             }
             let held = Count::one(&self.held);
-            self.work(book, entry, run.work + std::mem::take(&mut handshake)).await;
+            // Goes on when the balancer gives up, but then the posting is out no longer.
+            let work = self.work(book, entry, run.work + std::mem::take(&mut handshake));
+            tokio::pin!(work);
+            let mut out = Some(out);
+            tokio::select! {
+                biased;
+                () = &mut work => {}
+                more = wire.begins() => {
+                    out.take_if(|_| !matches!(more, Ok(true)));
+                    work.await;
+                }
+            }
             if self.has(Kind::Hang).is_some() {
-                std::future::pending::<()>().await;
+                return wire.begins().await.map(drop);
             }
-            drop(held);
+            drop((held, out));
             let number = book.answers.get();
             book.answers.set(number + 1);
             let body = format!("{} by {} as answer {number}", run.id, self.number);
@@ -375,7 +404,7 @@
             let leaves = self.leaves.borrow()[number];
             json!({
                 "uid": format!("u{number}-{}", up.life.get()), "endpoint": up.address_of(balancer).to_string(),
-                "az": up.machine.zone, "model": "m", "state": if leaves { "leaving" } else { "active" },
+                "az": up.machine.zone, "pod_group": up.machine.group, "model": "m", "state": if leaves { "leaving" } else { "active" },
                 "capacity_hint": f64::from(up.machine.cores) * up.machine.speed,
                 "boot_ms": up.boot.get().map_or(0, |at| book.unix_ms + at / 1000),
             })
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -55,6 +55,7 @@
     for id in runs.keys() {
         broken.push(Broken { rule: "1 one answer", what: format!("{id} was posted and nobody asked it") });
     }
+    broken.extend(kinds(scenario, ledgers));
     broken.extend(drains(scenario, ledgers));
     broken.extend(cold(scenario, ledgers));
     broken
@@ -88,9 +89,17 @@
     if scheme.effect == Effect::OnceOnly && ran > 1 {
         found.push(("2 one effect", format!("ran {ran} times")));
     }
-    if scheme.effect == Effect::OnceOnly && ran > 0 && declined {
+    if scheme.effect != Effect::Repeatable && ran > 0 && declined {
         found.push(("2 one effect", "was declined and had run".into()));
     }
+    let group = |run: &&Run| scenario.fleet().get(run.upstream).map(|machine| machine.group);
+    if scheme.effect == Effect::Referenced && runs.windows(2).any(|two| group(&two[0]) != group(&two[1])) {
+        found.push(("2 one effect", "left its group".into()));
+    }
+    let both = |two: &[&Run]| two[0].ended.is_none_or(|ended| two[1].first_byte + SLACK < ended);
+    if scenario.asking.contains(&asked.balancer) && runs.windows(2).any(both) {
+        found.push(("2 one effect", "had two postings out".into()));
+    }
     // Given up at its SLA time at the latest: what comes later and was never posted was parked.
     let wait = asked.answered.map_or(0, |at| at.saturating_sub(sent));
     if declined && runs.is_empty() && wait > scheme.sla_ms * 1000 + SLACK {
@@ -99,6 +108,32 @@
     found
 }
 
+/// Those that ask and the others before the same upstreams: who may not ask doesn't, and neither is starved.
+fn kinds(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
+    let asks = |balancer: &u32| scenario.asking.contains(balancer);
+    let stranger = ledgers.probes.iter().find(|balancer| !asks(balancer));
+    let mut broken: Vec<Broken> = stranger
+        .map(|balancer| Broken { rule: "asked", what: format!("balancer {balancer} may ask nobody") })
+        .into_iter()
+        .collect();
+    for kind in [true, false] {
+        let of_kind = ledgers.asked.iter().filter(|asked| asks(&asked.balancer) == kind);
+        let (mut all, mut in_time) = (0.0, 0.0);
+        for asked in of_kind {
+            all += 1.0;
+            let sla = scenario.schemes[asked.scheme].sla_ms * 1000;
+            let timely = asked.answered.is_some_and(|at| at <= asked.intended + sla) && asked.status == 200;
+            in_time += if timely { 1.0 } else { 0.0 };
+        }
+        if in_time < scenario.least_in_time * all {
+            let who = if kind { "who asks" } else { "who asks nobody" };
+            let what = format!("{who} had {:.2} in time", in_time / all);
+            broken.push(Broken { rule: "starved", what });
+        }
+    }
+    broken
+}
+
 fn drains(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
     let grace = scenario.rules.drain_grace_ms * 1000 + SLACK;
     let late = |told: &Told| {
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -35,6 +35,8 @@
     pub work: u64,
     /// When work on it began; none where it was turned away or never got that far.
     pub began: Option<u64>,
+    /// When it was answered, or its balancer closed its connection: it is out no longer.
+    pub ended: Option<u64>,
     /// The body of the answer, where one was written whole.
     pub answer: Option<String>,
 }
@@ -70,6 +72,8 @@
     pub told: Vec<Told>,
     pub boots: Vec<Boot>,
     pub crashes: Vec<Crash>,
+    /// Which balancer asked an upstream for its load, each time.
+    pub probes: Vec<u32>,
     /// How late each of the load's own sends was, or the clock's own ticks.
     pub late: Vec<u64>,
     /// How often the laboratory itself had no descriptor left.
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -143,6 +143,8 @@
     );
     match effect {
         Effect::Repeatable => format!("GET /api HTTP/1.1\r\n{head}\r\n"),
-        Effect::OnceOnly => format!("POST /api HTTP/1.1\r\n{head}Content-Length: 5\r\n\r\norder"),
+        Effect::Referenced | Effect::OnceOnly => {
+            format!("POST /api HTTP/1.1\r\n{head}Content-Length: 5\r\n\r\norder")
+        }
     }
 }
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -27,6 +27,7 @@
     pub broken: Vec<Broken>,
     pub schemes: Vec<Figures>,
     pub postings: usize,
+    pub probes: usize,
     pub times: Times,
 }
 
@@ -94,7 +95,8 @@
     let schemes = (0..scenario.schemes.len()).map(|n| figures(scenario, ledgers, n)).collect();
     let (void, broken) = (judge::void(ledgers), judge::judge(scenario, ledgers));
     let times = Times::of(scenario, ledgers, from);
-    Report { void, broken, schemes, postings: ledgers.runs.len(), times }
+    let (postings, probes) = (ledgers.runs.len(), ledgers.probes.len());
+    Report { void, broken, schemes, postings, probes, times }
 }
 
 fn figures(scenario: &Scenario, ledgers: &Ledgers, number: usize) -> Figures {
@@ -134,7 +136,7 @@
                 f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
             );
         }
-        text += &format!("{} postings\n", self.postings);
+        text += &format!("{} postings, {} probes\n", self.postings, self.probes);
         for broken in self.broken.iter().take(MOST_TOLD) {
             text += &format!("broken, {}: {}\n", broken.rule, broken.what);
         }
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -13,6 +13,13 @@
     /// How long txns arrive; the run is over once the last of them has had its time.
     pub seconds: f64,
     pub balancers: u32,
+    /// Which balancers, from 0, ask upstreams for their load and may not have two postings of a txn out; the
+    /// others do neither.
+    #[serde(default)]
+    pub asking: Vec<u32>,
+    /// The part of its txns that either kind of balancers has to settle in time, or it is starved.
+    #[serde(default)]
+    pub least_in_time: f64,
     #[serde(default)]
     pub rules: Rules,
     pub upstreams: Vec<Machine>,
@@ -57,6 +64,9 @@
     pub count: u32,
     #[serde(default = "zone")]
     pub zone: String,
+    /// Those of one group know each other's referenced txns.
+    #[serde(default)]
+    pub group: u32,
     #[serde(default = "one")]
     pub cores: u32,
     /// Work done in a second of one core, in seconds of a standard core.
@@ -112,6 +122,8 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
     Repeatable,
+    /// A repeat is dropped within the group, for the txn's own time.
+    Referenced,
     OnceOnly,
 }
 
@@ -204,6 +216,9 @@
             (1..=MOST_BALANCERS).contains(&self.balancers),
             format!("balancers: {}: 1 to {MOST_BALANCERS}", self.balancers),
         );
+        let stranger = self.asking.iter().find(|n| **n >= self.balancers);
+        check(stranger.is_none(), format!("asking: {stranger:?}: there are {}", self.balancers));
+        check(within(self.least_in_time, 0.0, 1.0), format!("least_in_time: {}: 0 to 1", self.least_in_time));
         check(!self.upstreams.is_empty(), "upstreams: the fleet is empty".into());
         check(!self.schemes.is_empty(), "schemes: there is none".into());
         let all = self.upstreams.iter().map(|m| u64::from(m.count)).sum::<u64>();
@@ -367,8 +382,8 @@
             schemes[0].rate: 1e300: 0 to 100000; schemes: 2e300 txns in all: 2000000 at most
             schemes[0].rate: NaN: 0 to 100000; schemes: NaN txns in all: 2000000 at most
             schemes[0].expiry_ms: 30 is less than sla_ms
-            unknown variant `often`, expected `repeatable` or `once-only`
-            unknown field `speed`, expected one of `seed`, `seconds`, `balancers`, `rules`, `upstreams`, `schemes`, `faults`, `bursts`
+            unknown variant `often`, expected one of `repeatable`, `referenced`, `once-only`
+            unknown field `speed`, expected one of `seed`, `seconds`, `balancers`, `asking`, `least_in_time`, `rules`, `upstreams`, `schemes`, `faults`, `bursts`
             faults[0].which: 2: there are 2
         "#]]
         .assert_eq(&trace);
--- a/crates/pondlb-lab/tests/judged.rs
+++ b/crates/pondlb-lab/tests/judged.rs
@@ -47,13 +47,20 @@
 "#;
 
 const DRAIN: &str = "[[faults]]\nat = 0.8\nkind = \"drain\"\nwhich = 1\n";
+const SLOW: &str = "[[faults]]\nat = 0.5\nfor = 0.1\nkind = \"slow\"\nwhich = 0\nfactor = 25\n";
 const RETURN: &str = "[[faults]]\nat = 0.4\nfor = 0.3\nkind = \"kill\"\nwhich = 0\n";
 
 /// The rules that are found broken, each once.
 fn found(folder: &Path, fault: &str, troubles: &str) -> String {
-    let heavy =
-        if fault == "storms" { SCENARIO.replace("work_ms = 4.0", "work_ms = 60.0") } else { SCENARIO.into() };
-    let scenario = file(folder, &format!("{fault}.toml"), &(heavy + troubles));
+    let (from, to) = match fault {
+        "storms" => ("work_ms = 4.0", "work_ms = 60.0"),
+        "strays" => ("\"once-only\"", "\"referenced\""),
+        "copies" => ("balancers = 1", "balancers = 1\nasking = [0]"),
+        "parks" => ("balancers = 1", "balancers = 1\nleast_in_time = 0.5"),
+        _ => ("", ""),
+    };
+    let scenario = SCENARIO.replace(from, to) + troubles;
+    let scenario = file(folder, &format!("{fault}.toml"), &scenario);
     let planted = env!("CARGO_BIN_EXE_pondlb-planted");
     let run = lab(&["run", &scenario, "--program", planted, "--argument", fault, "--json"]);
     let code = run.status.code();
@@ -83,6 +90,9 @@
         ("storms", RETURN),
         ("parks", ""),
         ("crashes", ""),
+        ("strays", "[[upstreams]]\ngroup = 1\n"),
+        ("copies", SLOW),
+        ("asks", ""),
     ];
     // Side by side, or they would take half a minute.
     let trace: String = thread::scope(|scope| {
@@ -100,8 +110,11 @@
         declines-what-ran: exit 1, "2 one effect"
         ignores-drains: exit 1, "3 drains"
         storms: exit 1, "1 one answer" "4 cold upstreams"
-        parks: exit 1, "parked"
+        parks: exit 1, "parked" "starved"
         crashes: exit 1, "crash"
+        strays: exit 1, "2 one effect"
+        copies: exit 1, "2 one effect"
+        asks: exit 1, "asked"
     "#]]
     .assert_eq(&trace);
     assert!(comes(|| faults.iter().all(|(fault, _)| planted(fault) == 0)), "a balancer lives on");
@@ -173,7 +186,7 @@
            |
         11 | hearts = 2
            | ^^^^^^
-        unknown field `hearts`, expected one of `count`, `zone`, `cores`, `speed`, `waiting`, `connections`, `handshake_ms`
+        unknown field `hearts`, expected one of `count`, `zone`, `group`, `cores`, `speed`, `waiting`, `connections`, `handshake_ms`
         2: balancer 0 ended before it served, exit status: 2: /nowhere: No such file or directory (os error 2)
         2: balancer 0 ended before it served, exit status: 1:
     "#]]
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for all that the program speaks to, on loopback: upstreams, discovery, clients.
 
+use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -222,20 +223,17 @@
 
 /// A list in discovery's form: upstreams named by their ports, all in this state.
 pub fn roster(version: u64, whole: bool, state: &str, addresses: &[SocketAddr]) -> String {
-    let of = |address: &SocketAddr| target(&format!("u{}", address.port()), *address, state, 0, 1, 0);
-    roster_of(version, whole, addresses.iter().map(of))
-}
-
-/// One upstream in discovery's form, and a list of such.
-pub fn target(uid: &str, at: SocketAddr, state: &str, pod: usize, size: u32, boot_ms: u128) -> String {
-    format!(
-        r#"{{"uid":"{uid}","endpoint":"{at}","az":"a","model":"m1","pod_group":{pod},"state":"{state}",
-        "capacity_hint":{size}.0,"boot_ms":{boot_ms}}}"#
-    )
-}
-
-pub fn roster_of(version: u64, whole: bool, targets: impl Iterator<Item = String>) -> String {
-    let targets = targets.collect::<Vec<_>>().join(",");
+    let mut targets = String::new();
+    for (n, address) in addresses.iter().enumerate() {
+        let comma = if n > 0 { "," } else { "" };
+        write!(
+            targets,
+            r#"{comma}{{"uid":"u{}","endpoint":"{address}","az":"a","model":"m1","pod_group":0,
+            "state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#,
+            address.port()
+        )
+        .unwrap();
+    }
     format!(r#"{{"rev":{version},"all":{whole},"targets":[{targets}]}}"#)
 }
 
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -1,7 +1,6 @@
 //! The program itself, spoken to over loopback.
 
 mod helper;
-mod mixed;
 
 use std::io::{Read, Write};
 use std::net::SocketAddr;
