--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -200,113 +200,65 @@
     use super::super::stream::read;
     use super::*;
 
-    /// What the stand-in says to each call in turn; None for nothing, on a connection that stays open.
-    async fn plays(answers: &[Option<&str>]) -> String {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (asks_in, asks) = mpsc::unbounded_channel();
-        let (notes_in, mut notes) = mpsc::unbounded_channel();
-        let patience = Patience { fresh: 5000, settled: 6000, late: 1000 };
-        asks_in.send(Ask::Watch(true)).unwrap();
-        let (mut trace, mut open, mut stream) = (String::new(), Vec::new(), None);
-        let stands_in = async {
-            for answer in answers {
-                let mut call = vec![0; 1024];
-                let (at, count) = loop {
-                    let at = match stream.take() {
-                        Some(stream) => stream,
-                        None => listener.accept().await.unwrap().0,
+    #[test]
+    fn a_silent_watch_is_told_from_a_failed_call_and_of_what_is_no_list_nothing_is_taken() {
+        let head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length:";
+        let list = |version: u64, names: &[&str]| {
+            let rest = r#""endpoint":"127.0.0.1:1","az":"a","model":"m","state":"active","capacity_hint":1"#;
+            let targets: Vec<_> = names.iter().map(|uid| format!(r#"{{"uid":"{uid}",{rest}}}"#)).collect();
+            let body = format!(r#"{{"rev":{version},"all":true,"targets":[{}]}}"#, targets.join(","));
+            format!("{head} {}\r\n\r\n{body}", body.len())
+        };
+        let silence = String::new;
+        let (news, twice, back) = (list(8, &["s1"]), list(9, &["s1", "s1"]), list(3, &["s1"]));
+        let (elsewhere, unending) =
+            ("HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n".to_string(), format!("{head} 99\r\n\r\n{{"));
+        let answers =
+            [silence(), news.clone(), news, silence(), twice, elsewhere, unending, back.clone(), back];
+        let mut trace = String::new();
+        let plays = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (asks_in, asks) = mpsc::unbounded_channel();
+            let (notes_in, mut notes) = mpsc::unbounded_channel();
+            let patience = Patience { fresh: 5000, settled: 6000, late: 1000 };
+            let asking = discover(listener.local_addr().unwrap(), 7, patience, asks, notes_in);
+            asks_in.send(Ask::Watch(true)).unwrap();
+            let stands_in = async {
+                for answer in answers {
+                    let (at, _) = listener.accept().await.unwrap();
+                    let (mut call, called) = ([0; 256], Instant::now());
+                    let count = read(&at, &mut call).await.unwrap();
+                    let path = String::from_utf8_lossy(&call[..count]).split(' ').nth(1).unwrap().to_string();
+                    write_all(&at, answer.as_bytes()).await.unwrap();
+                    let note = match notes.recv().await.unwrap() {
+                        Note::Listed(roster) => format!("listed {}", roster.version),
+                        Note::ListLost => "lost".into(),
+                        Note::WatchSilent if called.elapsed() >= span(6000) => "silent, its wait over".into(),
+                        _ => "no such note".into(),
                     };
-                    if let Ok(count @ 1..) = read(&at, &mut call).await {
-                        break (at, count);
+                    trace += &format!("{path}: {note}\n");
+                    if !note.starts_with("listed") {
+                        // As the decisions do.
+                        asks_in.send(Ask::Watch(true)).unwrap();
                     }
-                };
-                let call = String::from_utf8_lossy(&call[..count]).lines().next().unwrap().to_string();
-                let called = Instant::now();
-                trace += &format!("{call}\n");
-                match answer {
-                    Some(answer) => {
-                        let head = match answer.starts_with('{') {
-                            true => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len()),
-                            false => String::new(),
-                        };
-                        write_all(&at, format!("{head}{answer}").as_bytes()).await.unwrap();
-                        stream = Some(at);
-                    }
-                    None => open.push(at),
-                }
-                let note = match notes.recv().await.unwrap() {
-                    Note::Listed(roster) => format!("listed {}", roster.version),
-                    Note::ListLost => "lost".into(),
-                    Note::WatchSilent => "silent".into(),
-                    _ => "no note of discovery's".into(),
-                };
-                if !note.starts_with("listed") {
-                    // As the decisions do.
-                    asks_in.send(Ask::Watch(true)).unwrap();
                 }
-                let waited = called.elapsed() >= span(patience.fresh + patience.late);
-                trace += &format!("{note}, {}\n", if waited { "its wait over" } else { "at once" });
+            };
+            tokio::select! {
+                () = asking => {}
+                () = stands_in => {}
             }
         };
-        tokio::select! {
-            () = discover(address, 7, patience, asks, notes_in) => {}
-            () = stands_in => {}
-        }
-        trace
-    }
-
-    #[test]
-    fn a_watch_that_falls_silent_is_noticed_soon_after_its_wait_and_its_successor_asks_from_the_same_version()
-    {
-        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-        let news = r#"{"rev":8,"all":false,"targets":[]}"#;
-        let trace = runtime.block_on(plays(&[None, Some(news), Some(news), None, Some(news)]));
-        expect![[r#"
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            silent, its wait over
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            listed 8, at once
-            GET /catalog/members?from=8&hold_ms=500 HTTP/1.1
-            listed 8, at once
-            GET /catalog/members?from=8&hold_ms=600 HTTP/1.1
-            silent, its wait over
-            GET /catalog/members?from=8&hold_ms=500 HTTP/1.1
-            listed 8, at once
-        "#]]
-        .assert_eq(&trace);
-    }
-
-    #[test]
-    fn of_an_answer_that_is_no_list_nothing_is_taken_and_after_one_of_other_versions_the_whole_is_asked_for()
-    {
-        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-        let entry = |uid: &str| {
-            format!(
-                r#"{{"uid":"{uid}","endpoint":"127.0.0.1:1","az":"a","model":"m","state":"active","capacity_hint":1}}"#
-            )
-        };
-        let list = |version, names: [&str; 2]| {
-            format!(r#"{{"rev":{version},"all":true,"targets":[{}]}}"#, names.map(entry).join(","))
-        };
-        let (twice, back, whole) = (list(9, ["s1", "s1"]), list(3, ["s1", "s2"]), list(4, ["s1", "s2"]));
-        let elsewhere = "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n";
-        let unending = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{";
-        let answers = [&twice, elsewhere, unending, &back, &whole, &whole].map(Some);
-        let trace = runtime.block_on(plays(&answers));
+        Builder::new_current_thread().enable_all().build().unwrap().block_on(plays);
         expect![[r#"
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            lost, at once
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            lost, at once
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            silent, its wait over
-            GET /catalog/members?from=7&hold_ms=500 HTTP/1.1
-            lost, at once
-            GET /catalog/members HTTP/1.1
-            listed 4, at once
-            GET /catalog/members?from=4&hold_ms=500 HTTP/1.1
-            listed 4, at once
+            /catalog/members?from=7&hold_ms=500: silent, its wait over
+            /catalog/members?from=7&hold_ms=500: listed 8
+            /catalog/members?from=8&hold_ms=500: listed 8
+            /catalog/members?from=8&hold_ms=600: silent, its wait over
+            /catalog/members?from=8&hold_ms=500: lost
+            /catalog/members?from=8&hold_ms=500: lost
+            /catalog/members?from=8&hold_ms=500: silent, its wait over
+            /catalog/members?from=8&hold_ms=500: lost
+            /catalog/members: listed 3
         "#]]
         .assert_eq(&trace);
     }
