An attempt that is still dialling is taken back when its client leaves or is answered

Ruled out: what is written already, which may run and stays. Cause: Exchange::close left the outs of a closed txn alone.

--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -13,7 +13,7 @@
 /// Does the work that the decisions ask for.
 pub trait Carrier {
     /// Kept while a posting is out; dropping it gives the posting up and closes its connection.
-    type Hold;
+    type Hold: Hold;
 
     fn post(&mut self, order: Order) -> Self::Hold;
     /// Asks for an upstream's load; `Note::Probed` says what came of it.
@@ -23,6 +23,12 @@
     fn close_idle(&mut self, upstream: &str);
 }
 
+/// What is kept of a posting that is out.
+pub trait Hold {
+    /// Whether its last byte has been written, so that it may run; until then it can be taken back.
+    fn is_written(&self) -> bool;
+}
+
 /// A txn until its final answer is given and none of its postings is out.
 struct Txn {
     request: Rc<Message>,
@@ -36,7 +42,7 @@
 struct Out<H> {
     order: Tenths,
     upstream: UpstreamId,
-    _hold: H,
+    hold: H,
 }
 
 /// The ids of the last while, so many at most. They are new with every request: who sends one again has it
@@ -75,6 +81,8 @@
     txns: BTreeMap<TxnId, Txn>,
     ids: Ids,
     outs: BTreeMap<PostingId, Out<C::Hold>>,
+    /// Txns that nobody waits for any more, since the last look at what of theirs can be taken back.
+    closed: Vec<TxnId>,
     events: Vec<Event>,
     actions: Vec<Action>,
     wake: Option<(Tenths, &'static str)>,
@@ -93,6 +101,7 @@
             txns: BTreeMap::new(),
             ids: Ids::default(),
             outs: BTreeMap::new(),
+            closed: Vec::new(),
             events: Vec::new(),
             actions: Vec::new(),
             wake: None,
@@ -114,6 +123,7 @@
         for note in notes {
             self.read(now, note);
         }
+        self.take_back(now);
         if self.end.is_some_and(|at| at <= now) {
             let late: Vec<PostingId> = self.outs.keys().cloned().collect();
             late.into_iter().for_each(|posting| self.ended(now, posting, Outcome::TimedOut.into()));
@@ -124,6 +134,17 @@
         self.decide(now);
     }
 
+    /// Whose client has left or has its answer gets no attempt begun any more, also where work that has begun may
+    /// not be cancelled: one that is still dialling would be written long after.
+    fn take_back(&mut self, now: Tenths) {
+        for id in mem::take(&mut self.closed) {
+            let all = (id.clone(), 0)..=(id, u32::MAX);
+            let unwritten = self.outs.range(all).filter(|(_, out)| !out.hold.is_written());
+            let unwritten: Vec<PostingId> = unwritten.map(|(posting, _)| posting.clone()).collect();
+            unwritten.into_iter().for_each(|posting| self.ended(now, posting, Outcome::Moot.into()));
+        }
+    }
+
     pub fn wake_at(&self) -> Option<Tenths> {
         let end = self.end.filter(|_| !self.outs.is_empty());
         self.wake.map(|(at, _)| at).into_iter().chain(end).min()
@@ -269,8 +290,8 @@
                 let until = timeout.map_or(txn.expiry, |span| txn.expiry.min(now + span));
                 let (request, name) = (txn.request.clone(), upstream.clone());
                 let order = Order { id: (id.clone(), posting), upstream: name, address, request, until };
-                let _hold = self.carrier.post(order);
-                self.outs.insert((id, posting), Out { order: now, upstream, _hold });
+                let hold = self.carrier.post(order);
+                self.outs.insert((id, posting), Out { order: now, upstream, hold });
                 return;
             }
         };
@@ -288,6 +309,9 @@
 
     fn close(&mut self, id: &TxnId) -> Option<oneshot::Sender<Answer>> {
         let waiting = self.txns.get_mut(id)?.answer.take();
+        if waiting.is_some() {
+            self.closed.push(id.clone());
+        }
         self.forget(id);
         waiting
     }
--- a/crates/pondlb-server/src/routing/mod.rs
+++ b/crates/pondlb-server/src/routing/mod.rs
@@ -8,5 +8,5 @@
 mod tests;
 
 pub use directory::Directory;
-pub use exchange::{Carrier, Exchange};
+pub use exchange::{Carrier, Exchange, Hold};
 pub use notes::{Answer, End, Note, Order, PostingId};
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -9,7 +9,7 @@
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
-use super::{Answer, Carrier, Directory, End, Exchange, Note, Order};
+use super::{Answer, Carrier, Directory, End, Exchange, Hold, Note, Order};
 use crate::protocol::discovery::Roster;
 use crate::protocol::head::Head;
 use crate::protocol::reader::Message;
@@ -18,8 +18,14 @@
 
 struct Scribe(Trace);
 
-/// Says when it is dropped, as the connection of a posting would close.
-struct Held(Trace, String);
+/// Says when it is dropped, as the connection of a posting would close. That of a posting to `dials` never comes up.
+struct Held(Trace, String, bool);
+
+impl Hold for Held {
+    fn is_written(&self) -> bool {
+        !self.2
+    }
+}
 
 impl Drop for Held {
     fn drop(&mut self) {
@@ -34,7 +40,7 @@
         let what = format!("{} {}", order.id.0, order.id.1);
         *self.0.borrow_mut() +=
             &format!("  post {what} to {} at {} until {}\n", order.upstream, order.address, order.until);
-        Held(self.0.clone(), what)
+        Held(self.0.clone(), what, &*order.upstream == "dials")
     }
 
     fn probe(&mut self, upstream: UpstreamId, _address: SocketAddr) {
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use super::pool::{Link, NoLink, Pool};
 use super::stream::{feed, write_all};
 use crate::protocol::upstream::{Answered, UpstreamSide, write_posting, write_probe};
-use crate::routing::{Carrier, End, Note, Order};
+use crate::routing::{Carrier, End, Hold, Note, Order};
 
 /// Carries postings to upstreams, each in a task of its own.
 pub struct Postings {
@@ -33,25 +34,36 @@
 }
 
 /// Ends its task when it is dropped, and with it the connection that the task holds.
-pub struct Hold(AbortHandle);
+pub struct Task {
+    handle: AbortHandle,
+    written: Rc<Cell<bool>>,
+}
+
+impl Hold for Task {
+    fn is_written(&self) -> bool {
+        self.written.get()
+    }
+}
 
-impl Drop for Hold {
+impl Drop for Task {
     fn drop(&mut self) {
-        self.0.abort();
+        self.handle.abort();
     }
 }
 
 impl Carrier for Postings {
-    type Hold = Hold;
+    type Hold = Task;
 
-    fn post(&mut self, order: Order) -> Hold {
+    fn post(&mut self, order: Order) -> Task {
         let (pool, clock, memory, notes) = (self.pool.clone(), self.clock, self.memory, self.notes.clone());
+        let written = Rc::new(Cell::new(false));
+        let is_written = written.clone();
         let task = spawn_local(async move {
             let posting = order.id.clone();
-            let end = carry(&pool, clock, memory, order).await;
+            let end = carry(&pool, clock, memory, order, &is_written).await;
             let _ended = notes.send(Note::Ended { posting, end });
         });
-        Hold(task.abort_handle())
+        Task { handle: task.abort_handle(), written }
     }
 
     fn probe(&mut self, upstream: UpstreamId, address: SocketAddr) {
@@ -109,7 +121,13 @@
 
 /// Whether a posting may have run turns on its last byte: until that is written it can't have, from then on
 /// it may have. Nothing is ever written twice, so that the decisions alone repeat a txn.
-async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order) -> End {
+async fn carry(
+    pool: &Rc<Pool>,
+    clock: Clock,
+    memory: Memory,
+    order: Order,
+    written: &Cell<bool>,
+) -> End {
     let until = clock.instant(order.until);
     let link = match pool.take(&order.upstream, order.address, until).await {
         Ok(link) => link,
@@ -122,6 +140,7 @@
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
     }
+    written.set(true);
     drop(bytes);
     match timeout_at(until, answer(&link, memory)).await {
         Err(_) => Outcome::TimedOut.into(),
