What came while the process was held up is heard before anything is written

Seen: the process stopped for 1.5 s while an attempt dials; the connection comes up and the client leaves meanwhile; both events come in one turn, and the attempt's task, first in line, wrote for a client that had gone. Ruled out: the order of notes (Left is read before anything is released). Cause: transport/posting.rs went from the connection to the write without a turn for the others. Test: races::a_client_that_left_while_the_process_was_stopped (failed before the change).

--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -5,7 +5,7 @@
 
 use pondlb::{Load, Outcome, UpstreamId};
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::{Instant, timeout_at};
 
 use super::clock::Clock;
@@ -121,13 +121,7 @@
 
 /// Whether a posting may have run turns on its last byte: until that is written it can't have, from then on
 /// it may have. Nothing is ever written twice, so that the decisions alone repeat a txn.
-async fn carry(
-    pool: &Rc<Pool>,
-    clock: Clock,
-    memory: Memory,
-    order: Order,
-    written: &Cell<bool>,
-) -> End {
+async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order, written: &Cell<bool>) -> End {
     let until = clock.instant(order.until);
     let link = match pool.take(&order.upstream, order.address, until).await {
         Ok(link) => link,
@@ -136,6 +130,9 @@
             return Outcome::ConnectFailed.into();
         }
     };
+    // Of a process that was held up, all that came meanwhile is told at once: a client that has gone must be heard
+    // of before anything is sent for it, and its task may be behind this one.
+    yield_now().await;
     let bytes = write_posting(&order.id.0, &order.request, order.until.saturating_sub(clock.now()));
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -2,7 +2,7 @@
 //! bad order comes every time. docs/races.md has a row for each.
 
 use std::io::{Read, Write};
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::Instant;
 
 use super::MS;
@@ -134,3 +134,23 @@
     assert_eq!(client.read().unwrap().body, "hi");
     assert!(!sees_a_request(second));
 }
+
+/// The danger is a process that was held up: the connection has come up and the client has gone when it wakes, and it
+/// hears of both at once.
+#[test]
+fn a_client_that_left_while_the_process_was_stopped_is_not_sent_on() {
+    let upstream = mute();
+    let mut plan = Plan::with(&[]);
+    plan.known.push(upstream.address);
+    let balancer = plan.start_with(&patient(&plan).replace("\"Cancelling\":false", "\"Cancelling\":true"));
+    let mut client = balancer.client();
+    client.send(&Client::request("a1", "order", 1900));
+    sleep(50 * MS);
+    balancer.signal("STOP");
+    let opened = thread::spawn(move || sees_a_request(upstream));
+    sleep(1500 * MS);
+    drop(client);
+    sleep(50 * MS);
+    balancer.signal("CONT");
+    assert!(!opened.join().unwrap());
+}
