A client that sends more ahead than is kept, and goes, is noticed

Ruled out: what the system says of the connection alone (an end stands behind 144 KB that nobody reads and doesn't come). What is beyond the buffer is read on and thrown away, 1 MiB at most; the connection ends with the answer. Test: races::a_client_that_sends_more_ahead.

--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -1,4 +1,4 @@
-use std::future::pending;
+use std::cell::Cell;
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::crowd::{Crowd, Place, Standing};
-use super::stream::{Waiting, feed, read, waiting, write_all};
+use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::program::Phase;
 use crate::protocol::client::{
     Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
@@ -31,6 +31,8 @@
 const LINGER: Duration = Duration::from_millis(200);
 /// And how far: reading all of a huge body that is refused would take the core from the others.
 const MOST_LINGERED: usize = 512 * 1024;
+/// The same for what is sent ahead of an answer, beyond what is kept.
+const MOST_THROWN_AWAY: usize = 1024 * 1024;
 
 /// What all client connections share.
 pub struct Front {
@@ -141,7 +143,8 @@
         side: &mut ClientSide,
         asked: Asked,
     ) -> Option<(Vec<u8>, bool)> {
-        let last = |asked_last| asked_last || *self.phase.borrow() >= Phase::Closing;
+        let overrun = Cell::new(false);
+        let last = |asked_last| asked_last || overrun.get() || *self.phase.borrow() >= Phase::Closing;
         let (arrival, request) = match asked.wish {
             Wish::Health => {
                 let ready = *self.phase.borrow() == Phase::Serving;
@@ -160,7 +163,7 @@
                 let last = last(asked.last) || answer == Answer::Duplicate;
                 Some((write_answer(&answer, last), last))
             }
-            () = leaves(stream, side) => {
+            () = leaves(stream, side, &overrun) => {
                 self.left(txn);
                 None
             }
@@ -181,16 +184,25 @@
     }
 }
 
-/// Returns when the client closes its side. What it sends ahead meanwhile is kept up to the buffer's bound.
-async fn leaves(stream: &TcpStream, side: &mut ClientSide) {
-    loop {
-        if side.input().room().is_empty() {
-            return pending().await;
-        }
+/// Returns when the client closes its side. What it sends ahead meanwhile is kept up to the buffer's bound, beyond
+/// which nothing ahead is served: it is read on and thrown away, since a close comes behind all that was sent.
+async fn leaves(stream: &TcpStream, side: &mut ClientSide, overrun: &Cell<bool>) {
+    while !side.input().room().is_empty() {
         if !matches!(feed(stream, side.input()).await, Ok(1..)) {
             return;
         }
     }
+    overrun.set(true);
+    let mut rest = vec![0; 16 * 1024];
+    let mut left = MOST_THROWN_AWAY;
+    while let Ok(count @ 1..) = read(stream, &mut rest).await {
+        left = left.saturating_sub(count);
+        if left == 0 {
+            return closed(stream).await;
+        }
+        // Against one that sends without end: the others have their turns.
+        yield_now().await;
+    }
 }
 
 async fn linger(stream: &TcpStream) {
--- a/crates/pondlb-server/src/transport/stream.rs
+++ b/crates/pondlb-server/src/transport/stream.rs
@@ -2,7 +2,9 @@
 use std::mem::MaybeUninit;
 
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 use crate::protocol::reader::Reader;
 
@@ -37,6 +39,14 @@
     Ok(())
 }
 
+/// Returns when the other side has ended or broken the connection, though nothing is read of it any more.
+pub async fn closed(stream: &TcpStream) {
+    // Of all interests this one alone waits for nothing but urgent bytes, which nobody sends, and the end.
+    while stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        yield_now().await;
+    }
+}
+
 /// What the kernel holds right now, asked past the runtime, which may not have heard of it yet.
 #[derive(PartialEq)]
 pub enum Waiting {
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -2,8 +2,11 @@
 //! bad order comes every time. docs/races.md has a row for each.
 
 use std::io::{Read, Write};
+use std::net::Shutdown;
 use std::thread::{self, sleep};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
 
 use super::MS;
 use crate::helper::*;
@@ -154,3 +157,26 @@
     balancer.signal("CONT");
     assert!(!opened.join().unwrap());
 }
+
+/// The danger is work for a client that sent much ahead and went: what is unread hides that it has gone.
+#[test]
+fn a_client_that_sends_more_ahead_than_is_kept_and_goes_is_noticed() {
+    let upstream = Upstream::start(Habit::Silent);
+    let balancer = Plan::with(&[&upstream]).start();
+    for way in ["closes", "ends its side", "resets"] {
+        let mut client = balancer.client();
+        client.send(&Client::request(way, "order", 60_000).replace(way, &way.replace(' ', "-")));
+        while !matches!(upstream.next(), Seen::Request(_)) {}
+        client.send(&"GET / HTTP/1.1\r\n".repeat(8000));
+        sleep(50 * MS);
+        match way {
+            "closes" => {}
+            "ends its side" => client.0.shutdown(Shutdown::Write).unwrap(),
+            _ => SockRef::from(&client.0).set_linger(Some(Duration::ZERO)).unwrap(),
+        }
+        let left = Instant::now();
+        let _half_closed = (way == "ends its side").then_some(client);
+        while !matches!(upstream.next(), Seen::Closed) {}
+        assert!(left.elapsed() < 100 * MS, "{way}: {:?}", left.elapsed());
+    }
+}
