Idle clients keep their places until another comes; what crosses an end resets nothing

An idle connection was closed by dropping its socket: a request that crossed this reset it, with an answer that the client had not read. Ruled out: a lack of descriptors for discovery (48 are kept free; now 16 of these serve those that come when all places are taken). Now an idle one is closed for one that has come; who finds no room is turned away at once, health is answered; each end is a half-close that is read on for 0.2 s.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -199,7 +199,7 @@
 
     fn is_over(&self) -> bool {
         let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.farewell.at_most);
-        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.open() == 0 || late)
+        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.is_empty() || late)
     }
 }
 
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -25,6 +25,12 @@
     pub last: bool,
 }
 
+impl Asked {
+    pub fn is_health(&self) -> bool {
+        matches!(self.wish, Wish::Health)
+    }
+}
+
 pub const LEAVE_TO_SEND: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 const HEALTH: &str = "/_health";
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -48,6 +48,8 @@
     Fault(Fault),
     TooSlow,
     Crowded,
+    /// The balancer ends the connection, on which nothing is owed.
+    Ends,
     Over,
 }
 
@@ -70,6 +72,7 @@
                 }
                 Next::TooSlow => (write_too_slow(), true),
                 Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
+                Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
             };
             let written = timeout(SLOWEST_ANSWER, write_all(&stream, &bytes)).await;
@@ -77,7 +80,7 @@
                 return;
             }
             if last {
-                return linger(&stream).await;
+                return linger(&stream, place).await;
             }
         }
     }
@@ -94,12 +97,13 @@
         loop {
             match side.next(&self.schemes) {
                 Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
+                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
                 Ok(Some(asked)) => return Next::Asked(asked),
                 Ok(None) => {}
                 Err(fault) => return Next::Fault(fault),
             }
             // Before its body is read: hundreds of them let in at once would cost more memory than there is.
-            if !side.is_idle() && self.crowd.turns_away() {
+            if !side.is_idle() && (place.is_excess() || self.crowd.turns_away()) {
                 return Next::Crowded;
             }
             if side.wants_leave_to_send() && write_all(stream, LEAVE_TO_SEND).await.is_err() {
@@ -113,8 +117,10 @@
                     count = feed(stream, side.input()) => count,
                     _ = closing(&mut phase, &idle, most) => {
                         // What has come meanwhile is served; the client would else have to send it again.
-                        if waiting(stream) != Waiting::Bytes {
-                            return Next::Over;
+                        match waiting(stream) {
+                            Waiting::Bytes => {}
+                            Waiting::Nothing => return Next::Ends,
+                            Waiting::End => return Next::Over,
                         }
                         // The runtime has not heard of them: without a turn it would never.
                         yield_now().await;
@@ -205,7 +211,10 @@
     }
 }
 
-async fn linger(stream: &TcpStream) {
+/// Ends its own side, and reads on for a moment what has crossed that: a close over it would reset the connection, and
+/// take an answer with it that the client has not read yet. Nothing that is read here is served.
+async fn linger(stream: &TcpStream, place: Place) {
+    let _place = place.linger();
     if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
         return;
     }
--- a/crates/pondlb-server/src/transport/crowd.rs
+++ b/crates/pondlb-server/src/transport/crowd.rs
@@ -15,6 +15,8 @@
     most_busy: usize,
     memory: Memory,
     open: Cell<usize>,
+    /// Those that have been told that they end, and are only read on for a moment.
+    lingering: Cell<usize>,
     next: Cell<u64>,
     /// Idle ones that never asked for anything, and those that did.
     fresh: Row,
@@ -31,6 +33,7 @@
             most_busy,
             memory,
             open: Cell::new(0),
+            lingering: Cell::new(0),
             next: Cell::new(0),
             fresh: Row::default(),
             idle: Row::default(),
@@ -39,12 +42,17 @@
         })
     }
 
-    pub fn open(&self) -> usize {
-        self.open.get()
+    pub fn is_empty(&self) -> bool {
+        self.open.get() + self.lingering.get() == 0
     }
 
+    pub fn is_over(&self) -> bool {
+        self.open.get() > self.most
+    }
+
+    /// With its reserve, so that not even another can be taken.
     pub fn is_full(&self) -> bool {
-        self.open.get() >= self.most
+        self.open.get() + self.lingering.get() >= self.most + RESERVE
     }
 
     /// Memory is short, or more are busy than may be. One that is slow with its request makes room for
@@ -54,21 +62,26 @@
         (busy > self.most_busy || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
     }
 
+    /// Room is made only for one that has come: closing idle ones ahead would cost clients theirs for nothing.
     pub fn enter(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
-        Place { crowd: self.clone() }
+        let excess = Cell::new(self.is_over() && !self.close_one_idle());
+        Place { crowd: self.clone(), excess, lingers: false }
     }
 
     /// Tells one to close: of those that said nothing for a while, else of those that stand idle, the one
     /// that does so longest. Clients with a connection for each of their requests need theirs.
-    pub fn close_one_idle(&self) {
-        let _told = close_first(&self.fresh, Some(SILENT)) || close_first(&self.idle, None);
+    pub fn close_one_idle(&self) -> bool {
+        close_first(&self.fresh, Some(SILENT)) || close_first(&self.idle, None)
     }
 }
 
 /// Connections that may be closed, in the order in which they came to be so, with what tells each.
 type Row = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
 
+/// Taken beyond the most, of the descriptors that are kept for the program's own use: for who asks whether it is ready,
+/// to turn others away, and while those that were told to close are read on.
+const RESERVE: usize = 16;
 const SLOW: Duration = Duration::from_millis(500);
 const SILENT: Duration = Duration::from_millis(250);
 
@@ -86,9 +99,27 @@
 /// One connection's place; leaving it makes room for another.
 pub struct Place {
     crowd: Rc<Crowd>,
+    /// It came when there was no room, and none could be made.
+    excess: Cell<bool>,
+    lingers: bool,
 }
 
 impl Place {
+    /// Whether there is no room for its requests, still.
+    pub fn is_excess(&self) -> bool {
+        self.excess.set(self.excess.get() && self.crowd.is_over());
+        self.excess.get()
+    }
+
+    /// Its connection has been told that it ends; another may come.
+    pub fn linger(mut self) -> Place {
+        self.lingers = true;
+        self.crowd.open.set(self.crowd.open.get() - 1);
+        self.crowd.lingering.set(self.crowd.lingering.get() + 1);
+        self.crowd.changed.notify_one();
+        self
+    }
+
     pub fn idle(&self) -> Standing<'_> {
         self.stand(&self.crowd.idle)
     }
@@ -112,7 +143,8 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.crowd.open.set(self.crowd.open.get() - 1);
+        let count = if self.lingers { &self.crowd.lingering } else { &self.crowd.open };
+        count.set(count.get() - 1);
         self.crowd.changed.notify_one();
     }
 }
--- a/crates/pondlb-server/src/transport/listener.rs
+++ b/crates/pondlb-server/src/transport/listener.rs
@@ -17,7 +17,9 @@
     loop {
         let crowd = &front.crowd;
         if crowd.is_full() {
-            crowd.close_one_idle();
+            if crowd.is_over() {
+                crowd.close_one_idle();
+            }
             tokio::select! {
                 _ = crowd.changed.notified() => {}
                 _ = sleep(BREATH) => {}
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -443,6 +443,16 @@
     }
 }
 
+/// Whether the other side has ended this connection, whatever is unread on it.
+pub fn ended_by_peer(stream: &TcpStream) -> bool {
+    let state = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+    let ends = [stream.local_addr(), stream.peer_addr()].map(|end| format!(":{:04X}", end.unwrap().port()));
+    let fields = state.lines().map(|line| line.split_whitespace().skip(1).collect::<Vec<_>>());
+    let mut own = fields.filter(|f| f[0].ends_with(&ends[0]) && f[1].ends_with(&ends[1]));
+    // 08: the peer has ended its side.
+    own.next().is_some_and(|f| f[2] == "08")
+}
+
 pub struct Client(pub TcpStream);
 
 impl Client {
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -180,3 +180,62 @@
         assert!(left.elapsed() < 100 * MS, "{way}: {:?}", left.elapsed());
     }
 }
+
+/// The danger is an answer that the client has not read yet, lost with a connection that is reset under it: a request
+/// crosses the end of a resting connection.
+#[test]
+fn what_crosses_the_end_of_a_resting_connection_resets_nothing_and_is_not_served() {
+    let upstream = Upstream::start(HELLO);
+    let balancer = Plan::with(&[&upstream]).start();
+    let mut client = balancer.client();
+    client.send(&Client::request("a1", "order", 2000));
+    while !matches!(upstream.next(), Seen::Request(_)) {}
+    // The answer stays unread until the connection has ended.
+    balancer.signal("TERM");
+    let peer = client.0.try_clone().unwrap();
+    wait_until("the balancer ends the connection", || ended_by_peer(&peer));
+    for _ in 0..3 {
+        client.send(&Client::request("a2", "order", 2000));
+        sleep(20 * MS);
+    }
+    assert_eq!(client.read().expect("the answer is still there").body, "hello");
+    assert!(client.is_closed(), "and the end, no reset");
+    assert!(upstream.requests().is_empty());
+}
+
+/// The danger is that no descriptor is left for who asks whether the program is ready, for discovery or for upstreams,
+/// and that clients lose theirs though nobody waits for one.
+#[test]
+fn idle_clients_that_take_all_places_keep_them_until_another_comes_and_health_is_always_answered() {
+    let upstream = Upstream::start(Habit::Silent);
+    let mut plan = Plan::with(&[&upstream]);
+    let (socket, discovery) = bound();
+    (plan.sockets, plan.descriptors, plan.discovery) = (200, 200, discovery);
+    let balancer = plan.start();
+    // All but a third of what the 48 for its own use leave.
+    let mut clients: Vec<Client> = (0..102).map(|_| balancer.client()).collect();
+    for client in &mut clients {
+        client.send("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n");
+        assert_eq!(client.read().unwrap().status(), "200");
+    }
+    sleep(500 * MS);
+    let ended = |clients: &[Client]| clients.iter().filter(|client| ended_by_peer(&client.0)).count();
+    assert_eq!(ended(&clients), 0);
+    assert_eq!(balancer.health(), "200");
+    wait_until("one has made room", || ended(&clients) == 1);
+    clients.retain(|client| !ended_by_peer(&client.0));
+    clients.push(balancer.client());
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&Client::request(&format!("a{n}"), "order", 1500));
+    }
+    // Sent out or held, each has its client's connection.
+    sleep(200 * MS);
+    let asked = Instant::now();
+    assert_eq!(balancer.health(), "200");
+    assert_eq!(balancer.ask("b1", "order").status(), "503");
+    assert!(asked.elapsed() < 300 * MS, "{:?}", asked.elapsed());
+    // As many again as there are descriptors, and discovery is back.
+    let _more: Vec<Client> = (0..200).map(|_| balancer.client()).collect();
+    let (mut call, _) = listens(socket).accept().unwrap();
+    assert!(read_message(&mut call).unwrap().head.contains("/catalog/members?from=1&"));
+}
