A keyed request whose window is over is given up at once and never begun after it

Ruled out: the choice of upstream (the group was kept). Cause: pick() said only that nobody fits; Post had no last time to begin. Now release() gives it up when the window ends, and the server doesn't begin an attempt later than that.

--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -281,7 +281,7 @@
 
 pub fn write(out: &mut impl Write, who: u64, action: &Action) -> io::Result<()> {
     match action {
-        Action::Post { txn, upstream, timeout } => {
+        Action::Post { txn, upstream, timeout, .. } => {
             write!(out, "DISPATCH Who={who} OpId={txn} Upstream={upstream}")?;
             optional(out, "TimeoutNs", *timeout)
         }
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -253,7 +253,9 @@
 
     fn carry_out(&mut self, now: Tenths, action: Action) {
         match action {
-            Action::Post { txn, upstream, timeout } => self.post(now, txn, upstream, timeout),
+            Action::Post { txn, upstream, timeout, begin_by } => {
+                self.post(now, txn, upstream, timeout, begin_by);
+            }
             Action::Recall { txn, posting } => {
                 // Dropping what is kept of it closes its connection.
                 self.ended(now, (txn, posting), Outcome::Cancelled.into());
@@ -276,7 +278,14 @@
         }
     }
 
-    fn post(&mut self, now: Tenths, id: TxnId, upstream: UpstreamId, timeout: Option<Tenths>) {
+    fn post(
+        &mut self,
+        now: Tenths,
+        id: TxnId,
+        upstream: UpstreamId,
+        timeout: Option<Tenths>,
+        begin_by: Option<Tenths>,
+    ) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
         let posting = txn.posted;
         txn.posted += 1;
@@ -289,9 +298,10 @@
                 txn.out += 1;
                 let until = timeout.map_or(txn.expiry, |span| txn.expiry.min(now + span));
                 let (request, name) = (txn.request.clone(), upstream.clone());
-                let order = Order { id: (id.clone(), posting), upstream: name, address, request, until };
+                let id = (id.clone(), posting);
+                let order = Order { id: id.clone(), upstream: name, address, request, until, begin_by };
                 let hold = self.carrier.post(order);
-                self.outs.insert((id, posting), Out { order: now, upstream, hold });
+                self.outs.insert(id, Out { order: now, upstream, hold });
                 return;
             }
         };
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -46,6 +46,8 @@
     pub request: Rc<Message>,
     /// When the balancer stops waiting for it.
     pub until: Tenths,
+    /// Written later than this it would be met as new, though an earlier one may have run.
+    pub begin_by: Option<Tenths>,
 }
 
 /// How a posting ended.
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -133,6 +133,9 @@
     // Of a process that was held up, all that came meanwhile is told at once: a client that has gone must be heard
     // of before anything is sent for it, and its task may be behind this one.
     yield_now().await;
+    if order.begin_by.is_some_and(|by| by <= clock.now()) {
+        return Outcome::Moot.into();
+    }
     let bytes = write_posting(&order.id.0, &order.request, order.until.saturating_sub(clock.now()));
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -273,3 +273,29 @@
         sleep(20 * MS);
     }
 }
+
+/// The danger is an effect that happens twice: the repeat's connection comes up when its upstreams no longer know the
+/// request again.
+#[test]
+fn a_keyed_request_is_not_repeated_once_its_window_is_over_though_it_was_being_dialled() {
+    let (listener, second, discovery) =
+        (TcpListener::bind("127.0.0.1:0").unwrap(), mute(), Discovery::start());
+    let mut plan = Plan::with(&[]);
+    plan.known.push(listener.local_addr().unwrap());
+    plan.discovery = discovery.address;
+    let keyed = r#""Schemes":[{"Name":"amend","Effect":"deduplicated","DedupScope":"all","KeyTtlNs":300000000,
+        "SlaTimeNs":1500000000,"ExpiryNs":2000000000,"Value":1.0},"#;
+    let balancer = plan.start_with(&patient(&plan).replace("\"Schemes\":[", keyed));
+    let mut client = balancer.client();
+    client.send(&Client::request("a1", "amend", 1900));
+    let mut first = accept(&listener);
+    read_message(&mut first).unwrap();
+    discovery.list(&roster(2, false, "active", &[second.address]));
+    sleep(50 * MS);
+    // It may have run. The repeat can only go to the other.
+    SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(first);
+    let answered = thread::spawn(move || client.read().expect("an answer").status().to_string());
+    assert!(!sees_a_request(second));
+    assert_eq!(answered.join().unwrap(), "503");
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -408,8 +408,13 @@
         self.postings.iter().any(|p| p.out)
     }
 
+    /// The first that may have run.
+    fn first(&self) -> Option<&Posting> {
+        self.postings.iter().find(|p| p.out || p.may_have_run)
+    }
+
     fn never_ran(&self) -> bool {
-        self.postings.iter().all(|p| !p.out && !p.may_have_run)
+        self.first().is_none()
     }
 }
 
@@ -687,7 +692,8 @@
     fn hold(&mut self, now: Tenths, number: u64) {
         let deadline = self.book.txns[&number].deadline;
         let (send_by, _) = self.plan(now, deadline);
-        let last = deadline.saturating_sub(self.gauge.quick).max(now + 1);
+        let by = self.begin_by(number).unwrap_or(deadline);
+        let last = deadline.saturating_sub(self.gauge.quick).min(by).max(now + 1);
         let Some(txn) = self.book.txns.get_mut(&number) else { return };
         txn.held = Some(send_by);
         self.book.held.insert((send_by, number));
@@ -736,14 +742,21 @@
         }
     }
 
+    /// Until when one that may have run can be repeated without running twice.
+    fn begin_by(&self, number: u64) -> Option<Tenths> {
+        let txn = &self.book.txns[&number];
+        let Effect::Referenced { memory, .. } = self.terms.schemes[txn.scheme].effect else { return None };
+        txn.first().map(|p| p.sent + memory)
+    }
+
     /// One posting, or one txn given up; false when nothing more can leave.
     fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
         self.note_out(now, 0.0);
         // More than the first, against one that only some upstreams may take keeping all others waiting.
         let heads: Vec<u64> = self.book.held.iter().take(4).map(|(_, number)| *number).collect();
         for number in heads {
-            if self.seen.lanes.is_empty() {
-                // Nobody to send it to: the client had better hear so while it has time to go elsewhere.
+            if self.seen.lanes.is_empty() || self.begin_by(number).is_some_and(|by| by <= now + 1) {
+                // Nobody to send it to, or who would not know it again: the client had better hear so at once.
                 self.stop_waiting(number, out);
                 return true;
             }
@@ -793,14 +806,10 @@
         if txn.heavy && !other.is_empty() {
             (own, other) = (other, own);
         }
-        let mut pinned = None;
-        if let Effect::Referenced { scope, memory } = self.terms.schemes[txn.scheme].effect {
-            let first = txn.postings.iter().find(|p| p.out || p.may_have_run);
-            if first.is_some_and(|p| p.sent + memory <= now + 1) {
-                return None;
-            }
-            pinned = first.map(|p| (scope, &self.seen.board[p.up]));
-        }
+        let pinned = match self.terms.schemes[txn.scheme].effect {
+            Effect::Referenced { scope, .. } => txn.first().map(|p| (scope, &self.seen.board[p.up])),
+            _ => None,
+        };
         let fit = |up: &usize, careful: bool| {
             let s = &self.seen.board[*up];
             let in_group = pinned.is_none_or(|(scope, first)| match scope {
@@ -937,7 +946,7 @@
 
     fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
         let deadline = self.book.txns[&number].deadline;
-        let (_, slot) = self.plan(now, deadline);
+        let ((_, slot), begin_by) = (self.plan(now, deadline), self.begin_by(number));
         let Some(txn) = self.book.txns.get_mut(&number) else { return };
         let repeatable = self.terms.schemes[txn.scheme].effect == Effect::Repeatable;
         let first = txn.postings.is_empty();
@@ -956,7 +965,7 @@
         let posting = txn.postings.len() as u32;
         txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
-        out.push(Action::Post { txn: txn.id.clone(), upstream, timeout });
+        out.push(Action::Post { txn: txn.id.clone(), upstream, timeout, begin_by });
         let cost = txn.cost;
         inboxes.upstream(up, UpstreamNote::Posted { cost, arrives: self.arrives(cost) });
         self.book.alarms.push(Reverse((now + due, number, Some(posting))));
@@ -994,14 +1003,10 @@
             Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
             Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
         };
-        let id = txn.id.clone();
+        let txn = txn.id.clone();
         // Apart from each other, against all those declined coming back in one wave.
         let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
-        out.push(if may_decline {
-            Action::Decline { txn: id, cool_down }
-        } else {
-            Action::Reverse { txn: id }
-        });
+        out.push(if may_decline { Action::Decline { txn, cool_down } } else { Action::Reverse { txn } });
         self.close(number, out);
     }
 
@@ -1057,8 +1062,7 @@
 impl Roster {
     /// Against a bank started in step failing each other's calls, which wait in one row, worked through even
     /// for who has left it: calls are spread over the time that all take, as far as what is to be told by then
-    /// lets them. Only who is turned away time and again, where so many call that the row can't bear it, comes
-    /// back ever later: all would else be turned away for good. An agent has no row.
+    /// lets them. Who is turned away time and again comes back ever later: all would else be for good.
     fn ask(&mut self, now: Tenths, why: &Listing, rng: &mut WyRand) {
         let row = LIST_CALL * u64::from(self.terms.balancers);
         let (least, longest) = match (self.terms.lists, why) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -140,15 +140,43 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Post { txn: TxnId, upstream: UpstreamId, timeout: Option<Tenths> },
-    Probe { upstream: UpstreamId },
-    Tell { peer: Option<u32>, note: Vec<u8> },
-    Watch { on: bool },
+    /// Not to be begun after `begin_by`, whatever it waits for by then.
+    Post {
+        txn: TxnId,
+        upstream: UpstreamId,
+        timeout: Option<Tenths>,
+        begin_by: Option<Tenths>,
+    },
+    Probe {
+        upstream: UpstreamId,
+    },
+    Tell {
+        peer: Option<u32>,
+        note: Vec<u8>,
+    },
+    Watch {
+        on: bool,
+    },
     Refetch,
-    Recall { txn: TxnId, posting: u32 },
-    Reverse { txn: TxnId },
-    Decline { txn: TxnId, cool_down: Option<Tenths> },
-    CloseIdle { upstream: UpstreamId },
-    Log { text: String },
-    Wake { token: &'static str, after: Tenths },
+    Recall {
+        txn: TxnId,
+        posting: u32,
+    },
+    Reverse {
+        txn: TxnId,
+    },
+    Decline {
+        txn: TxnId,
+        cool_down: Option<Tenths>,
+    },
+    CloseIdle {
+        upstream: UpstreamId,
+    },
+    Log {
+        text: String,
+    },
+    Wake {
+        token: &'static str,
+        after: Tenths,
+    },
 }
