--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -494,6 +494,11 @@
         self.read().expect("an answer comes")
     }
 
+    /// Whether a request of so much time gets its answer: not if the connection ends first.
+    pub fn try_ask(&mut self, id: &str, left_ms: u64) -> bool {
+        self.0.write_all(Client::request(id, "order", left_ms).as_bytes()).is_ok() && self.read().is_some()
+    }
+
     /// Whether the balancer has closed this connection, or does so soon.
     pub fn is_closed(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0))
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -299,3 +299,66 @@
     assert!(!sees_a_request(second));
     assert_eq!(answered.join().unwrap(), "503");
 }
+
+/// The danger is a request that is taken and never answered: its last byte, the signal, another one and a new
+/// configuration come in one turn, while a second attempt is out and both upstreams hang.
+#[test]
+fn a_request_whose_last_byte_crosses_the_signal_is_answered_whatever_signals_follow() {
+    let (one, two) = (Upstream::start(Habit::Silent), Upstream::start(Habit::Silent));
+    let plan = Plan::with(&[&one, &two]);
+    let mut balancer = plan.start();
+    let (mut out, mut crossing, mut half) = (balancer.client(), balancer.client(), balancer.client());
+    out.send(&Client::request("a1", "browse", 2000));
+    let first = Client::request("a2", "browse", 2000);
+    crossing.send(first.strip_suffix('k').unwrap());
+    half.send(&Client::request("a3", "order", 2000).replace("work", ""));
+    // By then the second attempt of the first is out too.
+    sleep(900 * MS);
+    balancer.signal("STOP");
+    crossing.send("k");
+    ["TERM", "TERM", "HUP", "CONT"].iter().for_each(|signal| balancer.signal(signal));
+    let told = Instant::now();
+    sleep(100 * MS);
+    half.send("wo");
+    balancer.signal("HUP");
+    balancer.signal("TERM");
+    for client in [&mut out, &mut crossing] {
+        assert_eq!(client.read().expect("a final answer").status(), "503");
+    }
+    assert!(balancer.is_running() && told.elapsed() < 2400 * MS, "{:?}", told.elapsed());
+    // Who never ends its body has taken up nobody's time: 2.7 s after the signal comes the kill.
+    let (status, log) = balancer.ended();
+    assert!(status.success() && told.elapsed() < 2700 * MS, "{:?} {log}", told.elapsed());
+}
+
+/// The danger is a program that is killed before it has answered, where deadlines are short: the kill comes no sooner
+/// than the longest one and 0.7 s after the signal.
+#[test]
+fn told_to_end_with_deadlines_from_a_tenth_of_a_second_to_three_it_answers_before_the_kill() {
+    let ends = [100, 500, 1000, 3000].map(|deadline_ms| {
+        thread::spawn(move || {
+            let upstream = Upstream::start(Habit::Silent);
+            let plan = Plan::with(&[&upstream]);
+            let expiry = format!("\"ExpiryNs\":{deadline_ms}000000");
+            let balancer = plan.start_with(&plan.configuration().replace("\"ExpiryNs\":2000000000", &expiry));
+            let mut resting = balancer.client();
+            resting.ask("a0", "order");
+            let mut client = balancer.client();
+            client.send(&Client::request("a1", "order", deadline_ms));
+            balancer.signal("TERM");
+            let told = Instant::now();
+            let answered = client.read().map(|_| told.elapsed());
+            let mut asked = 0;
+            while told.elapsed() < deadline_ms as u32 * MS && resting.try_ask(&format!("b{asked}"), 40) {
+                asked += 1;
+            }
+            let success = balancer.ended().0.success();
+            (deadline_ms as u32, answered, success, told.elapsed())
+        })
+    });
+    for end in ends {
+        let (deadline_ms, answered, success, ended) = end.join().unwrap();
+        assert!(answered.expect("a final answer") < (deadline_ms + 100) * MS);
+        assert!(success && ended < (deadline_ms + 700) * MS, "{deadline_ms} ms: gone after {ended:?}");
+    }
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -331,7 +331,8 @@
         20: 102 in all, 4 of 28 in a window, held
         30: 105 in all, 4 of 29 in a window, held
         300: 66 in all, 2 of 20 in a window, held
-    "#]].assert_eq(&trace);
+    "#]]
+    .assert_eq(&trace);
 }
 
 #[test]
