--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Tenths, TxnId, UpstreamId};
+use pondlb::{Action, Balancer, Entry, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
 use tokio::sync::oneshot;
 
 use super::{Answer, Directory, End, Note, Order, PostingId};
@@ -145,6 +145,18 @@
         }
     }
 
+    /// Nothing is begun at who is announced as leaving, or is not named any more: an attempt that is still dialling
+    /// there goes elsewhere, while there is time.
+    fn take_back_from(&mut self, now: Tenths, whole: bool, entries: &[Entry]) {
+        let leaves = |up: &UpstreamId| {
+            let named = entries.iter().find(|entry| entry.upstream == *up);
+            named.map_or(whole, |entry| entry.stage != Stage::Live)
+        };
+        let unwritten = self.outs.iter().filter(|(_, out)| !out.hold.is_written() && leaves(&out.upstream));
+        let unwritten: Vec<PostingId> = unwritten.map(|(posting, _)| posting.clone()).collect();
+        unwritten.into_iter().for_each(|posting| self.ended(now, posting, Outcome::Moot.into()));
+    }
+
     pub fn wake_at(&self) -> Option<Tenths> {
         let end = self.end.filter(|_| !self.outs.is_empty());
         self.wake.map(|(at, _)| at).into_iter().chain(end).min()
@@ -198,8 +210,10 @@
                 self.events.push(Event::Probed { upstream, outcome, took, load });
             }
             Note::Listed(roster) => {
-                let listing = if roster.whole { Listing::Whole } else { Listing::Changes };
+                let whole = roster.whole;
                 let entries = self.directory.read(roster);
+                self.take_back_from(now, whole, &entries);
+                let listing = if whole { Listing::Whole } else { Listing::Changes };
                 self.events.push(Event::Listed(listing(entries)));
                 let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
                 log::debug!(
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -362,3 +362,22 @@
         assert!(success && ended < (deadline_ms + 700) * MS, "{deadline_ms} ms: gone after {ended:?}");
     }
 }
+
+/// The danger is an attempt that begins at an upstream after it was announced as leaving: it was being dialled.
+#[test]
+fn an_attempt_that_is_dialling_when_its_upstream_is_announced_as_leaving_goes_elsewhere() {
+    let (leaving, other, discovery) = (mute(), Upstream::start(HELLO), Discovery::start());
+    let mut plan = Plan::with(&[]);
+    plan.known.push(leaving.address);
+    plan.discovery = discovery.address;
+    let balancer = plan.start_with(&patient(&plan));
+    let mut client = balancer.client();
+    client.send(&Client::request("a1", "order", 1900));
+    sleep(50 * MS);
+    discovery.list(&roster(2, false, "active", &[other.address]));
+    let told = Instant::now();
+    discovery.list(&roster(3, false, "leaving", &[leaving.address]));
+    assert_eq!(client.read().unwrap().body, "hello");
+    assert!(told.elapsed() < 500 * MS, "{:?}", told.elapsed());
+    assert!(!sees_a_request(leaving));
+}
