--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -4,6 +4,8 @@
 mod phase;
 mod service;
 mod setup;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
 
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -19,7 +19,7 @@
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Farewell {
+pub(super) struct Farewell {
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
@@ -31,7 +31,7 @@
 }
 
 impl Farewell {
-    fn new(expiry: Option<Tenths>) -> Self {
+    pub(super) fn new(expiry: Option<Tenths>) -> Self {
         let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
         let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
         let answered = killed - UNANSWERED;
@@ -205,7 +205,7 @@
 
 /// A posting that is still connecting when its upstream is told to drain must leave within the grace. With none
 /// at all, what the limit is longer on sockets is left.
-fn connect_within(links: &Links) -> Tenths {
+pub(super) fn connect_within(links: &Links) -> Tenths {
     links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2)
 }
 
@@ -219,34 +219,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-#[cfg(test)]
-mod tests {
-    use expect_test::expect;
-
-    use super::*;
-
-    #[test]
-    fn connections_come_up_within_half_the_grace_and_have_time_to_without_one() {
-        let waits = [0, 2000, 5000, 600_000].map(|drain_grace| {
-            let (idle, most_open, expiry) = (150_000, 20_000, None);
-            connect_within(&Links { connect_within: 2500, idle, drain_grace, most_open, expiry })
-        });
-        expect!["[250, 1250, 2500, 2500]"].assert_eq(&format!("{waits:?}"));
-    }
-
-    #[test]
-    fn the_end_comes_before_the_kill_and_no_sooner_than_clients_stay() {
-        let mut trace = String::new();
-        for expiry in [None, Some(60_000), Some(20_000), Some(1000)] {
-            trace += &format!("{expiry:?}: {:?}\n", Farewell::new(expiry));
-        }
-        expect![[r#"
-            None: Farewell { leaving: 600ms, answered: 33000, at_most: 3.5s }
-            Some(60000): Farewell { leaving: 2.9s, answered: 33000, at_most: 3.5s }
-            Some(20000): Farewell { leaving: 1.9s, answered: 23000, at_most: 2.5s }
-            Some(1000): Farewell { leaving: 400ms, answered: 4000, at_most: 600ms }
-        "#]]
-        .assert_eq(&trace);
-    }
-}
