The test of what crosses an end tells a machine held up from a reset

Traced: the test's own thread was held up for longer than the 200 ms for which a balancer reads on, so that its request came after the close, which is no crossing. Such a play is now played again, ten times at most; what is asserted of the others is the same and one more (each request can be written).

--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -185,22 +185,36 @@
 /// crosses the end of a resting connection.
 #[test]
 fn what_crosses_the_end_of_a_resting_connection_resets_nothing_and_is_not_served() {
-    let upstream = Upstream::start(HELLO);
-    let balancer = Plan::with(&[&upstream]).start();
-    let mut client = balancer.client();
-    client.send(&Client::request("a1", "order", 2000));
-    while !matches!(upstream.next(), Seen::Request(_)) {}
-    // The answer stays unread until the connection has ended.
-    balancer.signal("TERM");
-    let peer = client.0.try_clone().unwrap();
-    wait_until("the balancer ends the connection", || ended_by_peer(&peer));
-    for _ in 0..3 {
-        client.send(&Client::request("a2", "order", 2000));
-        sleep(20 * MS);
-    }
-    assert_eq!(client.read().expect("the answer is still there").body, "hello");
-    assert!(client.is_closed(), "and the end, no reset");
-    assert!(upstream.requests().is_empty());
+    // The balancer reads on for 200 ms. Where the test itself was held up for as long, nothing has crossed.
+    let crossed = (0..10).any(|_| {
+        let upstream = Upstream::start(HELLO);
+        let balancer = Plan::with(&[&upstream]).start();
+        let mut client = balancer.client();
+        client.send(&Client::request("a1", "order", 2000));
+        while !matches!(upstream.next(), Seen::Request(_)) {}
+        // The answer stays unread until the connection has ended.
+        balancer.signal("TERM");
+        let peer = client.0.try_clone().unwrap();
+        let (told, mut stood) = (Instant::now(), Instant::now());
+        while !ended_by_peer(&peer) {
+            stood = Instant::now();
+            assert!(told.elapsed() < SOON, "the balancer ends the connection soon");
+            sleep(MS);
+        }
+        let sent = (0..3).all(|_| {
+            sleep(10 * MS);
+            client.0.write_all(Client::request("a2", "order", 2000).as_bytes()).is_ok()
+        });
+        if stood.elapsed() > 150 * MS {
+            return false;
+        }
+        assert!(sent, "the balancer still reads");
+        assert_eq!(client.read().expect("the answer is still there").body, "hello");
+        assert!(client.is_closed(), "and the end, no reset");
+        assert!(upstream.requests().is_empty());
+        true
+    });
+    assert!(crossed, "the machine is too busy to tell");
 }
 
 /// The danger is that no descriptor is left for who asks whether the program is ready, for discovery or for upstreams,
