--- /dev/null
+++ b/crates/pondlb-control/src/key.rs
@@ -0,0 +1,119 @@
+//! Names of records.
+
+use std::fmt;
+use std::rc::Rc;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// The longest name of a record, in bytes.
+pub const LONGEST_NAME: usize = 256;
+
+/// What a record describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// One upstream, in discovery's form of an entry.
+    Upstream,
+    /// One class of requests, in the form of an entry of `Schemes` in the settings.
+    Class,
+    /// One tenant, in the form of an entry of `Realms` in the settings.
+    Tenant,
+    /// One scalar of the settings; its name is the path of the key, as in `Limits.MaxPostings`.
+    Limit,
+}
+
+impl Kind {
+    const ALL: [Kind; 4] = [Kind::Upstream, Kind::Class, Kind::Tenant, Kind::Limit];
+
+    fn prefix(self) -> &'static str {
+        match self {
+            Kind::Upstream => "upstream/",
+            Kind::Class => "class/",
+            Kind::Tenant => "tenant/",
+            Kind::Limit => "limit/",
+        }
+    }
+}
+
+/// The name of a record, with its kind in front: `upstream/s-5be2a07c`. Keys are ordered as their text is.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(Rc<str>);
+
+/// Why a text is no key.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// The text does not begin with a known kind.
+    #[error("{0:?} begins with no known kind")]
+    UnknownKind(String),
+    /// The name is empty, too long, or holds other than printable ASCII.
+    #[error("{0:?} holds no name of 1 to {LONGEST_NAME} printable ASCII characters")]
+    BadName(String),
+}
+
+impl Key {
+    /// The key of a record of this kind and name.
+    ///
+    /// # Errors
+    /// [`KeyError::BadName`] where the name is empty, longer than [`LONGEST_NAME`] or not printable ASCII.
+    pub fn new(kind: Kind, name: &str) -> Result<Key, KeyError> {
+        if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(KeyError::BadName(name.to_string()));
+        }
+        Ok(Key(format!("{}{name}", kind.prefix()).into()))
+    }
+
+    /// Reads a key from its text.
+    ///
+    /// # Errors
+    /// [`KeyError`] where it begins with no known kind, or what follows is no name.
+    pub fn parse(text: &str) -> Result<Key, KeyError> {
+        let found = Kind::ALL.into_iter().find_map(|kind| Some((kind, text.strip_prefix(kind.prefix())?)));
+        let (kind, name) = found.ok_or_else(|| KeyError::UnknownKind(text.to_string()))?;
+        Key::new(kind, name)
+    }
+
+    /// What the record describes.
+    pub fn kind(&self) -> Kind {
+        let is_meant = |kind: &Kind| self.0.starts_with(kind.prefix());
+        Kind::ALL.into_iter().find(is_meant).unwrap_or(Kind::Limit)
+    }
+
+    /// The name without its kind.
+    pub fn name(&self) -> &str {
+        self.0.split_once('/').map_or("", |(_, name)| name)
+    }
+
+    /// The whole text, as on the wire.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The same key in an allocation that is shared with others.
+    pub fn shared(&self) -> Rc<str> {
+        self.0.clone()
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str(&self.0)
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str(&self.0)
+    }
+}
+
+impl Serialize for Key {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Key {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Key, D::Error> {
+        let text = String::deserialize(from)?;
+        Key::parse(&text).map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control/src/message.rs
@@ -0,0 +1,197 @@
+//! The calls of the control protocol and their answers, as JSON carries them.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::value::RawValue;
+
+use crate::Key;
+
+/// A state of all records: the epoch of the origin that numbered its changes, and the last change that it holds.
+/// A newer epoch replaces an older one as a whole; within an epoch a higher revision is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version {
+    /// Number of the origin's epoch; 0 stands for no state at all.
+    pub epoch: u64,
+    /// Number of the last change in it.
+    pub revision: u64,
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{}.{}", self.epoch, self.revision)
+    }
+}
+
+/// A digest of records that does not depend on their order: two states with equal digests hold the same records.
+/// Sixteen hexadecimal digits on the wire.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Digest(pub u64);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{:016x}", self.0)
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Digest, D::Error> {
+        let text = String::deserialize(from)?;
+        let is_digest = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let read = u64::from_str_radix(&text, 16).ok().filter(|_| is_digest);
+        read.map(Digest).ok_or_else(|| serde::de::Error::custom("a digest has 16 hexadecimal digits"))
+    }
+}
+
+/// A record as it is from a revision on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Change {
+    /// The change that set or removed it.
+    pub revision: u64,
+    /// Which record.
+    pub key: Key,
+    /// Its value; none where it is removed.
+    pub value: Option<Box<RawValue>>,
+}
+
+/// The answer to [`Call::Changes`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ChangesAnswer {
+    /// The version that holds with these changes.
+    #[serde(flatten)]
+    pub version: Version,
+    /// The revision that they follow on; the caller's own.
+    pub from: u64,
+    /// The caller's version is of another epoch, or too old to be followed on: it has to take a snapshot.
+    #[serde(default)]
+    pub reset: bool,
+    /// More changes follow; the next call brings them at once.
+    #[serde(default)]
+    pub more: bool,
+    /// Digest of all records at this version; none while more follows.
+    pub digest: Option<Digest>,
+    /// For how many milliseconds the server has not heard from the origin; 0 at the origin itself.
+    #[serde(default)]
+    pub stale_ms: u64,
+    /// In ascending order of revision, the last change of each record only.
+    pub changes: Vec<Change>,
+}
+
+/// A piece of the whole state. Pieces may be of different revisions: a caller that has them all follows the changes
+/// since the first piece, and only then compares digests.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotAnswer {
+    /// The version at which the piece was read.
+    #[serde(flatten)]
+    pub version: Version,
+    /// In ascending order of their keys.
+    pub records: Vec<Change>,
+    /// The last key of the piece, for the next call; none where this is the last piece.
+    pub next: Option<Key>,
+}
+
+/// The digests of all buckets.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DigestsAnswer {
+    /// The version at which they hold.
+    #[serde(flatten)]
+    pub version: Version,
+    /// In the order of the buckets.
+    pub buckets: Vec<Digest>,
+}
+
+/// All records of one bucket.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BucketAnswer {
+    /// The version at which they hold.
+    #[serde(flatten)]
+    pub version: Version,
+    /// Which bucket.
+    pub bucket: usize,
+    /// In ascending order of their keys.
+    pub records: Vec<Change>,
+}
+
+/// A change that the origin is asked to commit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NewChange {
+    /// Which record.
+    pub key: Key,
+    /// Its value from then on; none to remove it.
+    pub value: Option<Box<RawValue>>,
+}
+
+/// The body of `POST /control/commit`: taken all or nothing.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Commit {
+    /// In the order in which they are numbered.
+    pub changes: Vec<NewChange>,
+}
+
+/// The answer to a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Committed {
+    /// The version that holds with it.
+    #[serde(flatten)]
+    pub version: Version,
+}
+
+/// Whether a server may wait for news before it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// It answers at once.
+    No,
+    /// It may wait so long.
+    UpTo(Duration),
+}
+
+/// What a replica asks of a control server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// What is newer than a version.
+    Changes {
+        /// The caller's version.
+        from: Version,
+        /// The digest of what the caller holds.
+        digest: Digest,
+        /// Whether the server may wait for news.
+        hold: Hold,
+    },
+    /// A piece of the whole state: the records behind a key, or the first ones.
+    Snapshot {
+        /// The last key of the piece before.
+        after: Option<Key>,
+    },
+    /// The digests of all buckets.
+    Digests,
+    /// The records of one bucket.
+    Bucket(usize),
+}
+
+impl Call {
+    /// The target of the request: path and query. `name` is the caller's, for the server's table of followers.
+    pub fn target(&self, name: &str) -> String {
+        match self {
+            Call::Changes { from: Version { epoch, revision }, digest, hold } => {
+                let hold_ms = match hold {
+                    Hold::No => 0,
+                    Hold::UpTo(hold) => hold.as_millis(),
+                };
+                format!(
+                    "/control/changes?name={name}&epoch={epoch}&from={revision}&digest={digest}&hold_ms={hold_ms}"
+                )
+            }
+            Call::Snapshot { after: None } => "/control/snapshot".into(),
+            Call::Snapshot { after: Some(after) } => format!("/control/snapshot?after={after}"),
+            Call::Digests => "/control/digests".into(),
+            Call::Bucket(bucket) => format!("/control/bucket?bucket={bucket}"),
+        }
+    }
+}
