Move the reading of HTTP messages into a crate of its own

The control servers to come read HTTP/1.1 as the balancer does. Buffer, framing, head and reader move unchanged from pondlb-server's protocol layer to pondlb-http, with the framings of requests and answers; Reader::next is named next_message, since a public next has to be an iterator's.

--- a/crates/pondlb-server/src/protocol/buffer.rs
+++ b/crates/pondlb-http/src/buffer.rs
@@ -1,3 +1,5 @@
+//! The buffer of a connection.
+
 /// The one buffer of a connection: bytes are read into its end and taken from its front. It grows as a
 /// message needs, moves what is left to its front rather than grow, and gives memory back when empty.
 pub struct Buffer {
@@ -7,13 +9,16 @@
     most: usize,
 }
 
+/// The size of the first allocation.
 const FIRST: usize = 2 * 1024;
 
 impl Buffer {
+    /// An empty buffer that holds `most` bytes at most; nothing is allocated yet.
     pub fn new(most: usize) -> Self {
         Buffer { bytes: Vec::new(), start: 0, end: 0, most }
     }
 
+    /// The bytes that were read and not taken yet.
     pub fn filled(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
     }
@@ -36,6 +41,7 @@
         self.end = (self.end + count).min(self.bytes.len());
     }
 
+    /// Drops so many bytes from the front.
     pub fn take(&mut self, count: usize) {
         self.start = (self.start + count).min(self.end);
         if self.start == self.end {
--- a/crates/pondlb-server/src/protocol/framing.rs
+++ b/crates/pondlb-http/src/framing.rs
@@ -1,16 +1,24 @@
-use super::buffer::Buffer;
-use super::head::{Fault, Head};
+//! Where the body of a message ends.
+
+use crate::buffer::Buffer;
+use crate::head::{Fault, Head};
 
 /// How a body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
+    /// After so many bytes.
     Length(usize),
+    /// With the chunk of length zero and the trailers behind it.
     Chunked,
+    /// With the connection.
     UntilClose,
 }
 
 /// What the head says of the body; `unsaid` where it says nothing. Two answers to one question are refused:
 /// the next reader may believe the other one and take part of a body for a message.
+///
+/// # Errors
+/// [`Fault::Malformed`] for two answers, or one that is none.
 pub fn framing(head: &Head, unsaid: Framing) -> Result<Framing, Fault> {
     let length = head.one("Content-Length")?;
     let coding = head.one("Transfer-Encoding")?;
@@ -29,12 +37,37 @@
     }
 }
 
+/// The framing of a request.
+///
+/// # Errors
+/// [`Fault::Malformed`] where the head says two things of the body, or what can't be.
+pub fn request_framing(head: &Head) -> Result<Framing, Fault> {
+    let framing = framing(head, Framing::Length(0))?;
+    // The older version has no chunks: who takes them for a body may be led past its end.
+    if framing == Framing::Chunked && head.first.ends_with("/1.0") {
+        return Err(Fault::Malformed("a chunked body in HTTP/1.0"));
+    }
+    Ok(framing)
+}
+
+/// The framing of an answer.
+///
+/// # Errors
+/// [`Fault::Malformed`] where the first line is no answer's, or the head says two things of the body.
+pub fn answer_framing(head: &Head) -> Result<Framing, Fault> {
+    match head.status()? {
+        100..=199 | 204 | 304 => Ok(Framing::Length(0)),
+        _ => framing(head, Framing::UntilClose),
+    }
+}
+
 /// Takes a body out of the buffer as it comes.
 #[derive(Debug)]
 pub struct Body {
     framing: Framing,
     chunk: Chunk,
     most: usize,
+    /// What has come of it.
     pub bytes: Vec<u8>,
 }
 
@@ -51,7 +84,10 @@
 const MOST_LINE: usize = 1024;
 
 impl Body {
-    /// Refused at once where it says that it will be longer than `most`.
+    /// A body of which nothing has come.
+    ///
+    /// # Errors
+    /// [`Fault::BodyTooLong`] at once where it says that it will be longer than `most`.
     pub fn new(framing: Framing, most: usize) -> Result<Self, Fault> {
         match framing {
             Framing::Length(length) if length > most => Err(Fault::BodyTooLong),
@@ -59,11 +95,15 @@
         }
     }
 
+    /// Whether it ends with the connection.
     pub fn until_close(&self) -> bool {
         self.framing == Framing::UntilClose
     }
 
-    /// True when the body is whole.
+    /// Takes what the buffer holds of it; true when the body is whole.
+    ///
+    /// # Errors
+    /// [`Fault`] where it grows too long, or chunks are malformed.
     pub fn take(&mut self, buffer: &mut Buffer) -> Result<bool, Fault> {
         match self.framing {
             Framing::Length(length) => {
--- a/crates/pondlb-server/src/protocol/head.rs
+++ b/crates/pondlb-http/src/head.rs
@@ -1,11 +1,17 @@
+//! The head of a message.
+
 use std::fmt;
 
 /// Why bytes are no message, as the one who sent them may be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// Not in the form of HTTP/1.1, for this reason.
     Malformed(&'static str),
+    /// The head is longer than [`crate::MOST_HEAD`].
     HeadTooLong,
+    /// The body is longer than the reader takes.
     BodyTooLong,
+    /// The method is not served here.
     Method,
 }
 
@@ -23,7 +29,9 @@
 /// The first line of a message and its header fields, with the names as they came.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Head {
+    /// The first line, without its end.
     pub first: String,
+    /// Names and values, in the order in which they came.
     pub fields: Vec<(String, Vec<u8>)>,
 }
 
@@ -45,8 +53,11 @@
 }
 
 impl Head {
-    /// `bytes` end before the empty line. Lines end with CR LF and nothing else: what two programs cut into
+    /// Reads a head; `bytes` end before the empty line. Lines end with CR LF and nothing else: what two programs cut into
     /// lines differently lets one client's message pass for two.
+    ///
+    /// # Errors
+    /// [`Fault::Malformed`] where a line is no field.
     pub fn parse(bytes: &[u8]) -> Result<Head, Fault> {
         let text = |bytes: &[u8]| str::from_utf8(bytes).map(String::from);
         let mut lines = Lines(Some(bytes));
@@ -72,11 +83,15 @@
         Ok(Head { first, fields })
     }
 
+    /// The values of all fields of this name.
     pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         self.fields.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| &**value)
     }
 
     /// The value of a field that may stand once at most.
+    ///
+    /// # Errors
+    /// [`Fault::Malformed`] where it stands twice or is no text.
     pub fn one(&self, name: &str) -> Result<Option<&str>, Fault> {
         let mut values = self.all(name);
         let Some(value) = values.next() else { return Ok(None) };
@@ -86,6 +101,20 @@
         str::from_utf8(value).map(Some).map_err(|_| Fault::Malformed("a field's value is no text"))
     }
 
+    /// The status of an answer.
+    ///
+    /// # Errors
+    /// [`Fault::Malformed`] where the first line is no answer's.
+    pub fn status(&self) -> Result<u16, Fault> {
+        let bad = Fault::Malformed("the first line is no answer");
+        let (version, rest) = self.first.split_once(' ').ok_or(bad)?;
+        let status = rest.split(' ').next().unwrap_or_default();
+        if !matches!(version, "HTTP/1.1" | "HTTP/1.0") || status.len() != 3 {
+            return Err(bad);
+        }
+        status.parse().ok().filter(|status| (100..=599).contains(status)).ok_or(bad)
+    }
+
     /// Whether a comma-separated field names `word`.
     pub fn lists(&self, name: &str, word: &str) -> bool {
         self.all(name)
--- a/crates/pondlb-server/src/protocol/reader.rs
+++ b/crates/pondlb-http/src/reader.rs
@@ -1,12 +1,16 @@
-use super::buffer::Buffer;
-use super::framing::{Body, Framing};
-use super::head::{Fault, Head};
-use super::{MOST_BODY, MOST_HEAD};
+//! The reader of a connection.
+
+use crate::buffer::Buffer;
+use crate::framing::{Body, Framing};
+use crate::head::{Fault, Head};
+use crate::{MOST_BODY, MOST_HEAD};
 
 /// What a client sent or an upstream made of it, as it came.
 #[derive(Debug, PartialEq)]
 pub struct Message {
+    /// The head, with its fields as they came.
     pub head: Head,
+    /// The body without its framing.
     pub body: Vec<u8>,
 }
 
@@ -21,19 +25,22 @@
 }
 
 impl Reader {
+    /// A reader that takes bodies of up to [`MOST_BODY`]; `framing` says where they end.
     pub fn new(framing: fn(&Head) -> Result<Framing, Fault>) -> Self {
         Reader::with_most(framing, MOST_BODY)
     }
 
+    /// The same for bodies of up to `most_body`.
     pub fn with_most(framing: fn(&Head) -> Result<Framing, Fault>, most_body: usize) -> Self {
         Reader { buffer: Buffer::new(MOST_HEAD + 4), searched: 0, begun: None, most_body, framing }
     }
 
-    /// Empty when more has come than is read ahead of the message at hand.
+    /// Where the next bytes go. Empty when more has come than is read ahead of the message at hand.
     pub fn room(&mut self) -> &mut [u8] {
         self.buffer.room()
     }
 
+    /// So many bytes were read into the room.
     pub fn fill(&mut self, count: usize) {
         self.buffer.fill(count);
     }
@@ -48,7 +55,11 @@
         self.begun.as_mut().map(|(head, _)| head)
     }
 
-    pub fn next(&mut self) -> Result<Option<Message>, Fault> {
+    /// The next whole message, once it has come.
+    ///
+    /// # Errors
+    /// [`Fault`] where the bytes are no message; the reader is of no use from then on.
+    pub fn next_message(&mut self) -> Result<Option<Message>, Fault> {
         if self.begun.is_none() {
             let Some(head) = self.take_head()? else { return Ok(None) };
             let body = Body::new((self.framing)(&head)?, self.most_body)?;
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pondlb_http::{MOST_BODY, MOST_HEAD, MOST_HELD};
 use pondlb_terms::Deployment;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
 use crate::protocol::discovery::Roster;
-use crate::protocol::reader::MOST_HELD;
-use crate::protocol::{MOST_BODY, MOST_HEAD};
 use crate::transport::{Memory, Probing};
 
 /// All that the program is told, checked.
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -1,10 +1,8 @@
 //! The side that clients speak to: bytes to txns, answers to bytes.
 
 use pondlb::{Arrival, Tenths, ceil_from_ns, floor_from_ns};
+use pondlb_http::{Fault, Message, Reader, request_framing};
 
-use super::framing::{Framing, framing};
-use super::head::{Fault, Head};
-use super::reader::{Message, Reader};
 use crate::routing::Answer;
 
 pub struct ClientSide {
@@ -40,15 +38,6 @@
 /// No wait or cost is longer, so that sums of times can't overflow.
 const MOST_NS: u64 = 3_600_000_000_000;
 
-fn request_framing(head: &Head) -> Result<Framing, Fault> {
-    let framing = framing(head, Framing::Length(0))?;
-    // The older version has no chunks: who takes them for a body may be led past its end.
-    if framing == Framing::Chunked && head.first.ends_with("/1.0") {
-        return Err(Fault::Malformed("a chunked body in HTTP/1.0"));
-    }
-    Ok(framing)
-}
-
 impl ClientSide {
     pub fn new() -> Self {
         ClientSide { reader: Reader::new(request_framing) }
@@ -74,7 +63,7 @@
 
     /// The next request; `schemes` are the names that a txn may give for its scheme.
     pub fn next(&mut self, schemes: &[String]) -> Result<Option<Asked>, Fault> {
-        self.reader.next()?.map(|message| asked(message, schemes)).transpose()
+        self.reader.next_message()?.map(|message| asked(message, schemes)).transpose()
     }
 }
 
--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -4,12 +4,9 @@
 use std::net::SocketAddr;
 
 use pondlb::Stage;
+use pondlb_http::{Fault, Framing, Reader, framing};
 use serde::{Deserialize, Deserializer};
 
-use super::framing::{Framing, framing};
-use super::head::Fault;
-use super::reader::Reader;
-
 /// A list as discovery gives it: all upstreams, or those that changed.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub struct Roster {
@@ -121,7 +118,7 @@
     }
 
     pub fn next(&mut self, closed: bool) -> Result<Option<Listed>, NoList> {
-        let message = self.reader.next().map_err(|fault: Fault| NoList::Faulty(fault.to_string()))?;
+        let message = self.reader.next_message().map_err(|fault: Fault| NoList::Faulty(fault.to_string()))?;
         let message = if closed { message.or_else(|| self.reader.end()) } else { message };
         let Some(message) = message else { return Ok(None) };
         if message.head.first.split(' ').nth(1) != Some("200") {
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -4,13 +4,11 @@
 
 use expect_test::{Expect, expect};
 use nanorand::{Rng, WyRand};
+use pondlb_http::{MOST_BODY, MOST_HEAD, Message, Reader};
 
-use super::buffer::Buffer;
 use super::client::{ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, Roster, write_call};
-use super::reader::{MOST_HELD, Message, Reader};
 use super::upstream::{UpstreamSide, write_posting};
-use super::{MOST_BODY, MOST_HEAD};
 use crate::routing::Answer;
 
 /// The three sides alike: something that is fed bytes and tells what it made of them.
@@ -539,33 +537,6 @@
     assert!(refused > 1000, "{refused}");
 }
 
-#[test]
-fn a_buffer_moves_what_is_left_to_its_front_and_gives_memory_back() {
-    let mut buffer = Buffer::new(MOST_HELD);
-    let mut trace = String::new();
-    let mut note = |what: &str, buffer: &mut Buffer| {
-        writeln!(trace, "{what}: {} held, room for {}", buffer.filled().len(), buffer.room().len()).unwrap();
-    };
-    note("new", &mut buffer);
-    buffer.fill(2048);
-    note("full", &mut buffer);
-    buffer.take(2000);
-    buffer.fill(2048);
-    note("taken and full again", &mut buffer);
-    buffer.take(2090);
-    note("nearly empty", &mut buffer);
-    buffer.take(6);
-    note("empty", &mut buffer);
-    expect![[r#"
-        new: 0 held, room for 2048
-        full: 2048 held, room for 2048
-        taken and full again: 2096 held, room for 2000
-        nearly empty: 6 held, room for 2000
-        empty: 0 held, room for 2048
-    "#]]
-    .assert_eq(&trace);
-}
-
 #[test]
 fn a_list_of_1024_with_the_longest_names_and_indented_is_read_whole() {
     let (zone, kind) = ("z".repeat(63), "k".repeat(63));
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -3,11 +3,9 @@
 use std::net::SocketAddr;
 
 use pondlb::{Load, Outcome, Tenths};
+use pondlb_http::{Fault, Head, Message, Reader, answer_framing};
 
 use super::MOST_ANSWER;
-use super::framing::{Framing, framing};
-use super::head::{Fault, Head};
-use super::reader::{Message, Reader};
 use crate::routing::Answer;
 
 /// Fields that are written anew for each posting.
@@ -48,23 +46,6 @@
     pub keep: bool,
 }
 
-fn answer_framing(head: &Head) -> Result<Framing, Fault> {
-    match status(head)? {
-        100..=199 | 204 | 304 => Ok(Framing::Length(0)),
-        _ => framing(head, Framing::UntilClose),
-    }
-}
-
-fn status(head: &Head) -> Result<u16, Fault> {
-    let bad = Fault::Malformed("the first line is no answer");
-    let (version, rest) = head.first.split_once(' ').ok_or(bad)?;
-    let status = rest.split(' ').next().unwrap_or_default();
-    if !matches!(version, "HTTP/1.1" | "HTTP/1.0") || status.len() != 3 {
-        return Err(bad);
-    }
-    status.parse().ok().filter(|status| (100..=599).contains(status)).ok_or(bad)
-}
-
 impl UpstreamSide {
     pub fn new() -> Self {
         UpstreamSide { reader: Reader::with_most(answer_framing, MOST_ANSWER) }
@@ -83,12 +64,12 @@
     /// The whole answer, once it has come; `closed` when the upstream has ended its side.
     pub fn next(&mut self, closed: bool) -> Result<Option<Answered>, Fault> {
         loop {
-            let message = match self.reader.next()? {
+            let message = match self.reader.next_message()? {
                 None if closed => self.reader.end(),
                 message => message,
             };
             let Some(message) = message else { return Ok(None) };
-            let status = status(&message.head)?;
+            let status = message.head.status()?;
             if status == 101 {
                 return Err(Fault::Malformed("a switch of protocols that nobody asked for"));
             }
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 
 use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
+use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use super::{Answer, Directory, End, Note, Order, PostingId};
 use crate::protocol::discovery::Roster;
-use crate::protocol::reader::Message;
 
 /// Does the work that the decisions ask for.
 pub trait Carrier {
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -2,10 +2,10 @@
 use std::rc::Rc;
 
 use pondlb::{Arrival, Load, Outcome, Tenths, TxnId, UpstreamId};
+use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use crate::protocol::discovery::Roster;
-use crate::protocol::reader::Message;
 
 /// The final answer of a txn.
 #[derive(Debug, PartialEq)]
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -6,13 +6,12 @@
 
 use expect_test::{Expect, expect};
 use pondlb::{Arrival, Balancer, Load, Outcome, Tenths, Terms, UpstreamId};
+use pondlb_http::{Head, Message};
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
 use super::{Answer, Carrier, Directory, End, Exchange, Hold, Note, Order};
 use crate::protocol::discovery::Roster;
-use crate::protocol::head::Head;
-use crate::protocol::reader::Message;
 
 type Trace = Rc<RefCell<String>>;
 
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pondlb::{Tenths, TxnId};
+use pondlb_http::Fault;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -16,7 +17,6 @@
 use crate::protocol::client::{
     Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
 };
-use crate::protocol::head::Fault;
 use crate::routing::{Answer, Note};
 
 /// A connection is closed after so long without a request, and sooner if there never was one: hundreds that
--- a/crates/pondlb-server/src/transport/stream.rs
+++ b/crates/pondlb-server/src/transport/stream.rs
@@ -1,13 +1,12 @@
 use std::io;
 use std::mem::MaybeUninit;
 
+use pondlb_http::Reader;
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
-use crate::protocol::reader::Reader;
-
 /// Reads what has come, once something has; 0 when the other side has ended.
 pub async fn read(stream: &TcpStream, room: &mut [u8]) -> io::Result<usize> {
     loop {
