--- /dev/null
+++ b/crates/pondlb-control/src/commit.rs
@@ -0,0 +1,129 @@
+//! Checks of a commit before anything of it is taken.
+
+use std::collections::HashMap;
+
+use serde_json::value::RawValue;
+
+use crate::json::{NULL, compact_value};
+use crate::{Check, Key, Limits, NewChange};
+
+/// Why nothing of a commit is taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CommitError {
+    /// The store numbers no changes: it has no epoch of its own.
+    #[error("this server has no epoch to number changes in")]
+    NoEpoch,
+    /// There would be more records than the store takes.
+    #[error("{records} records are more than {most}")]
+    TooManyRecords {
+        /// How many there would be.
+        records: usize,
+        /// How many the store takes.
+        most: usize,
+    },
+    /// A value is longer than the store takes.
+    #[error("{key}: {bytes} bytes of value are more than {most}")]
+    ValueTooLong {
+        /// Whose value.
+        key: Key,
+        /// Its length.
+        bytes: usize,
+        /// How long it may be.
+        most: usize,
+    },
+    /// There would be more bytes of keys and values than the store takes.
+    #[error("{bytes} bytes of keys and values are more than {most}")]
+    TooManyBytes {
+        /// How many there would be.
+        bytes: usize,
+        /// How many the store takes.
+        most: usize,
+    },
+    /// A value is JSON's null, which stands for a removed record.
+    #[error("{0}: a value can't be null")]
+    NullValue(Key),
+    /// A value is no JSON text.
+    #[error("{0}: the value is no JSON")]
+    NoJson(Key),
+    /// The checker does not allow a change.
+    #[error("{key}: {reason}")]
+    Refused {
+        /// Which record.
+        key: Key,
+        /// What the checker said.
+        reason: String,
+    },
+}
+
+/// How much a store holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Extent {
+    /// Number of records.
+    pub(crate) records: usize,
+    /// Bytes of keys and values.
+    pub(crate) bytes: usize,
+}
+
+/// The values of a commit with their texts normalised, each within the limits and allowed by the checker.
+pub(crate) fn checked_values(
+    changes: &[NewChange],
+    limits: &Limits,
+    check: &Check<'_>,
+) -> Result<Vec<Option<Box<RawValue>>>, CommitError> {
+    changes.iter().map(|change| checked_value(change, limits, check)).collect()
+}
+
+fn checked_value(
+    NewChange { key, value }: &NewChange,
+    limits: &Limits,
+    check: &Check<'_>,
+) -> Result<Option<Box<RawValue>>, CommitError> {
+    let compacted = value.as_deref().map(compact_value).transpose();
+    let value = compacted.map_err(|_| CommitError::NoJson(key.clone()))?;
+    let text = value.as_deref().map(RawValue::get);
+    if text == Some(NULL) {
+        return Err(CommitError::NullValue(key.clone()));
+    }
+    let bytes = text.map_or(0, str::len);
+    if bytes > limits.value_bytes {
+        return Err(CommitError::ValueTooLong { key: key.clone(), bytes, most: limits.value_bytes });
+    }
+    check(key, text).map_err(|reason| CommitError::Refused { key: key.clone(), reason })?;
+    Ok(value)
+}
+
+/// How much a store holds after these changes, if it holds `extent` before; `held` tells the length of a value held.
+pub(crate) fn extent_after(
+    mut extent: Extent,
+    changes: &[NewChange],
+    values: &[Option<Box<RawValue>>],
+    held: impl Fn(&Key) -> Option<usize>,
+) -> Extent {
+    let mut changed: HashMap<&Key, Option<usize>> = HashMap::with_capacity(changes.len());
+    for (NewChange { key, .. }, value) in changes.iter().zip(values) {
+        let after = value.as_deref().map(|value| value.get().len());
+        let before = changed.insert(key, after).unwrap_or_else(|| held(key));
+        if let Some(length) = before {
+            extent.records -= 1;
+            extent.bytes -= key.as_str().len() + length;
+        }
+        if let Some(length) = after {
+            extent.records += 1;
+            extent.bytes += key.as_str().len() + length;
+        }
+    }
+    extent
+}
+
+impl Extent {
+    /// Whether the limits allow so much.
+    pub(crate) fn keep(&self, limits: &Limits) -> Result<(), CommitError> {
+        if self.records > limits.records {
+            return Err(CommitError::TooManyRecords { records: self.records, most: limits.records });
+        }
+        if self.bytes > limits.total_bytes {
+            return Err(CommitError::TooManyBytes { bytes: self.bytes, most: limits.total_bytes });
+        }
+        Ok(())
+    }
+}
--- a/crates/pondlb-control/src/key.rs
+++ b/crates/pondlb-control/src/key.rs
@@ -91,6 +91,11 @@
     pub fn shared(&self) -> Rc<str> {
         self.0.clone()
     }
+
+    /// Whether the allocation has other holders than this one.
+    pub(crate) fn is_held_elsewhere(&self) -> bool {
+        Rc::strong_count(&self.0) > 1
+    }
 }
 
 impl fmt::Debug for Key {
--- /dev/null
+++ b/crates/pondlb-control/src/limits.rs
@@ -0,0 +1,20 @@
+//! What a store or replica takes at most.
+
+/// Bounds on the records of a store or replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The most records.
+    pub records: usize,
+    /// The longest value, in bytes.
+    pub value_bytes: usize,
+    /// The most bytes of all keys and values. A replica holds no values and bounds only a staged snapshot by it.
+    pub total_bytes: usize,
+    /// How many removed records a store remembers; a caller that needs an older one takes a snapshot.
+    pub tombstones: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { records: 200_000, value_bytes: 64 << 10, total_bytes: 256 << 20, tombstones: 100_000 }
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control/src/names.rs
@@ -0,0 +1,54 @@
+//! Keys that many replicas hold, in one allocation each.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use crate::Key;
+
+/// Up to how many keys none is looked through for being out of use.
+const FEWEST_TO_PRUNE: usize = 1024;
+
+/// Shares equal keys between the replicas of one process. Clones share the same table.
+#[derive(Clone, Debug, Default)]
+pub struct Names(Rc<RefCell<Table>>);
+
+#[derive(Debug, Default)]
+struct Table {
+    keys: HashSet<Key>,
+    prune_at: usize,
+}
+
+impl Names {
+    /// The same key in the allocation that all replicas share.
+    pub fn share(&self, key: Key) -> Key {
+        let mut table = self.0.borrow_mut();
+        if let Some(shared) = table.keys.get(&key) {
+            return shared.clone();
+        }
+        if table.keys.len() >= table.prune_at {
+            table.prune();
+        }
+        table.keys.insert(key.clone());
+        key
+    }
+
+    /// How many keys are in the table.
+    pub fn len(&self) -> usize {
+        self.0.borrow().keys.len()
+    }
+
+    /// Whether no key is in the table.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Table {
+    /// Forgets the keys that nobody else holds. The next look is due once the table has doubled, so that it costs
+    /// each new key the same.
+    fn prune(&mut self) {
+        self.keys.retain(Key::is_held_elsewhere);
+        self.prune_at = FEWEST_TO_PRUNE.max(self.keys.len() * 2);
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control/src/replica.rs
@@ -0,0 +1,278 @@
+//! A follower's side of the protocol: what to ask, and what to take of the answers.
+
+use std::time::Duration;
+
+use crate::held::{HashedChange, Held, verify_changes, verify_not_older};
+use crate::record_hashes::RecordHashes;
+use crate::repair::{Repair, RepairStep, Repaired};
+use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
+use crate::{
+    BucketAnswer, Call, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
+    SnapshotAnswer, Update, Version,
+};
+
+/// After how many failed repairs in a row a snapshot is taken.
+const MOST_FAILED_REPAIRS: u32 = 3;
+
+/// How often in a row a snapshot starts over before the server is given up.
+const MOST_INTERRUPTIONS: u32 = 3;
+
+/// Says whether a value may be taken for a record, or a record be removed, and why not.
+pub type Check<'a> = dyn Fn(&Key, Option<&str>) -> Result<(), String> + 'a;
+
+/// Keeps up with a control server. It holds the keys and hashes of all records, and leaves their values to its
+/// consumer.
+#[derive(Debug)]
+pub struct Replica {
+    held: Held,
+    phase: Phase,
+    is_in_sync: bool,
+    failed_repairs: u32,
+    interruptions: u32,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// Follows changes; in a hurry where more of them are known to be there.
+    Following { hurry: bool },
+    /// Takes a whole state.
+    Snapshot(Box<StagedSnapshot>),
+    /// Repairs a wrong digest.
+    Repair(Box<Repair>),
+}
+
+/// An answer to [`Replica::next_call`].
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// To [`Call::Changes`].
+    Changes(ChangesAnswer),
+    /// To [`Call::Snapshot`].
+    Snapshot(SnapshotAnswer),
+    /// To [`Call::Digests`].
+    Digests(DigestsAnswer),
+    /// To [`Call::Bucket`].
+    Bucket(BucketAnswer),
+}
+
+/// What an answer has led to.
+#[derive(Clone, Debug)]
+pub enum Progress {
+    /// There is nothing new.
+    Unchanged,
+    /// Nothing can be put in force yet: the next call is due at once.
+    Pending,
+    /// This is to be put in force.
+    Applied(Update),
+}
+
+impl Replica {
+    /// A replica that holds nothing.
+    pub fn new(limits: Limits, names: Names) -> Replica {
+        Replica {
+            held: Held { limits, names, version: Version::default(), records: RecordHashes::new() },
+            phase: Phase::begin_snapshot(),
+            is_in_sync: false,
+            failed_repairs: 0,
+            interruptions: 0,
+        }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> Version {
+        self.held.version
+    }
+
+    /// The digest of the records in force.
+    pub fn digest(&self) -> Digest {
+        self.held.records.digest()
+    }
+
+    /// How many records are in force.
+    pub fn len(&self) -> usize {
+        self.held.records.len()
+    }
+
+    /// Whether no record is in force.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether the last digest compared was right.
+    pub fn is_in_sync(&self) -> bool {
+        self.is_in_sync
+    }
+
+    /// What to ask next. The server may hold its answer for `hold` unless more is known to be there.
+    pub fn next_call(&self, hold: Duration) -> Call {
+        match &self.phase {
+            Phase::Following { hurry } => {
+                let hold = if *hurry { Hold::No } else { Hold::UpTo(hold) };
+                Call::Changes { from: self.version(), digest: self.digest(), hold }
+            }
+            Phase::Snapshot(staged) => staged.next_call(hold, self.digest()),
+            Phase::Repair(repair) => repair.next_call(),
+        }
+    }
+
+    /// Another server answers from now on: a half-taken snapshot or repair starts over.
+    pub fn restart(&mut self) {
+        self.interruptions = 0;
+        match self.phase {
+            Phase::Following { .. } => self.phase = Phase::Following { hurry: true },
+            Phase::Snapshot(_) => self.phase = Phase::begin_snapshot(),
+            Phase::Repair(_) => self.end_failed_repair(),
+        }
+    }
+
+    /// Takes an answer to [`Replica::next_call`]; `check` says whether a value may be taken.
+    ///
+    /// # Errors
+    /// [`Rejection`] where nothing of it is taken. What was in force stays so.
+    pub fn receive(&mut self, answer: Answer, check: &Check<'_>) -> Result<Progress, Rejection> {
+        match answer {
+            Answer::Changes(answer) => self.receive_changes(answer, check),
+            Answer::Snapshot(answer) => {
+                let Phase::Snapshot(staged) = &mut self.phase else { return Err(Rejection::WrongKind) };
+                let step = staged.receive_piece(answer, &self.held, check);
+                self.go_on_with_snapshot(step)
+            }
+            Answer::Digests(answer) => {
+                let Phase::Repair(repair) = &mut self.phase else { return Err(Rejection::WrongKind) };
+                let step = repair.receive_digests(answer, &self.held);
+                self.go_on_with_repair(step)
+            }
+            Answer::Bucket(answer) => {
+                let Phase::Repair(repair) = &mut self.phase else { return Err(Rejection::WrongKind) };
+                let step = repair.receive_bucket(answer, &self.held, check);
+                self.go_on_with_repair(step)
+            }
+        }
+    }
+
+    fn receive_changes(&mut self, answer: ChangesAnswer, check: &Check<'_>) -> Result<Progress, Rejection> {
+        match &mut self.phase {
+            Phase::Following { .. } => self.follow(answer, check),
+            Phase::Snapshot(staged) => {
+                let step = staged.receive_changes(answer, &self.held, check);
+                self.go_on_with_snapshot(step)
+            }
+            Phase::Repair(_) => Err(Rejection::WrongKind),
+        }
+    }
+
+    fn follow(&mut self, answer: ChangesAnswer, check: &Check<'_>) -> Result<Progress, Rejection> {
+        verify_not_older(answer.version, self.held.version)?;
+        if answer.version.epoch > self.held.version.epoch || answer.reset {
+            self.phase = Phase::begin_snapshot();
+            return Ok(Progress::Pending);
+        }
+        verify_changes(&answer, self.held.version.revision)?;
+        let changes = self.held.checked(answer.changes, check)?;
+        let outlook = self.held.outlook(&changes);
+        self.held.verify_count(outlook.records)?;
+        let told = answer.digest.filter(|_| !answer.more);
+        if let Some(told) = told.filter(|told| *told != outlook.digest) {
+            self.is_in_sync = false;
+            self.phase = Phase::Repair(Box::new(Repair::new(answer.version, told, changes)));
+            return Ok(Progress::Pending);
+        }
+        self.phase = Phase::Following { hurry: answer.more };
+        if told.is_some() {
+            self.note_right_digest();
+        }
+        if changes.is_empty() && answer.version == self.held.version {
+            return Ok(Progress::Unchanged);
+        }
+        Ok(Progress::Applied(self.apply(answer.version, told, changes, answer.more)))
+    }
+
+    fn go_on_with_snapshot(&mut self, step: Result<SnapshotStep, Rejection>) -> Result<Progress, Rejection> {
+        match step {
+            Ok(SnapshotStep::Pending) => Ok(Progress::Pending),
+            Ok(SnapshotStep::StartOver) => self.start_snapshot_over(),
+            Ok(SnapshotStep::Complete(state)) => Ok(Progress::Applied(self.take_whole_state(*state))),
+            Err(rejection) => {
+                if let Rejection::WrongDigest { .. } = rejection {
+                    self.phase = Phase::begin_snapshot();
+                }
+                Err(rejection)
+            }
+        }
+    }
+
+    fn start_snapshot_over(&mut self) -> Result<Progress, Rejection> {
+        self.phase = Phase::begin_snapshot();
+        self.interruptions += 1;
+        if self.interruptions < MOST_INTERRUPTIONS {
+            return Ok(Progress::Pending);
+        }
+        Err(Rejection::SnapshotsInterrupted(std::mem::take(&mut self.interruptions)))
+    }
+
+    fn go_on_with_repair(&mut self, step: Result<RepairStep, Rejection>) -> Result<Progress, Rejection> {
+        match step {
+            Ok(RepairStep::Pending) => Ok(Progress::Pending),
+            Ok(RepairStep::Complete(Repaired { version, digest, changes })) => {
+                self.note_right_digest();
+                self.phase = Phase::Following { hurry: false };
+                Ok(Progress::Applied(self.apply(version, Some(digest), changes, false)))
+            }
+            Ok(RepairStep::MovedOn) => {
+                self.end_failed_repair();
+                match self.phase {
+                    Phase::Snapshot(_) => Err(Rejection::RepairsFailed(MOST_FAILED_REPAIRS)),
+                    _ => Ok(Progress::Pending),
+                }
+            }
+            Err(Rejection::WrongKind) => Err(Rejection::WrongKind),
+            Err(rejection) => {
+                self.end_failed_repair();
+                Err(rejection)
+            }
+        }
+    }
+
+    /// Follows changes again, or begins a snapshot where too many repairs have failed.
+    fn end_failed_repair(&mut self) {
+        self.failed_repairs += 1;
+        self.phase = Phase::Following { hurry: true };
+        if self.failed_repairs >= MOST_FAILED_REPAIRS {
+            self.failed_repairs = 0;
+            self.phase = Phase::begin_snapshot();
+        }
+    }
+
+    fn note_right_digest(&mut self) {
+        self.is_in_sync = true;
+        self.failed_repairs = 0;
+        self.interruptions = 0;
+    }
+
+    fn apply(
+        &mut self,
+        version: Version,
+        digest: Option<Digest>,
+        changes: Vec<HashedChange>,
+        more: bool,
+    ) -> Update {
+        changes.iter().for_each(|change| self.held.apply(change));
+        self.held.version = version;
+        let changes = changes.into_iter().map(|hashed| hashed.change).collect();
+        Update { version, digest, whole: false, changes, more }
+    }
+
+    fn take_whole_state(&mut self, state: WholeState) -> Update {
+        let WholeState { version, records, changes } = state;
+        self.note_right_digest();
+        self.phase = Phase::Following { hurry: false };
+        self.held.version = version;
+        self.held.records = records;
+        Update { version, digest: Some(self.digest()), whole: true, changes, more: false }
+    }
+}
+
+impl Phase {
+    fn begin_snapshot() -> Phase {
+        Phase::Snapshot(Box::new(StagedSnapshot::new()))
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control/src/rotation.rs
@@ -0,0 +1,81 @@
+//! Which control server to ask, and how long to wait before the next one.
+
+use std::time::Duration;
+
+use nanorand::{Rng, WyRand};
+
+/// The longest wait after a first failure; doubles with each whole round of failures.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+
+/// The longest wait of all.
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
+
+/// When a caller that is away from home returns.
+const RETURN_MS: std::ops::RangeInclusive<u64> = 30_000..=90_000;
+
+/// A caller's way through the control servers: its home first, then the others in an order that spreads the callers
+/// of a lost server evenly over the rest.
+#[derive(Debug)]
+pub struct Rotation {
+    servers: usize,
+    home: usize,
+    /// Which of the other servers comes first after home.
+    first_other: usize,
+    /// How many servers on from home it is.
+    position: usize,
+    /// How many calls have failed since the last that succeeded.
+    failures: usize,
+    random: WyRand,
+}
+
+impl Rotation {
+    /// The way of the caller of this number, through so many servers. Callers with consecutive numbers spread evenly.
+    pub fn new(servers: usize, number: u64, seed: u64) -> Rotation {
+        let servers = servers.max(1);
+        let others = servers.saturating_sub(1).max(1) as u64;
+        let random = WyRand::new_seed(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        Rotation {
+            servers,
+            home: (number % servers as u64) as usize,
+            first_other: (number / servers as u64 % others) as usize,
+            position: 0,
+            failures: 0,
+            random,
+        }
+    }
+
+    /// Which server to ask.
+    pub fn server(&self) -> usize {
+        if self.position == 0 {
+            return self.home;
+        }
+        let others = self.servers - 1;
+        let step = 1 + (self.first_other + self.position - 1) % others;
+        (self.home + step) % self.servers
+    }
+
+    /// Goes on to the next server after a failed call, and says how long to wait first.
+    pub fn failed(&mut self) -> Duration {
+        let rounds = (self.failures / self.servers).min(16) as u32;
+        self.failures = self.failures.saturating_add(1);
+        self.position = (self.position + 1) % self.servers;
+        let longest = (FIRST_WAIT * 2u32.pow(rounds)).min(LONGEST_WAIT).as_micros() as u64;
+        Duration::from_micros(self.random.generate_range(longest / 2..=longest))
+    }
+
+    /// Notes that the server has answered well.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// When to return home, if another server is asked now.
+    pub fn return_home_after(&mut self) -> Option<Duration> {
+        let is_away = self.position != 0;
+        is_away.then(|| Duration::from_millis(self.random.generate_range(RETURN_MS)))
+    }
+
+    /// Asks the home server again.
+    pub fn return_home(&mut self) {
+        self.position = 0;
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control/src/store.rs
@@ -0,0 +1,217 @@
+//! The records of a control server.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use serde_json::value::RawValue;
+
+use crate::change_log::ChangeLog;
+use crate::commit::{CommitError, Extent, checked_values, extent_after};
+use crate::digest::record_hash;
+use crate::json::escaped_len;
+use crate::record_hashes::RecordHashes;
+use crate::{
+    BucketAnswer, Change, ChangesAnswer, Check, Digest, DigestsAnswer, Key, Limits, NewChange,
+    SnapshotAnswer, Update, Version,
+};
+
+/// The most bytes of an answer's JSON beside its changes or records and the key of the next piece.
+const ANSWER_OVERHEAD: usize = 192;
+
+/// The most bytes of a change's JSON beside its key and value.
+const CHANGE_OVERHEAD: usize = 60;
+
+/// All records at a control server: the origin numbers changes with it, a replica server keeps up with the origin.
+#[derive(Debug)]
+pub struct Store {
+    limits: Limits,
+    version: Version,
+    is_complete: bool,
+    records: BTreeMap<Key, Record>,
+    bytes: usize,
+    hashes: RecordHashes,
+    log: ChangeLog,
+}
+
+#[derive(Debug)]
+struct Record {
+    revision: u64,
+    value: Box<RawValue>,
+}
+
+impl Store {
+    /// An empty store: the origin's in an epoch of its own, or a replica server's in epoch 0.
+    pub fn new(epoch: u64, limits: Limits) -> Store {
+        Store {
+            limits,
+            version: Version { epoch, revision: 0 },
+            is_complete: true,
+            records: BTreeMap::new(),
+            bytes: 0,
+            hashes: RecordHashes::new(),
+            log: ChangeLog::new(limits.tombstones),
+        }
+    }
+
+    /// The version of the last change.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The digest of all records.
+    pub fn digest(&self) -> Digest {
+        self.hashes.digest()
+    }
+
+    /// How many records there are.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Bytes of all keys and values.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Numbers and takes changes, all or none. The texts of values are freed of white space; from then on they travel
+    /// unchanged.
+    ///
+    /// # Errors
+    /// [`CommitError`] where the limits or the checker don't allow one of them.
+    pub fn commit(&mut self, changes: &[NewChange], check: &Check<'_>) -> Result<Version, CommitError> {
+        if self.version.epoch == 0 {
+            return Err(CommitError::NoEpoch);
+        }
+        let values = checked_values(changes, &self.limits, check)?;
+        let extent = Extent { records: self.len(), bytes: self.bytes };
+        extent_after(extent, changes, &values, |key| self.value_len(key)).keep(&self.limits)?;
+        for (change, value) in changes.iter().zip(values) {
+            self.version.revision += 1;
+            self.put(&change.key, value, self.version.revision);
+        }
+        Ok(self.version)
+    }
+
+    /// Takes what a replica has verified, with its revisions and epoch. An update that is older than what is held
+    /// changes nothing.
+    pub fn replicate(&mut self, update: &Update) {
+        if update.version < self.version {
+            return;
+        }
+        self.version = update.version;
+        for Change { revision, key, value } in &update.changes {
+            self.put(key, value.clone(), (*revision).min(update.version.revision));
+        }
+        if update.whole {
+            self.forget_changes();
+        }
+        self.is_complete = update.digest.is_some();
+    }
+
+    /// What is newer than a caller's version, in at most so many bytes (but one change at least).
+    pub fn changes(&self, from: Version, most_bytes: usize) -> ChangesAnswer {
+        let mut answer = ChangesAnswer {
+            version: self.version,
+            from: from.revision,
+            reset: false,
+            more: false,
+            digest: None,
+            stale_ms: 0,
+            changes: Vec::new(),
+        };
+        let is_known = from.epoch == self.version.epoch && self.log.is_complete_from(from.revision);
+        answer.reset = from < self.version && !is_known;
+        if is_known && from < self.version {
+            self.fill_changes(&mut answer, most_bytes);
+        }
+        answer.digest = Some(self.digest()).filter(|_| self.is_complete && !answer.more && !answer.reset);
+        answer
+    }
+
+    /// The records behind a key, or the first ones, in at most so many bytes (but one record at least).
+    pub fn snapshot(&self, after: Option<&Key>, most_bytes: usize) -> SnapshotAnswer {
+        let mut answer = SnapshotAnswer { version: self.version, records: Vec::new(), next: None };
+        let mut bytes = ANSWER_OVERHEAD;
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        for (key, record) in self.records.range::<Key, _>((start, Bound::Unbounded)) {
+            let key_bytes = escaped_len(key.as_str());
+            bytes += encoded_len(key, Some(&record.value));
+            if bytes + key_bytes > most_bytes && !answer.records.is_empty() {
+                answer.next = answer.records.last().map(|last| last.key.clone());
+                break;
+            }
+            answer.records.push(record.as_change(key));
+        }
+        answer
+    }
+
+    /// The digests of all buckets.
+    pub fn digests(&self) -> DigestsAnswer {
+        DigestsAnswer { version: self.version, buckets: self.hashes.bucket_digests().collect() }
+    }
+
+    /// All records of one bucket; none where there is no such bucket.
+    pub fn bucket(&self, bucket: usize) -> Option<BucketAnswer> {
+        let keys = self.hashes.bucket(bucket)?.keys();
+        let records = keys.filter_map(|key| self.records.get(key).map(|record| record.as_change(key)));
+        Some(BucketAnswer { version: self.version, bucket, records: records.collect() })
+    }
+
+    fn fill_changes(&self, answer: &mut ChangesAnswer, most_bytes: usize) {
+        let mut bytes = ANSWER_OVERHEAD;
+        for (revision, key) in self.log.since(answer.from) {
+            let value = self.records.get(key).map(|record| &record.value);
+            bytes += encoded_len(key, value.map(Box::as_ref));
+            if let Some(last) = answer.changes.last().filter(|_| bytes > most_bytes) {
+                answer.version.revision = last.revision;
+                answer.more = true;
+                return;
+            }
+            answer.changes.push(Change { revision, key: key.clone(), value: value.cloned() });
+        }
+    }
+
+    fn value_len(&self, key: &Key) -> Option<usize> {
+        self.records.get(key).map(|record| record.value.get().len())
+    }
+
+    fn put(&mut self, key: &Key, value: Option<Box<RawValue>>, revision: u64) {
+        let key_bytes = key.as_str().len();
+        let Some(value) = value else {
+            let removed = self.records.remove(key);
+            self.bytes -= removed.as_ref().map_or(0, |record| key_bytes + record.value.get().len());
+            self.hashes.remove(key);
+            self.log.remove(key, revision, removed.map(|record| record.revision));
+            return;
+        };
+        self.hashes.set(key, record_hash(key, value.get()), Key::clone);
+        self.bytes += key_bytes + value.get().len();
+        let before = self.records.insert(key.clone(), Record { revision, value });
+        self.bytes -= before.as_ref().map_or(0, |record| key_bytes + record.value.get().len());
+        self.log.set(key, revision, before.map(|record| record.revision));
+    }
+
+    /// After a whole new state: which change removed a record is unknown, and revisions of an older epoch say nothing.
+    fn forget_changes(&mut self) {
+        let newest = self.version.revision;
+        self.log.clear(newest);
+        for record in self.records.values_mut() {
+            record.revision = record.revision.min(newest);
+        }
+    }
+}
+
+impl Record {
+    fn as_change(&self, key: &Key) -> Change {
+        Change { revision: self.revision, key: key.clone(), value: Some(self.value.clone()) }
+    }
+}
+
+fn encoded_len(key: &Key, value: Option<&RawValue>) -> usize {
+    CHANGE_OVERHEAD + escaped_len(key.as_str()) + value.map_or(0, |value| value.get().len())
+}
--- /dev/null
+++ b/crates/pondlb-control/tests/common/mod.rs
@@ -0,0 +1,153 @@
+//! What the tests of the state machines share: a store's answers to a replica's calls, and records to commit.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pondlb_control::{
+    Answer, Call, Hold, Key, Kind, Limits, Names, NewChange, Progress, Rejection, Replica, Store, Update,
+    Version,
+};
+use serde_json::value::RawValue;
+
+pub const HOLD: Duration = Duration::from_millis(1000);
+
+/// More calls than any replica of the tests needs to be in sync.
+pub const MOST_CALLS: usize = 3000;
+
+pub fn allow_all(_: &Key, _: Option<&str>) -> Result<(), String> {
+    Ok(())
+}
+
+pub fn key(number: u64) -> Key {
+    let kinds = [Kind::Upstream, Kind::Class, Kind::Tenant, Kind::Limit];
+    Key::new(kinds[number as usize % 4], &format!("s-{number:05}")).unwrap()
+}
+
+pub fn value(text: &str) -> Box<RawValue> {
+    RawValue::from_string(text.to_string()).unwrap()
+}
+
+pub fn set(number: u64, text: &str) -> NewChange {
+    NewChange { key: key(number), value: Some(value(text)) }
+}
+
+pub fn remove(number: u64) -> NewChange {
+    NewChange { key: key(number), value: None }
+}
+
+/// A store of the epoch that holds records 0 to `records`, their numbers as values.
+pub fn filled_store(epoch: u64, records: u64) -> Store {
+    let mut store = Store::new(epoch, Limits::default());
+    let changes: Vec<NewChange> = (0..records).map(|number| set(number, &format!("[{number}]"))).collect();
+    store.commit(&changes, &allow_all).unwrap();
+    store
+}
+
+pub fn new_replica() -> Replica {
+    Replica::new(Limits::default(), Names::default())
+}
+
+/// The store's answer to a call, sent as JSON text and read again.
+pub fn answer(store: &Store, call: &Call, piece_bytes: usize) -> Answer {
+    match call {
+        Call::Changes { from, .. } => Answer::Changes(resent(&store.changes(*from, piece_bytes))),
+        Call::Snapshot { after } => Answer::Snapshot(resent(&store.snapshot(after.as_ref(), piece_bytes))),
+        Call::Digests => Answer::Digests(resent(&store.digests())),
+        Call::Bucket(bucket) => Answer::Bucket(resent(&store.bucket(*bucket).unwrap())),
+    }
+}
+
+fn resent<T: serde::Serialize + serde::de::DeserializeOwned>(sent: &T) -> T {
+    serde_json::from_str(&serde_json::to_string(sent).unwrap()).unwrap()
+}
+
+/// A replica with the consumer that puts its updates in force.
+pub struct Follower {
+    pub replica: Replica,
+    pub version: Version,
+    pub records: BTreeMap<Key, String>,
+    /// What the follower offers to others, as a replica server does.
+    pub store: Store,
+    pub calls: usize,
+}
+
+impl Follower {
+    pub fn new() -> Follower {
+        Follower::with_replica(new_replica())
+    }
+
+    pub fn with_replica(replica: Replica) -> Follower {
+        let store = Store::new(0, Limits::default());
+        Follower { replica, version: Version::default(), records: BTreeMap::new(), store, calls: 0 }
+    }
+
+    pub fn call(&self) -> Call {
+        self.replica.next_call(HOLD)
+    }
+
+    /// Takes an answer and puts in force what comes of it.
+    pub fn receive(&mut self, answer: Answer) -> Result<Progress, Rejection> {
+        self.calls += 1;
+        let held = (self.replica.version(), self.replica.digest());
+        let progress = self.replica.receive(answer, &allow_all);
+        match &progress {
+            Ok(Progress::Applied(update)) => self.put_in_force(update),
+            _ => assert_eq!(held, (self.replica.version(), self.replica.digest())),
+        }
+        progress
+    }
+
+    fn put_in_force(&mut self, update: &Update) {
+        assert!(update.version >= self.version, "{} after {}", update.version, self.version);
+        let is_again = update.version == self.version && self.replica.version() == self.version;
+        assert!(!is_again || update.digest.is_some(), "only a repair keeps the version");
+        self.version = update.version;
+        for change in &update.changes {
+            match &change.value {
+                Some(value) => self.records.insert(change.key.clone(), value.get().to_string()),
+                None => self.records.remove(&change.key),
+            };
+        }
+        self.store.replicate(update);
+    }
+
+    /// Asks once; returns what came of it.
+    pub fn step(&mut self, server: &Store, piece_bytes: usize) -> Result<Progress, Rejection> {
+        let answer = answer(server, &self.call(), piece_bytes);
+        self.receive(answer)
+    }
+
+    /// Asks until the state is in sync with the server's and there is no more to ask.
+    pub fn catch_up(&mut self, server: &Store, piece_bytes: usize) {
+        for _ in 0..MOST_CALLS {
+            let step = self.step(server, piece_bytes);
+            let is_idle = matches!(self.call(), Call::Changes { hold: Hold::UpTo(_), .. });
+            if step.is_ok() && is_idle && self.replica.version() == server.version() {
+                return;
+            }
+        }
+        panic!("not in sync after {MOST_CALLS} calls");
+    }
+
+    /// Fails unless everything equals what the server holds.
+    pub fn assert_same_as(&self, server: &Store) {
+        assert_eq!(self.version, server.version());
+        assert_eq!(self.replica.version(), server.version());
+        assert_eq!(self.replica.digest(), server.digest());
+        assert_eq!(self.replica.len(), server.len());
+        assert_eq!(self.records, records_of(server));
+        assert!(self.replica.is_in_sync());
+        assert_eq!(self.store.version(), server.version());
+        assert_eq!(self.store.digest(), server.digest());
+        assert_eq!(self.store.bytes(), server.bytes());
+        assert_eq!(records_of(&self.store), records_of(server));
+    }
+}
+
+/// All records of a store.
+pub fn records_of(store: &Store) -> BTreeMap<Key, String> {
+    let records = store.snapshot(None, usize::MAX).records.into_iter();
+    records.map(|record| (record.key, record.value.unwrap().get().to_string())).collect()
+}
