Control server and client driver on sockets

The origin numbers changes and takes commits on an address of its own; a replica server follows it by the same client driver as a balancer and serves the same calls. The driver keeps its connection, goes on to the next server after a failure and home again later.

--- /dev/null
+++ b/crates/pondlb-control-net/src/client/driver.rs
@@ -0,0 +1,199 @@
+//! The loop of a follower: call, take, deliver.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pondlb_control::{Answer, Call, Hold, Key, Progress, Replica, Rotation, Update};
+use serde::de::DeserializeOwned;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::failure::{Failure, ToldFailures};
+use super::link::Link;
+use super::status::Status;
+use super::{Delivered, Following};
+
+/// How long a call may take that is answered at once.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2200);
+/// A server that does not hold its answers would else be called without end.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows the servers with one replica.
+pub struct Driver<C> {
+    following: Following,
+    name: String,
+    check: C,
+    deliver: mpsc::UnboundedSender<Delivered>,
+    status: Rc<Status>,
+    replica: Replica,
+    rotation: Rotation,
+    link: Link,
+    /// When to call the home server again; none while it is the one called.
+    home_at: Option<Instant>,
+    told: ToldFailures,
+}
+
+/// What an answer tells beside its records.
+struct Told {
+    staleness: Duration,
+    /// It has neither changes nor a reset.
+    is_empty: bool,
+}
+
+impl<C: Fn(&Key, Option<&str>) -> Result<(), String>> Driver<C> {
+    pub fn new(
+        following: Following,
+        check: C,
+        deliver: mpsc::UnboundedSender<Delivered>,
+        status: Rc<Status>,
+    ) -> Driver<C> {
+        Driver {
+            name: following.caller_name(),
+            replica: Replica::new(following.limits, following.names.clone()),
+            rotation: Rotation::new(following.servers.len(), following.number, following.seed),
+            following,
+            check,
+            deliver,
+            status,
+            link: Link::default(),
+            home_at: None,
+            told: ToldFailures::default(),
+        }
+    }
+
+    /// Calls without end.
+    pub async fn run(&mut self) {
+        loop {
+            self.go_home_when_due();
+            let pause = match self.call_once().await {
+                Ok(pause) => pause,
+                Err(failure) => Some(self.go_on_after(failure)),
+            };
+            if let Some(pause) = pause {
+                sleep(pause).await;
+            }
+        }
+    }
+
+    /// One call and all that it brings; how long to wait before the next one.
+    async fn call_once(&mut self) -> Result<Option<Duration>, Failure> {
+        let call = self.replica.next_call(self.following.hold);
+        self.count_begun(&call);
+        let called = Instant::now();
+        let answer = self.ask(&call).await?;
+        let answered = Instant::now();
+        let told = told_by(&answer);
+        let progress = self.replica.receive(answer, &self.check)?;
+        self.rotation.succeeded();
+        let in_sync = self.replica.is_in_sync();
+        self.status.count(|counters| {
+            counters.answers += 1;
+            counters.in_sync = in_sync;
+        });
+        match progress {
+            Progress::Unchanged => self.status.note_heard(answered, told.staleness),
+            Progress::Pending => {}
+            Progress::Applied(update) => {
+                let is_last = !update.more;
+                self.put_in_force(update).await;
+                if is_last {
+                    self.status.note_heard(answered, told.staleness);
+                }
+                return Ok(None);
+            }
+        }
+        Ok((told.is_empty && called.elapsed() < PAUSE).then_some(PAUSE))
+    }
+
+    async fn ask(&mut self, call: &Call) -> Result<Answer, Failure> {
+        let server = self.server();
+        self.status.note_server(server);
+        let within = match call {
+            Call::Changes { hold: Hold::UpTo(hold), .. } => *hold + self.following.late,
+            _ => ANSWER_WITHIN,
+        };
+        let target = call.target(&self.name);
+        log::trace!("control: {server}: {target}");
+        let body = timeout(within, self.link.call(server, &target, &self.status))
+            .await
+            .map_err(|_| Failure::Silent(within))??;
+        decode(call, &body)
+    }
+
+    async fn put_in_force(&mut self, update: Update) {
+        let (version, changes) = (update.version, update.changes.len());
+        let (in_force, is_in_force) = oneshot::channel();
+        // Without its receiver the whole driver ends at its next wait.
+        let _ended = self.deliver.send(Delivered { update, in_force });
+        if is_in_force.await.is_ok() {
+            self.status.note_in_force(version, changes);
+        }
+    }
+
+    /// Goes on to the next server; how long to wait first.
+    fn go_on_after(&mut self, failure: Failure) -> Duration {
+        let server = self.server();
+        match &failure {
+            Failure::Rejected(_) => self.status.count(|counters| counters.rejections += 1),
+            _ => self.status.count(|counters| counters.failures += 1),
+        }
+        if self.told.is_due(&failure) {
+            log::warn!("control: {server}: {failure}");
+        } else {
+            log::debug!("control: {server}: again {failure}");
+        }
+        self.link.close();
+        self.replica.restart();
+        let wait = self.rotation.failed();
+        self.home_at = self.rotation.return_home_after().map(|after| Instant::now() + after);
+        wait
+    }
+
+    /// Only between two whole states: a snapshot or repair would start over.
+    fn go_home_when_due(&mut self) {
+        let is_due = self.home_at.is_some_and(|at| at <= Instant::now());
+        if is_due && self.replica.is_in_sync() {
+            self.home_at = None;
+            self.rotation.return_home();
+            self.replica.restart();
+            log::debug!("control: back to {}", self.server());
+        }
+    }
+
+    fn server(&self) -> SocketAddr {
+        let servers = &self.following.servers;
+        servers[self.rotation.server() % servers.len()]
+    }
+
+    fn count_begun(&self, call: &Call) {
+        self.status.count(|counters| match call {
+            Call::Snapshot { after: None } => counters.snapshots += 1,
+            Call::Digests => counters.repairs += 1,
+            _ => {}
+        });
+    }
+}
+
+fn told_by(answer: &Answer) -> Told {
+    match answer {
+        Answer::Changes(changes) => Told {
+            staleness: Duration::from_millis(changes.stale_ms),
+            is_empty: changes.changes.is_empty() && !changes.reset,
+        },
+        _ => Told { staleness: Duration::ZERO, is_empty: false },
+    }
+}
+
+fn decode(call: &Call, body: &[u8]) -> Result<Answer, Failure> {
+    Ok(match call {
+        Call::Changes { .. } => Answer::Changes(json(body)?),
+        Call::Snapshot { .. } => Answer::Snapshot(json(body)?),
+        Call::Digests => Answer::Digests(json(body)?),
+        Call::Bucket(_) => Answer::Bucket(json(body)?),
+    })
+}
+
+fn json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| Failure::Unreadable(error.to_string()))
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/client/status.rs
@@ -0,0 +1,142 @@
+//! What a follower has done and how fresh its state is, for logs and measurements.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pondlb_control::Version;
+use tokio::time::{Instant, sleep};
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Calls made, repeated ones included.
+    pub calls: u64,
+    /// Answers that were taken.
+    pub answers: u64,
+    /// Calls that brought no answer that can be read.
+    pub failures: u64,
+    /// Answers that were read and rejected.
+    pub rejections: u64,
+    /// Snapshots begun.
+    pub snapshots: u64,
+    /// Repairs begun.
+    pub repairs: u64,
+    /// Updates in force.
+    pub updates: u64,
+    /// Changes in them.
+    pub changes: u64,
+    /// Bytes written to servers, heads of requests included.
+    pub bytes_sent: u64,
+    /// Bytes read from servers, heads of answers included.
+    pub bytes_received: u64,
+    /// The version in force.
+    pub version: Version,
+    /// The last digest compared was right.
+    pub in_sync: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    /// How stale the server's own state was.
+    told: Duration,
+}
+
+/// State of a follower.
+#[derive(Debug)]
+pub struct Status {
+    started: Instant,
+    counters: Cell<Counters>,
+    heard: Cell<Option<Heard>>,
+    server: Cell<Option<SocketAddr>>,
+}
+
+/// From when on a state is called stale.
+const STALE: Duration = Duration::from_secs(10);
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+impl Default for Status {
+    fn default() -> Status {
+        Status {
+            started: Instant::now(),
+            counters: Cell::default(),
+            heard: Cell::default(),
+            server: Cell::default(),
+        }
+    }
+}
+
+impl Status {
+    /// What has been counted so far.
+    pub fn counters(&self) -> Counters {
+        self.counters.get()
+    }
+
+    /// The server that is called.
+    pub fn server(&self) -> Option<SocketAddr> {
+        self.server.get()
+    }
+
+    /// How long ago a server has answered with what is in force.
+    pub fn last_heard(&self) -> Option<Duration> {
+        self.heard.get().map(|heard| heard.at.elapsed())
+    }
+
+    /// For how long the state in force may lack what the origin has: since the last answer, and what that told of
+    /// its server. Without any answer since the start.
+    pub fn staleness(&self) -> Duration {
+        self.heard.get().map_or(self.started.elapsed(), |heard| heard.at.elapsed() + heard.told)
+    }
+
+    pub(super) fn count(&self, change: impl FnOnce(&mut Counters)) {
+        let mut counters = self.counters.get();
+        change(&mut counters);
+        self.counters.set(counters);
+    }
+
+    pub(super) fn note_server(&self, server: SocketAddr) {
+        self.server.set(Some(server));
+    }
+
+    pub(super) fn note_call(&self, bytes: usize) {
+        self.count(|counters| {
+            counters.calls += 1;
+            counters.bytes_sent += bytes as u64;
+        });
+    }
+
+    pub(super) fn note_received(&self, bytes: usize) {
+        self.count(|counters| counters.bytes_received += bytes as u64);
+    }
+
+    pub(super) fn note_in_force(&self, version: Version, changes: usize) {
+        self.count(|counters| {
+            counters.version = version;
+            counters.updates += 1;
+            counters.changes += changes as u64;
+        });
+    }
+
+    pub(super) fn note_heard(&self, at: Instant, told: Duration) {
+        self.heard.set(Some(Heard { at, told }));
+    }
+
+    /// Logs once when the state has become stale, and again when it is fresh. Never returns.
+    pub(super) async fn watch_staleness(&self) {
+        let mut was_stale = false;
+        loop {
+            sleep(LOOK_EVERY).await;
+            let staleness = self.staleness();
+            let is_stale = staleness >= STALE;
+            let version = self.counters().version;
+            if is_stale && !was_stale {
+                log::warn!("control: version {version} is stale: nothing is known since {staleness:.1?}");
+            }
+            if was_stale && !is_stale {
+                log::warn!("control: fresh again at version {version}");
+            }
+            was_stale = is_stale;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/http.rs
@@ -0,0 +1,103 @@
+//! Responses of a control server, and requests to one, as bytes.
+
+use std::net::SocketAddr;
+
+use pondlb_http::Fault;
+use serde::Serialize;
+
+/// Names the statuses that a control server answers with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Ok,
+    BadRequest,
+    NotFound,
+    MethodNotAllowed,
+    ContentTooLarge,
+    HeadTooLarge,
+    Unavailable,
+}
+
+impl Status {
+    fn line(self) -> &'static str {
+        match self {
+            Status::Ok => "200 OK",
+            Status::BadRequest => "400 Bad Request",
+            Status::NotFound => "404 Not Found",
+            Status::MethodNotAllowed => "405 Method Not Allowed",
+            Status::ContentTooLarge => "413 Content Too Large",
+            Status::HeadTooLarge => "431 Request Header Fields Too Large",
+            Status::Unavailable => "503 Service Unavailable",
+        }
+    }
+}
+
+/// A whole response.
+#[derive(Debug)]
+pub struct Response {
+    pub status: Status,
+    pub body: Vec<u8>,
+    /// The connection ends with it.
+    pub close: bool,
+}
+
+/// After how many seconds a caller that is turned away may come again.
+const RETRY_AFTER_SECONDS: u32 = 1;
+
+impl Response {
+    /// A response of JSON.
+    pub fn json(value: &impl Serialize) -> Response {
+        match serde_json::to_vec(value) {
+            Ok(body) => Response { status: Status::Ok, body, close: false },
+            Err(error) => {
+                Response::text(Status::Unavailable, &format!("the answer can't be written: {error}"))
+            }
+        }
+    }
+
+    /// A response that says why a request is not answered.
+    pub fn text(status: Status, reason: &str) -> Response {
+        Response { status, body: format!("{reason}\n").into_bytes(), close: false }
+    }
+
+    /// The response to what is no request. The connection ends: nobody knows where the next request begins.
+    pub fn to_fault(fault: Fault) -> Response {
+        let status = match fault {
+            Fault::Malformed(_) => Status::BadRequest,
+            Fault::HeadTooLong => Status::HeadTooLarge,
+            Fault::BodyTooLong => Status::ContentTooLarge,
+            Fault::Method => Status::MethodNotAllowed,
+        };
+        Response::text(status, &fault.to_string()).and_close()
+    }
+
+    /// The same, as the last on its connection.
+    pub fn and_close(mut self) -> Response {
+        self.close = true;
+        self
+    }
+
+    /// The bytes on the wire.
+    pub fn encode(&self) -> Vec<u8> {
+        let content_type = if self.status == Status::Ok { "application/json" } else { "text/plain" };
+        let length = self.body.len();
+        let mut bytes = Vec::with_capacity(160 + length);
+        bytes.extend_from_slice(format!("HTTP/1.1 {}\r\n", self.status.line()).as_bytes());
+        bytes.extend_from_slice(
+            format!("Content-Type: {content_type}\r\nContent-Length: {length}\r\n").as_bytes(),
+        );
+        if self.status == Status::Unavailable {
+            bytes.extend_from_slice(format!("Retry-After: {RETRY_AFTER_SECONDS}\r\n").as_bytes());
+        }
+        if self.close {
+            bytes.extend_from_slice(b"Connection: close\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// A request without a body.
+pub fn get(server: SocketAddr, target: &str) -> Vec<u8> {
+    format!("GET {target} HTTP/1.1\r\nHost: {server}\r\n\r\n").into_bytes()
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/main.rs
@@ -0,0 +1,61 @@
+//! A control server: the origin of the records, or a replica server that follows it.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use pondlb_control_net::{ServerOptions, serve};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+/// The options file can't be used; a restart would change nothing.
+const FAULTY_OPTIONS: u8 = 2;
+/// The machine doesn't let the program serve.
+const CANNOT_SERVE: u8 = 1;
+
+/// A control server of pondlb: distributes upstreams, classes, tenants and limits to balancers.
+///
+/// Exit codes: 0 ended by SIGTERM or SIGINT, 1 cannot serve, 2 faulty options file.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The options file, in TOML. An origin has `commit` (address for changes) or `initial` (file of the first
+    /// records), a replica server has `follow` (addresses of control servers); both have `listen`
+    #[arg(value_name = "FILE.toml")]
+    file: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let level = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(level).format_timestamp_millis().init();
+    let options = match ServerOptions::read(&arguments.file) {
+        Ok(options) => options,
+        Err(faults) => {
+            faults.iter().for_each(|fault| log::error!("{fault}"));
+            return ExitCode::from(FAULTY_OPTIONS);
+        }
+    };
+    let served = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve_until_told(options)));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error}");
+            ExitCode::from(CANNOT_SERVE)
+        }
+    }
+}
+
+async fn serve_until_told(options: ServerOptions) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        served = serve(options) => served,
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/options.rs
@@ -0,0 +1,315 @@
+//! The options file of a control server: read, checked and given its defaults.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use pondlb_control::{Commit, CommitError, Limits, NewChange, Store};
+use serde::de::DeserializeOwned;
+use toml::{Table, Value};
+
+use crate::check::check_shape;
+
+/// What a control server is in its group.
+#[derive(Clone, Debug)]
+pub enum Role {
+    /// It numbers the changes.
+    Origin {
+        /// Where changes are committed; none where the initial records are never changed.
+        commit: Option<SocketAddr>,
+        /// The records to begin with.
+        initial: Vec<NewChange>,
+        /// The epoch of its numbers; greater than that of any origin before it.
+        epoch: u64,
+    },
+    /// It follows another control server and serves what that one has.
+    Replica {
+        /// The servers to follow, the preferred one first where `number` is 0.
+        follow: Vec<SocketAddr>,
+        /// How long they may wait for news.
+        hold: Duration,
+    },
+}
+
+/// All that a control server is told, checked.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// Name in the log and towards the servers that it follows.
+    pub name: String,
+    /// Its number among the replica servers, so that each begins with another of the servers that it follows.
+    pub number: u64,
+    /// Address for followers.
+    pub listen: SocketAddr,
+    /// Origin or replica.
+    pub role: Role,
+    /// Least time between two answers with news to one follower.
+    pub gather: Duration,
+    /// Most bytes of changes in one answer.
+    pub piece_bytes: usize,
+    /// Most connections of followers.
+    pub followers: usize,
+    /// What the process may use.
+    pub memory_mb: usize,
+    /// How many pieces of snapshots it gives in a second.
+    pub snapshot_pieces_per_second: f64,
+}
+
+/// What is wrong with one key of an options file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OptionsFault {
+    /// The file.
+    pub file: PathBuf,
+    /// The key; none where the file as a whole is meant.
+    pub key: Option<&'static str>,
+    /// What is wrong, and what is accepted.
+    pub reason: String,
+}
+
+impl fmt::Display for OptionsFault {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(to, "{}: ", self.file.display())?;
+        if let Some(key) = self.key {
+            write!(to, "{key}: ")?;
+        }
+        to.write_str(&self.reason)
+    }
+}
+
+/// The keys of an options file.
+const KEYS: [&str; 13] = [
+    "name",
+    "number",
+    "listen",
+    "commit",
+    "initial",
+    "epoch",
+    "follow",
+    "hold_ms",
+    "gather_ms",
+    "piece_bytes",
+    "followers",
+    "memory_mb",
+    "snapshot_pieces_per_second",
+];
+
+const DEFAULT_HOLD_MS: u64 = 1000;
+const DEFAULT_GATHER_MS: u64 = 200;
+const DEFAULT_PIECE_BYTES: usize = 16 * 1024;
+const DEFAULT_FOLLOWERS: usize = 2000;
+const DEFAULT_MEMORY_MB: usize = 256;
+/// 64 MB a second where each piece is full.
+const DEFAULT_SNAPSHOT_PIECES: f64 = 1000.0;
+
+impl ServerOptions {
+    /// Options with their defaults, for an origin or a replica server on this address.
+    pub fn new(listen: SocketAddr, role: Role) -> ServerOptions {
+        ServerOptions {
+            name: default_name(listen),
+            number: 0,
+            listen,
+            role,
+            gather: Duration::from_millis(DEFAULT_GATHER_MS),
+            piece_bytes: DEFAULT_PIECE_BYTES,
+            followers: DEFAULT_FOLLOWERS,
+            memory_mb: DEFAULT_MEMORY_MB,
+            snapshot_pieces_per_second: DEFAULT_SNAPSHOT_PIECES,
+        }
+    }
+
+    /// Reads an options file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it at once, so that nobody mends one fault only to meet the next.
+    pub fn read(file: &Path) -> Result<ServerOptions, Vec<OptionsFault>> {
+        let whole = |reason| vec![OptionsFault { file: file.to_path_buf(), key: None, reason }];
+        let text = std::fs::read_to_string(file).map_err(|error| whole(error.to_string()))?;
+        let table: Table = text.parse().map_err(|error: toml::de::Error| whole(error.to_string()))?;
+        let mut fields = Fields { file, table, faults: Vec::new() };
+        let options = fields.options();
+        match options {
+            Some(options) if fields.faults.is_empty() => Ok(options),
+            _ => Err(fields.faults),
+        }
+    }
+
+    /// What the store may hold: half of the memory, since a whole state that is taken stands beside the one before.
+    pub fn limits(&self) -> Limits {
+        Limits { total_bytes: (self.memory_mb << 20) / 2, ..Limits::default() }
+    }
+
+    /// The longest body of a commit.
+    pub fn commit_bytes(&self) -> usize {
+        (self.memory_mb << 20) / 8
+    }
+
+    /// The store that the server begins with.
+    ///
+    /// # Errors
+    /// [`CommitError`] where the initial records are refused.
+    pub fn store(&self) -> Result<Store, CommitError> {
+        match &self.role {
+            Role::Replica { .. } => Ok(Store::new(0, self.limits())),
+            Role::Origin { initial, epoch, .. } => {
+                let mut store = Store::new(*epoch, self.limits());
+                if !initial.is_empty() {
+                    store.commit(initial, &check_shape)?;
+                }
+                Ok(store)
+            }
+        }
+    }
+}
+
+/// The table of an options file while it is read.
+struct Fields<'a> {
+    file: &'a Path,
+    table: Table,
+    faults: Vec<OptionsFault>,
+}
+
+impl Fields<'_> {
+    /// Notes every fault on its way; none where a required key is missing or faulty.
+    fn options(&mut self) -> Option<ServerOptions> {
+        self.refuse_unknown_keys();
+        let listen = self.required::<SocketAddr>("listen");
+        let role = self.role();
+        let name = self.value("name", listen.map_or("control".into(), default_name));
+        if !is_caller_name(&name) {
+            self.refuse(
+                "name",
+                format!("{name:?}: 1 to {MOST_NAME} letters, digits, '-', '_' or '.' are accepted"),
+            );
+        }
+        let number = self.value("number", 0);
+        let gather_ms = self.within("gather_ms", DEFAULT_GATHER_MS, 0, 10_000);
+        let piece_bytes = self.within("piece_bytes", DEFAULT_PIECE_BYTES, 1024, 1 << 20);
+        let followers = self.within("followers", DEFAULT_FOLLOWERS, 1, 100_000);
+        let memory_mb = self.within("memory_mb", DEFAULT_MEMORY_MB, 16, 1 << 20);
+        let pieces = self.within("snapshot_pieces_per_second", DEFAULT_SNAPSHOT_PIECES, 1.0, 1e6);
+        let options = ServerOptions {
+            name,
+            number,
+            gather: Duration::from_millis(gather_ms),
+            piece_bytes,
+            followers,
+            memory_mb,
+            snapshot_pieces_per_second: pieces,
+            ..ServerOptions::new(listen?, role?)
+        };
+        if let Err(error) = options.store() {
+            self.refuse("initial", error.to_string());
+        }
+        Some(options)
+    }
+
+    fn role(&mut self) -> Option<Role> {
+        let follow = self.optional::<Vec<SocketAddr>>("follow");
+        let commit = self.optional::<SocketAddr>("commit");
+        let initial = self.optional::<PathBuf>("initial");
+        let epoch = self.optional::<u64>("epoch");
+        let hold_ms = self.within("hold_ms", DEFAULT_HOLD_MS, 10, 60_000);
+        if !self.table.contains_key("follow") {
+            if !self.table.contains_key("commit") && !self.table.contains_key("initial") {
+                self.refuse("follow", "follow, or commit or initial, is required".into());
+                return None;
+            }
+            if epoch == Some(0) {
+                self.refuse("epoch", "0: 1 or more is accepted".into());
+            }
+            let initial = initial.map_or(Some(Vec::new()), |initial| self.initial(&initial))?;
+            return Some(Role::Origin { commit, initial, epoch: epoch.unwrap_or_else(epoch_of_now) });
+        }
+        for key in ["commit", "initial", "epoch"] {
+            if self.table.contains_key(key) {
+                self.refuse(key, "is accepted of an origin only, not beside follow".into());
+            }
+        }
+        let follow = follow?;
+        if follow.is_empty() {
+            self.refuse("follow", "one address or more is accepted".into());
+        }
+        Some(Role::Replica { follow, hold: Duration::from_millis(hold_ms) })
+    }
+
+    /// The initial records; the path is relative to the options file.
+    fn initial(&mut self, path: &Path) -> Option<Vec<NewChange>> {
+        let path = self.file.parent().unwrap_or(Path::new("")).join(path);
+        let read = std::fs::read(&path).map_err(|error| error.to_string());
+        let commit = read
+            .and_then(|bytes| serde_json::from_slice::<Commit>(&bytes).map_err(|error| error.to_string()));
+        match commit {
+            Ok(commit) => Some(commit.changes),
+            Err(reason) => {
+                self.refuse("initial", format!("{}: {reason}", path.display()));
+                None
+            }
+        }
+    }
+
+    fn refuse_unknown_keys(&mut self) {
+        let unknown: Vec<String> =
+            self.table.keys().filter(|key| !KEYS.contains(&key.as_str())).cloned().collect();
+        for key in unknown {
+            let reason = format!("{key}: no such key; accepted are {}", KEYS.join(", "));
+            self.faults.push(OptionsFault { file: self.file.to_path_buf(), key: None, reason });
+        }
+    }
+
+    fn refuse(&mut self, key: &'static str, reason: String) {
+        self.faults.push(OptionsFault { file: self.file.to_path_buf(), key: Some(key), reason });
+    }
+
+    fn optional<T: DeserializeOwned>(&mut self, key: &'static str) -> Option<T> {
+        let value: Value = self.table.get(key)?.clone();
+        match value.try_into() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.refuse(key, error.to_string().trim_end().to_string());
+                None
+            }
+        }
+    }
+
+    fn required<T: DeserializeOwned>(&mut self, key: &'static str) -> Option<T> {
+        if !self.table.contains_key(key) {
+            self.refuse(key, "is required".into());
+        }
+        self.optional(key)
+    }
+
+    fn value<T: DeserializeOwned>(&mut self, key: &'static str, default: T) -> T {
+        self.optional(key).unwrap_or(default)
+    }
+
+    fn within<T>(&mut self, key: &'static str, default: T, least: T, most: T) -> T
+    where
+        T: DeserializeOwned + PartialOrd + fmt::Display + Copy,
+    {
+        let value = self.value(key, default);
+        if !(least..=most).contains(&value) {
+            self.refuse(key, format!("{value}: {least} to {most} is accepted"));
+        }
+        value
+    }
+}
+
+/// Control servers of one machine differ in their ports.
+fn default_name(listen: SocketAddr) -> String {
+    format!("control-{}", listen.port())
+}
+
+/// The longest name of a caller.
+pub const MOST_NAME: usize = 64;
+
+/// Whether a follower may call itself so.
+pub fn is_caller_name(name: &str) -> bool {
+    let is_accepted = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    (1..=MOST_NAME).contains(&name.len()) && name.bytes().all(is_accepted)
+}
+
+/// An origin that is started later has a greater epoch.
+fn epoch_of_now() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX).max(1)
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/server/calls.rs
@@ -0,0 +1,93 @@
+//! Answers to the calls of followers, and when they are given.
+
+use std::time::Duration;
+
+use pondlb_control::{Call, Digest, Hold, Key, Version};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use super::request::Request;
+use super::state::State;
+use crate::http::{Response, Status};
+
+/// What a caller on one connection was answered before.
+#[derive(Debug, Default)]
+pub struct Pace {
+    /// When it was last answered with news.
+    last_news: Option<Instant>,
+    /// More news were promised.
+    more: bool,
+}
+
+/// Answers a request, which may wait for news.
+pub async fn answer(state: &State, request: Request, pace: &mut Pace) -> Response {
+    let (name, call) = match request {
+        Request::Followers => return Response::json(&state.followers()),
+        Request::Call { name, call } => (name, call),
+    };
+    if !state.is_ready() {
+        return unavailable("this server holds no state yet");
+    }
+    match call {
+        Call::Changes { from, digest, hold } => {
+            if let Some(name) = name {
+                state.note_follower(&name, from, digest);
+            }
+            wait_for_news(state, from, digest, hold, pace).await;
+            changes(state, from, pace)
+        }
+        Call::Snapshot { after } => snapshot(state, after.as_ref()).await,
+        Call::Digests => Response::json(&state.digests()),
+        Call::Bucket(bucket) => match state.bucket(bucket) {
+            Some(answer) => Response::json(&answer),
+            None => Response::text(Status::BadRequest, "bucket: no such bucket"),
+        },
+    }
+}
+
+/// Returns once the store is newer than the caller, or the hold is over. News wait until some time has passed since
+/// the last, so that many changes make few answers; what was promised comes at once.
+async fn wait_for_news(state: &State, from: Version, digest: Digest, hold: Hold, pace: &Pace) {
+    let Hold::UpTo(hold) = hold else { return };
+    // Its records are not those of its version: it is told so at once.
+    if from == state.version() && digest != state.digest() {
+        return;
+    }
+    let until = Instant::now() + hold;
+    let mut versions = state.versions();
+    while *versions.borrow_and_update() <= from {
+        if !matches!(timeout_at(until, versions.changed()).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+    let gathered = pace.last_news.filter(|_| !pace.more).map(|at| at + state.options().gather);
+    if let Some(gathered) = gathered {
+        sleep_until(gathered.min(until)).await;
+    }
+}
+
+fn changes(state: &State, from: Version, pace: &mut Pace) -> Response {
+    let version = state.version();
+    if version < from {
+        return unavailable(&format!("this server is at {version}, behind {from}"));
+    }
+    let answer = state.changes(from);
+    if !answer.changes.is_empty() {
+        pace.last_news = Some(Instant::now());
+    }
+    pace.more = answer.more;
+    Response::json(&answer)
+}
+
+async fn snapshot(state: &State, after: Option<&Key>) -> Response {
+    let Some(wait) = state.wait_for_snapshot_piece(after.is_none()) else {
+        return unavailable("too many snapshots are taken");
+    };
+    if wait > Duration::ZERO {
+        sleep(wait).await;
+    }
+    Response::json(&state.snapshot(after))
+}
+
+fn unavailable(reason: &str) -> Response {
+    Response::text(Status::Unavailable, reason)
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/server/mod.rs
@@ -0,0 +1,188 @@
+//! A control server: the origin, or a replica server that follows it.
+
+mod calls;
+mod commit;
+mod connection;
+mod followers;
+mod request;
+mod state;
+#[cfg(test)]
+mod tests;
+mod token_bucket;
+
+use std::future::pending;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{JoinError, JoinSet};
+use tokio::time::sleep;
+
+use crate::check::check_shape;
+use crate::client::{self, Delivered, Following, follow};
+use crate::options::{Role, ServerOptions};
+use connection::{serve_committer, serve_follower, turn_away};
+use state::State;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// How long to wait when no connection can be accepted, against spinning while descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections of those who commit: each may hold the longest body.
+const MOST_COMMITTERS: usize = 4;
+/// How many may be told at once that there is no place for them; others are closed without a word.
+const MOST_TURNED_AWAY: usize = 16;
+
+/// A control server that listens.
+pub struct Server {
+    state: Rc<State>,
+    following: Option<(Following, Rc<client::Status>)>,
+    listener: TcpListener,
+    committers: Option<TcpListener>,
+}
+
+/// Listens and serves without end.
+///
+/// # Errors
+/// Where it can't listen, or the initial records are refused.
+pub async fn serve(options: ServerOptions) -> io::Result<()> {
+    Server::bind(options)?.run().await;
+    Ok(())
+}
+
+impl Server {
+    /// Listens; connections are served by [`Server::run`].
+    ///
+    /// # Errors
+    /// Where it can't listen, or the initial records are refused.
+    pub fn bind(options: ServerOptions) -> io::Result<Server> {
+        let store =
+            options.store().map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error.to_string()))?;
+        let listener = listen("listen", options.listen)?;
+        let committers = match &options.role {
+            Role::Origin { commit: Some(address), .. } => Some(listen("commit", *address)?),
+            _ => None,
+        };
+        let following = match &options.role {
+            Role::Origin { .. } => None,
+            Role::Replica { follow, hold } => {
+                let mut following = Following::new(follow.clone(), &options.name, options.number);
+                (following.hold, following.limits) = (*hold, options.limits());
+                Some((following, Rc::new(client::Status::default())))
+            }
+        };
+        let status = following.as_ref().map(|(_, status)| status.clone());
+        let version = store.version();
+        log::info!("{} listens on {}: version {version}", options.name, listener.local_addr()?);
+        let state = Rc::new(State::new(options, store, status));
+        Ok(Server { state, following, listener, committers })
+    }
+
+    /// Where followers connect.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Where changes are committed; none at a replica server.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn commit_address(&self) -> io::Result<Option<SocketAddr>> {
+        self.committers.as_ref().map(TcpListener::local_addr).transpose()
+    }
+
+    /// State of its own following; none at the origin.
+    pub fn status(&self) -> Option<Rc<client::Status>> {
+        self.following.as_ref().map(|(_, status)| status.clone())
+    }
+
+    /// Serves without end; dropping it ends all connections.
+    pub async fn run(self) {
+        let Server { state, following, listener, committers } = self;
+        let followers =
+            accept(&listener, state.options().followers, |stream| serve_follower(state.clone(), stream));
+        let committers = async {
+            match &committers {
+                Some(listener) => {
+                    accept(listener, MOST_COMMITTERS, |stream| serve_committer(state.clone(), stream)).await
+                }
+                None => pending().await,
+            }
+        };
+        let replication = async {
+            match following {
+                Some((following, status)) => replicate(state.clone(), following, status).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            () = followers => {}
+            () = committers => {}
+            () = replication => {}
+        }
+    }
+}
+
+/// Follows other servers and feeds the store with what is verified.
+async fn replicate(state: Rc<State>, following: Following, status: Rc<client::Status>) {
+    let (deliver, mut delivered) = mpsc::unbounded_channel();
+    let feed = async {
+        while let Some(Delivered { update, in_force }) = delivered.recv().await {
+            state.replicate(&update);
+            log::debug!("version {} with {} changes", update.version, update.changes.len());
+            let _ended = in_force.send(());
+        }
+    };
+    tokio::select! {
+        () = follow(following, check_shape, deliver, status) => {}
+        () = feed => {}
+    }
+}
+
+/// Accepts connections without end, and serves so many at once.
+async fn accept<F>(listener: &TcpListener, most: usize, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let (mut served, mut turned_away) = (JoinSet::new(), JoinSet::new());
+    loop {
+        tokio::select! {
+            Some(ended) = served.join_next(), if !served.is_empty() => note_end(ended),
+            Some(ended) = turned_away.join_next(), if !turned_away.is_empty() => note_end(ended),
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if served.len() < most => drop(served.spawn_local(serve(stream))),
+                Ok((stream, _)) if turned_away.len() < MOST_TURNED_AWAY => {
+                    turned_away.spawn_local(turn_away(stream));
+                }
+                Ok(_) => {}
+                // Out of descriptors, or the other side has gone again: neither is a reason to end or to spin.
+                Err(error) => {
+                    log::warn!("a connection can't be accepted: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+}
+
+fn note_end(ended: Result<(), JoinError>) {
+    if let Err(error) = ended {
+        log::error!("a connection has failed: {error}");
+    }
+}
+
+fn listen(key: &str, address: SocketAddr) -> io::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(|error| io::Error::new(error.kind(), format!("{key}: {address}: {error}")))
+}
--- /dev/null
+++ b/crates/pondlb-control-net/src/server/state.rs
@@ -0,0 +1,140 @@
+//! What all connections of a control server share.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pondlb_control::{
+    BucketAnswer, ChangesAnswer, CommitError, Digest, DigestsAnswer, Key, NewChange, SnapshotAnswer, Store,
+    Update, Version,
+};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::followers::{FollowerTable, FollowersAnswer};
+use super::token_bucket::TokenBucket;
+use crate::check::check_shape;
+use crate::client;
+use crate::options::ServerOptions;
+
+/// The longest piece of a snapshot, unless one record alone is longer.
+const SNAPSHOT_PIECE_BYTES: usize = 64 * 1024;
+/// How long the first piece of a snapshot may wait for its turn: more snapshots than can be given are not begun.
+const FIRST_PIECE_WAIT: Duration = Duration::from_millis(100);
+/// The same for further pieces, so that what is begun is ended. A caller waits 2.2 s.
+const NEXT_PIECE_WAIT: Duration = Duration::from_millis(1500);
+
+/// The records of a server and what bounds its work. Cells are borrowed inside single calls only.
+pub struct State {
+    options: ServerOptions,
+    store: RefCell<Store>,
+    version: watch::Sender<Version>,
+    followers: RefCell<FollowerTable>,
+    snapshot_pieces: RefCell<TokenBucket>,
+    /// State of the own following; none at the origin.
+    following: Option<Rc<client::Status>>,
+}
+
+impl State {
+    /// The state of a server that begins with this store.
+    pub fn new(options: ServerOptions, store: Store, following: Option<Rc<client::Status>>) -> State {
+        let (version, _) = watch::channel(store.version());
+        State {
+            version,
+            store: RefCell::new(store),
+            followers: RefCell::new(FollowerTable::new(options.followers)),
+            snapshot_pieces: RefCell::new(TokenBucket::new(
+                options.snapshot_pieces_per_second,
+                Instant::now(),
+            )),
+            options,
+            following,
+        }
+    }
+
+    /// What the server was told.
+    pub fn options(&self) -> &ServerOptions {
+        &self.options
+    }
+
+    /// The version of all records.
+    pub fn version(&self) -> Version {
+        *self.version.borrow()
+    }
+
+    /// Told of each new version.
+    pub fn versions(&self) -> watch::Receiver<Version> {
+        self.version.subscribe()
+    }
+
+    /// Whether it holds a whole state that can be served.
+    pub fn is_ready(&self) -> bool {
+        self.version().epoch != 0
+    }
+
+    /// The digest of all records.
+    pub fn digest(&self) -> Digest {
+        self.store.borrow().digest()
+    }
+
+    /// Commits changes, all or none.
+    pub fn commit(&self, changes: &[NewChange]) -> Result<Version, CommitError> {
+        let version = self.store.borrow_mut().commit(changes, &check_shape)?;
+        self.version.send_replace(version);
+        Ok(version)
+    }
+
+    /// Takes what the own replica has verified.
+    pub fn replicate(&self, update: &Update) {
+        self.store.borrow_mut().replicate(update);
+        let version = self.store.borrow().version();
+        self.version.send_replace(version);
+    }
+
+    /// A piece of what is newer than a caller's version.
+    pub fn changes(&self, from: Version) -> ChangesAnswer {
+        let mut answer = self.store.borrow().changes(from, self.options.piece_bytes);
+        answer.stale_ms = self.stale_ms();
+        answer
+    }
+
+    /// How long the next piece of a snapshot has to wait; none where it would be too long.
+    pub fn wait_for_snapshot_piece(&self, is_first: bool) -> Option<Duration> {
+        let most = if is_first { FIRST_PIECE_WAIT } else { NEXT_PIECE_WAIT };
+        self.snapshot_pieces.borrow_mut().take(Instant::now(), most)
+    }
+
+    /// A piece of the whole state.
+    pub fn snapshot(&self, after: Option<&Key>) -> SnapshotAnswer {
+        self.store.borrow().snapshot(after, SNAPSHOT_PIECE_BYTES)
+    }
+
+    /// The digests of all buckets.
+    pub fn digests(&self) -> DigestsAnswer {
+        self.store.borrow().digests()
+    }
+
+    /// The records of one bucket.
+    pub fn bucket(&self, bucket: usize) -> Option<BucketAnswer> {
+        self.store.borrow().bucket(bucket)
+    }
+
+    /// A follower has called with this version and digest.
+    pub fn note_follower(&self, name: &str, version: Version, digest: Digest) {
+        let in_sync = version == self.version() && digest == self.digest();
+        self.followers.borrow_mut().note(name, version, in_sync, Instant::now());
+    }
+
+    /// The table of followers.
+    pub fn followers(&self) -> FollowersAnswer {
+        FollowersAnswer {
+            version: self.version(),
+            followers: self.followers.borrow_mut().list(Instant::now()),
+        }
+    }
+
+    fn stale_ms(&self) -> u64 {
+        let staleness = self.following.as_ref().map_or(Duration::ZERO, |status| status.staleness());
+        u64::try_from(staleness.as_millis()).unwrap_or(u64::MAX)
+    }
+}
