--- /dev/null
+++ b/crates/pondlb-control-net/tests/program.rs
@@ -0,0 +1,106 @@
+//! The program itself: its options file and its exit codes.
+
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+
+use expect_test::expect;
+
+fn options_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_pondlb-control-server"));
+    program.env_remove("RUST_LOG");
+    program
+}
+
+fn run(name: &str, text: &str) -> Output {
+    program().arg(options_file(name, text)).output().unwrap()
+}
+
+/// The faults that the log tells, without times and directories.
+fn faults(output: &Output) -> String {
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    let directory = format!("{}/", env!("CARGO_TARGET_TMPDIR"));
+    let faults = text.lines().filter_map(|line| line.split_once("] ").map(|(_, fault)| fault));
+    faults.map(|fault| fault.replace(&directory, "") + "\n").collect()
+}
+
+#[test]
+fn all_faults_of_a_file_are_told_at_once() {
+    let output = run(
+        "faulty.toml",
+        "name = \"a b\"\nlisten = \"nowhere\"\nfollow = []\ncommit = \"127.0.0.1:0\"\ngather_ms = -1\n\
+         piece_bytes = 5\nfollowers = 0\nmemory_mb = \"many\"\nother = 1\n",
+    );
+    assert_eq!(output.status.code(), Some(2));
+    expect![[r#"
+        faulty.toml: other: no such key; accepted are name, number, listen, commit, initial, epoch, follow, hold_ms, gather_ms, piece_bytes, followers, memory_mb, snapshot_pieces_per_second
+        faulty.toml: listen: invalid socket address syntax
+        faulty.toml: commit: is accepted of an origin only, not beside follow
+        faulty.toml: follow: one address or more is accepted
+        faulty.toml: name: "a b": 1 to 64 letters, digits, '-', '_' or '.' are accepted
+        faulty.toml: gather_ms: invalid value: integer `-1`, expected u64
+        faulty.toml: piece_bytes: 5: 1024 to 1048576 is accepted
+        faulty.toml: followers: 0: 1 to 100000 is accepted
+        faulty.toml: memory_mb: invalid type: string "many", expected usize
+    "#]].assert_eq(&faults(&output));
+    let output = run("empty.toml", "");
+    assert_eq!(output.status.code(), Some(2));
+    expect![[r#"
+        empty.toml: listen: is required
+        empty.toml: follow: follow, or commit or initial, is required
+    "#]]
+    .assert_eq(&faults(&output));
+    let output = run("no-toml.toml", "listen");
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn the_initial_records_are_checked() {
+    let output = run("no-initial.toml", "listen = \"127.0.0.1:0\"\ninitial = \"missing.json\"\nepoch = 0\n");
+    assert_eq!(output.status.code(), Some(2));
+    expect![[r#"
+        no-initial.toml: epoch: 0: 1 or more is accepted
+        no-initial.toml: initial: missing.json: No such file or directory (os error 2)
+    "#]]
+    .assert_eq(&faults(&output));
+    options_file("bad.json", r#"{"changes":[{"key":"upstream/a","value":3}]}"#);
+    let output = run("bad-initial.toml", "listen = \"127.0.0.1:0\"\ninitial = \"bad.json\"\n");
+    assert_eq!(output.status.code(), Some(2));
+    expect![[r#"
+        bad-initial.toml: initial: upstream/a: a JSON object is accepted
+    "#]]
+    .assert_eq(&faults(&output));
+}
+
+#[test]
+fn a_taken_address_ends_it_with_1() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let output = run("taken.toml", &format!("listen = \"{address}\"\ncommit = \"127.0.0.1:0\"\n"));
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn sigterm_ends_it_with_0() {
+    let file = options_file("good.toml", "listen = \"127.0.0.1:0\"\ncommit = \"127.0.0.1:0\"\n");
+    let mut child = program().arg(file).stderr(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stderr.take().unwrap()).read_line(&mut line).unwrap();
+    assert!(line.contains("listens on 127.0.0.1:"), "{line}");
+    assert!(Command::new("kill").arg(child.id().to_string()).status().unwrap().success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn help_says_what_the_file_holds() {
+    let output = program().arg("--help").output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success() && text.contains("FILE.toml") && text.contains("follow"), "{text}");
+}
