--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -1,7 +1,6 @@
 //! The program from start to exit.
 
 mod line;
-mod phase;
 mod service;
 mod setup;
 #[cfg(test)]
@@ -11,7 +10,6 @@
 
 use clap::Parser;
 use line::{Command, Line};
-pub use phase::Phase;
 use service::Service;
 use setup::Setup;
 use tokio::runtime::Builder;
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -11,10 +11,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-use super::Phase;
 use super::setup::{Given, Setup};
 use crate::routing::{Directory, Exchange, Note};
-use crate::transport::{Ask, Clock, Crowd, Front, Patience, Pool, Postings, discover, listen, span};
+use crate::transport::{Ask, Clock, Crowd, Front, Patience, Phase, Pool, Postings, discover, listen, span};
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -2,10 +2,10 @@
 
 use pondlb::{Arrival, Tenths, ceil_from_ns, floor_from_ns};
 
+use super::answer::Answer;
 use super::framing::{Framing, framing};
 use super::head::{Fault, Head};
 use super::reader::{Message, Reader};
-use crate::routing::Answer;
 
 pub struct ClientSide {
     reader: Reader,
--- a/crates/pondlb-server/src/protocol/mod.rs
+++ b/crates/pondlb-server/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 as state machines that are fed bytes and know no socket and no clock.
 
+pub mod answer;
 pub mod buffer;
 pub mod client;
 pub mod discovery;
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -5,13 +5,13 @@
 use expect_test::{Expect, expect};
 use nanorand::{Rng, WyRand};
 
+use super::answer::Answer;
 use super::buffer::Buffer;
 use super::client::{ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, Roster, write_call};
 use super::reader::{MOST_HELD, Message, Reader};
 use super::upstream::{UpstreamSide, write_posting};
 use super::{MOST_BODY, MOST_HEAD};
-use crate::routing::Answer;
 
 /// The three sides alike: something that is fed bytes and tells what it made of them.
 trait Side {
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -5,10 +5,10 @@
 use pondlb::{Load, Outcome, Tenths};
 
 use super::MOST_ANSWER;
+use super::answer::Answer;
 use super::framing::{Framing, framing};
 use super::head::{Fault, Head};
 use super::reader::{Message, Reader};
-use crate::routing::Answer;
 
 /// Fields that are written anew for each posting.
 const REWRITTEN: [&str; 4] = ["Content-Length", "Req-Id", "Req-Deadline", "Expect"];
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -6,7 +6,8 @@
 use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
 use tokio::sync::oneshot;
 
-use super::{Answer, Directory, End, Note, Order, PostingId};
+use super::{Directory, End, Note, Order, PostingId};
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
 use crate::protocol::reader::Message;
 
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -4,36 +4,10 @@
 use pondlb::{Arrival, Load, Outcome, Tenths, TxnId, UpstreamId};
 use tokio::sync::oneshot;
 
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
 use crate::protocol::reader::Message;
 
-/// The final answer of a txn.
-#[derive(Debug, PartialEq)]
-pub enum Answer {
-    Settled(Message),
-    Declined {
-        cool_down: Option<Tenths>,
-    },
-    Reversed,
-    /// Upstreams turn it away for what the client sent.
-    Unfit,
-    /// Its id is that of a txn that is being served or was just now, so it never became one.
-    Duplicate,
-}
-
-impl Answer {
-    /// For the log.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Answer::Settled(_) => "settled",
-            Answer::Declined { .. } => "declined",
-            Answer::Reversed => "reversed",
-            Answer::Unfit => "unfit",
-            Answer::Duplicate => "its id is taken",
-        }
-    }
-}
-
 /// The postings of a txn are numbered as they leave.
 pub type PostingId = (TxnId, u32);
 
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -9,7 +9,8 @@
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
-use super::{Answer, Carrier, Directory, End, Exchange, Hold, Note, Order};
+use super::{Carrier, Directory, End, Exchange, Hold, Note, Order};
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
 use crate::protocol::head::Head;
 use crate::protocol::reader::Message;
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -11,13 +11,14 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::crowd::{Crowd, Place, Standing};
+use super::phase::Phase;
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
-use crate::program::Phase;
+use crate::protocol::answer::Answer;
 use crate::protocol::client::{
     Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
 };
 use crate::protocol::head::Fault;
-use crate::routing::{Answer, Note};
+use crate::routing::Note;
 
 /// A connection is closed after so long without a request, and sooner if there never was one: hundreds that
 /// say nothing would take all the places.
--- a/crates/pondlb-server/src/transport/listener.rs
+++ b/crates/pondlb-server/src/transport/listener.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use super::client::Front;
-use crate::program::Phase;
+use super::phase::Phase;
 
 /// How long to wait when no connection can be taken, against spinning while descriptors are short.
 const BREATH: Duration = Duration::from_millis(20);
--- a/crates/pondlb-server/src/program/phase.rs
+++ b/crates/pondlb-server/src/transport/phase.rs
@@ -1,3 +1,5 @@
+//! The phases of the program, which the listener and the connections of clients watch.
+
 /// From start to exit, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
