--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -1,5 +1,8 @@
 //! The four rules, judged from the ledgers of both sides and from nothing that a balancer says of itself.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 
 use serde::Serialize;
@@ -185,29 +188,3 @@
     }
     broken
 }
-
-#[cfg(test)]
-mod tests {
-    use expect_test::expect;
-
-    use super::*;
-
-    /// A laboratory that gets no processor sends late and lets the fleet's work last too long.
-    #[test]
-    fn a_run_whose_sends_or_ticks_came_late_is_void() {
-        let mut trace = String::new();
-        for (late, count) in [(LATE, 100), (LATE + 1, 1), (LATE + 1, 2), (4 * LATE, 50)] {
-            let times = (0..100).map(|n| if n < count { late } else { 300 }).collect();
-            trace += &format!("{:?}\n", void(&Ledgers { late: times, ..Ledgers::default() }));
-        }
-        trace += &format!("{:?}\n", void(&Ledgers { short: 3, ..Ledgers::default() }));
-        expect![[r#"
-            None
-            None
-            Some("2 of 100 sends and ticks were over 25 ms late")
-            Some("50 of 100 sends and ticks were over 25 ms late")
-            Some("the laboratory ran out of descriptors, 3 times")
-        "#]]
-        .assert_eq(&trace);
-    }
-}
--- a/crates/pondlb-server/src/program/line.rs
+++ b/crates/pondlb-server/src/program/line.rs
@@ -1,5 +1,8 @@
 //! The command line, and what it knows of the configuration's keys.
 
+#[cfg(test)]
+mod tests;
+
 use clap::{Parser, Subcommand};
 
 #[derive(Parser)]
@@ -54,60 +57,3 @@
     })
     .collect()
 }
-
-#[cfg(test)]
-mod tests {
-    use expect_test::expect;
-
-    use super::*;
-
-    #[test]
-    fn every_key_of_the_page_is_known_by_its_path() {
-        let names: Vec<String> = keys().into_iter().map(|(name, _)| name).collect();
-        expect![[r#"
-            name
-            listen
-            discovery
-            seed
-            limits.memory_mb
-            limits.sockets
-            known
-            probe.path
-            probe.within_ms
-            settings
-            Balancers
-            SelfIndex
-            MyZone
-            Zones
-            MachineTypes
-            Schemes[].Name
-            Schemes[].SlaTimeNs
-            Schemes[].Value
-            Schemes[].Effect
-            Schemes[].DedupScope
-            Schemes[].KeyTtlNs
-            Schemes[].ExpiryNs
-            Discovery
-            Rules.MustAskInNs
-            ExcessValue
-            Realms[].QuotaRps
-            Extra.WarmKeys
-            Limits.MaxPostings
-            Limits.SecondCopies
-            Limits.Cancelling
-            Limits.Probing
-            Limits.RetryAfter
-            Limits.MaxRetryAfterNs
-            Limits.MaxOpen
-            Limits.DialTimeoutNs
-            Limits.ConnIdleNs
-            Rules.DrainGraceNs
-            Rules.ColdShare
-            Rules.WarmWithinNs
-            Rules.FallMultiple
-            Rules.FallNs
-            Reporting.Fields
-        "#]]
-        .assert_eq(&(names.join("\n") + "\n"));
-    }
-}
--- /dev/null
+++ b/crates/pondlb-server/src/program/line/tests.rs
@@ -0,0 +1,55 @@
+//! The keys that `explain` knows are those of the configuration's page.
+
+use expect_test::expect;
+
+use super::*;
+
+#[test]
+fn every_key_of_the_page_is_known_by_its_path() {
+    let names: Vec<String> = keys().into_iter().map(|(name, _)| name).collect();
+    expect![[r#"
+        name
+        listen
+        discovery
+        seed
+        limits.memory_mb
+        limits.sockets
+        known
+        probe.path
+        probe.within_ms
+        settings
+        Balancers
+        SelfIndex
+        MyZone
+        Zones
+        MachineTypes
+        Schemes[].Name
+        Schemes[].SlaTimeNs
+        Schemes[].Value
+        Schemes[].Effect
+        Schemes[].DedupScope
+        Schemes[].KeyTtlNs
+        Schemes[].ExpiryNs
+        Discovery
+        Rules.MustAskInNs
+        ExcessValue
+        Realms[].QuotaRps
+        Extra.WarmKeys
+        Limits.MaxPostings
+        Limits.SecondCopies
+        Limits.Cancelling
+        Limits.Probing
+        Limits.RetryAfter
+        Limits.MaxRetryAfterNs
+        Limits.MaxOpen
+        Limits.DialTimeoutNs
+        Limits.ConnIdleNs
+        Rules.DrainGraceNs
+        Rules.ColdShare
+        Rules.WarmWithinNs
+        Rules.FallMultiple
+        Rules.FallNs
+        Reporting.Fields
+    "#]]
+    .assert_eq(&(names.join("\n") + "\n"));
+}
