--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -3,7 +3,7 @@
 use pondlb::{Arrival, Tenths, ceil_from_ns, floor_from_ns};
 use pondlb_http::{Fault, Message, Reader, request_framing};
 
-use crate::routing::Answer;
+use super::answer::Answer;
 
 pub struct ClientSide {
     reader: Reader,
--- a/crates/pondlb-server/src/protocol/mod.rs
+++ b/crates/pondlb-server/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 as state machines that are fed bytes and know no socket and no clock. Messages are read by `pondlb-http`;
 //! the sides here know what they mean.
 
+pub mod answer;
 pub mod client;
 pub mod discovery;
 #[cfg(test)]
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -6,7 +6,7 @@
 use pondlb_http::{Fault, Head, Message, Reader, answer_framing};
 
 use super::MOST_ANSWER;
-use crate::routing::Answer;
+use super::answer::Answer;
 
 /// Fields that are written anew for each posting.
 const REWRITTEN: [&str; 4] = ["Content-Length", "Req-Id", "Req-Deadline", "Expect"];
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -7,7 +7,8 @@
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
-use super::{Answer, Directory, End, Note, Order, PostingId};
+use super::{Directory, End, Note, Order, PostingId};
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
 
 /// Does the work that the decisions ask for.
