--- a/crates/pondlb-control/src/held.rs
+++ b/crates/pondlb-control/src/held.rs
@@ -72,12 +72,6 @@
         check(key, text).map_err(|reason| Rejection::Refused { key: key.clone(), reason })
     }
 
-    /// Whether the limits allow so many records.
-    pub(crate) fn verify_count(&self, records: usize) -> Result<(), Rejection> {
-        let most = self.limits.records;
-        if records > most { Err(Rejection::TooManyRecords { records, most }) } else { Ok(()) }
-    }
-
     /// What the records would be with these changes, each of another record.
     pub(crate) fn outlook(&self, changes: &[HashedChange]) -> Outlook {
         let mut digest = self.records.digest().0;
@@ -111,6 +105,12 @@
     }
 }
 
+/// Whether the limits allow so many records.
+pub(crate) fn verify_count(records: usize, limits: &Limits) -> Result<(), Rejection> {
+    let most = limits.records;
+    if records > most { Err(Rejection::TooManyRecords { records, most }) } else { Ok(()) }
+}
+
 /// Whether an answered version is no older than a held one.
 pub(crate) fn verify_not_older(answered: Version, held: Version) -> Result<(), Rejection> {
     if answered.epoch == 0 {
--- a/crates/pondlb-control/src/limits.rs
+++ b/crates/pondlb-control/src/limits.rs
@@ -18,3 +18,13 @@
         Limits { records: 200_000, value_bytes: 64 << 10, total_bytes: 256 << 20, tombstones: 100_000 }
     }
 }
+
+impl Limits {
+    /// The bounds while more changes follow: until then records may be held that are removed further on, beside those
+    /// that came after them.
+    pub(crate) fn while_partial(&self) -> Limits {
+        let records = self.records.saturating_mul(2);
+        let total_bytes = self.total_bytes.saturating_mul(2);
+        Limits { records, total_bytes, ..*self }
+    }
+}
--- a/crates/pondlb-control/src/repair.rs
+++ b/crates/pondlb-control/src/repair.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::digest::bucket_of;
-use crate::held::{HashedChange, Held, verify_not_older, verify_records};
+use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
 use crate::{BucketAnswer, Call, Check, Digest, DigestsAnswer, Key, Rejection, Version};
 
 /// A repair on its way. The changes of the answer whose digest was wrong are part of it: they are put in force with
@@ -119,7 +119,7 @@
         changes.retain(|hashed| !self.read.contains(&bucket_of(&hashed.change.key)));
         changes.append(&mut self.differences);
         let outlook = held.outlook(&changes);
-        held.verify_count(outlook.records)?;
+        verify_count(outlook.records, &held.limits)?;
         if outlook.digest != self.digest {
             return Err(Rejection::WrongDigest { told: self.digest, computed: outlook.digest });
         }
--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::held::{HashedChange, Held, verify_changes, verify_not_older};
+use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older};
 use crate::record_hashes::RecordHashes;
 use crate::repair::{Repair, RepairStep, Repaired};
 use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
@@ -169,7 +169,8 @@
         verify_changes(&answer, self.held.version.revision)?;
         let changes = self.held.checked(answer.changes, check)?;
         let outlook = self.held.outlook(&changes);
-        self.held.verify_count(outlook.records)?;
+        let limits = self.held.limits;
+        verify_count(outlook.records, &if answer.more { limits.while_partial() } else { limits })?;
         let told = answer.digest.filter(|_| !answer.more);
         if let Some(told) = told.filter(|told| *told != outlook.digest) {
             self.is_in_sync = false;
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -6,9 +6,11 @@
 use serde_json::value::RawValue;
 
 use crate::digest::{BUCKETS, bucket_of};
-use crate::held::{HashedChange, Held, verify_changes, verify_not_older, verify_records};
+use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
 use crate::record_hashes::RecordHashes;
-use crate::{Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Rejection, SnapshotAnswer, Version};
+use crate::{
+    Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Limits, Rejection, SnapshotAnswer, Version,
+};
 
 /// A snapshot being read: its pieces first, then the changes since the first piece.
 #[derive(Debug)]
@@ -102,7 +104,7 @@
         }
         let first = first.unwrap_or(answer.version);
         let records = held.checked(answer.records, check)?;
-        self.verify_extent(&records, held)?;
+        self.verify_extent(&records, &held.limits.while_partial())?;
         self.newest = answer.version;
         self.stage = match answer.next {
             Some(next) => Stage::Pieces { first: Some(first), after: Some(next) },
@@ -129,7 +131,8 @@
         }
         verify_changes(&answer, from.revision)?;
         let changes = held.checked(answer.changes, check)?;
-        self.verify_extent(&changes, held)?;
+        let limits = held.limits;
+        self.verify_extent(&changes, &if answer.more { limits.while_partial() } else { limits })?;
         changes.into_iter().for_each(|change| self.put(change, held));
         self.newest = self.newest.max(answer.version);
         self.stage = Stage::Changes { from: answer.version, hurry: answer.more };
@@ -168,7 +171,7 @@
     }
 
     /// Whether the limits allow what is staged with these changes.
-    fn verify_extent(&self, changes: &[HashedChange], held: &Held) -> Result<(), Rejection> {
+    fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
         let mut records = self.records;
         let mut bytes = self.bytes;
         for HashedChange { change, .. } in changes {
@@ -181,8 +184,8 @@
                 bytes += change.key.as_str().len() + value.get().len();
             }
         }
-        held.verify_count(records)?;
-        let most = held.limits.total_bytes;
+        verify_count(records, limits)?;
+        let most = limits.total_bytes;
         if bytes > most { Err(Rejection::TooManyBytes { bytes, most }) } else { Ok(()) }
     }
 
