--- a/crates/pondlb-control/tests/common/mod.rs
+++ b/crates/pondlb-control/tests/common/mod.rs
@@ -71,6 +71,41 @@
     /// What the follower offers to others, as a replica server does.
     pub store: Store,
     pub calls: usize,
+    pub tally: Tally,
+}
+
+/// How often a follower went other ways than following.
+#[derive(Default)]
+pub struct Tally {
+    pub repairs: usize,
+    pub whole_states: usize,
+    /// By the names of their variants.
+    pub rejections: BTreeMap<String, usize>,
+}
+
+impl Tally {
+    fn count(&mut self, call: &Call, progress: &Result<Progress, Rejection>) {
+        match progress {
+            Ok(Progress::Applied(update)) => {
+                self.whole_states += usize::from(update.whole);
+                self.repairs += usize::from(matches!(call, Call::Bucket(_)));
+            }
+            Ok(_) => {}
+            Err(rejection) => {
+                let text = format!("{rejection:?}");
+                let name = text.split(|character: char| !character.is_alphanumeric()).next().unwrap();
+                *self.rejections.entry(name.to_string()).or_default() += 1;
+            }
+        }
+    }
+
+    pub fn add(&mut self, other: &Tally) {
+        self.repairs += other.repairs;
+        self.whole_states += other.whole_states;
+        for (name, count) in &other.rejections {
+            *self.rejections.entry(name.clone()).or_default() += count;
+        }
+    }
 }
 
 impl Follower {
@@ -80,7 +115,14 @@
 
     pub fn with_replica(replica: Replica) -> Follower {
         let store = Store::new(0, Limits::default());
-        Follower { replica, version: Version::default(), records: BTreeMap::new(), store, calls: 0 }
+        Follower {
+            replica,
+            version: Version::default(),
+            records: BTreeMap::new(),
+            store,
+            calls: 0,
+            tally: Tally::default(),
+        }
     }
 
     pub fn call(&self) -> Call {
@@ -90,9 +132,11 @@
     /// Takes an answer and puts in force what comes of it.
     pub fn receive(&mut self, answer: Answer) -> Result<Progress, Rejection> {
         self.calls += 1;
-        let is_following = matches!(self.call(), Call::Changes { .. });
+        let call = self.call();
+        let is_following = matches!(call, Call::Changes { .. });
         let held = (self.replica.version(), self.replica.digest());
         let progress = self.replica.receive(answer, &allow_all);
+        self.tally.count(&call, &progress);
         match &progress {
             Ok(Progress::Applied(update)) => self.put_in_force(update, is_following),
             _ => assert_eq!(held, (self.replica.version(), self.replica.digest())),
--- a/crates/pondlb-control/tests/histories.rs
+++ b/crates/pondlb-control/tests/histories.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{Follower, allow_all, answer, key, remove, set, value};
+use common::{Follower, Tally, allow_all, answer, key, remove, set, value};
 use nanorand::{Rng, WyRand};
 use pondlb_control::{Answer, Change, Key, Limits, NewChange, Store, Version};
 
@@ -48,7 +48,7 @@
 impl World {
     fn new(seed: u64) -> World {
         let mut random = WyRand::new_seed(seed);
-        let limits = Limits { tombstones: random.generate_range(0..30), ..Limits::default() };
+        let limits = random_limits(&mut random);
         World {
             random,
             origin: Store::new(1, limits),
@@ -80,8 +80,7 @@
 
     fn begin_epoch(&mut self) {
         let epoch = self.origin.version().epoch + 1;
-        let limits = Limits { tombstones: self.random.generate_range(0..30), ..Limits::default() };
-        self.origin = Store::new(epoch, limits);
+        self.origin = Store::new(epoch, random_limits(&mut self.random));
         self.commit();
     }
 
@@ -117,7 +116,7 @@
             0..4 => Way::Dropped,
             4..8 => Way::Doubled,
             8..12 => Way::KeptBack,
-            12..18 => Way::Garbled,
+            12..20 => Way::Garbled,
             _ => Way::Delivered,
         }
     }
@@ -133,9 +132,9 @@
 
     fn step(&mut self) {
         match self.random.generate_range(0..1000) {
-            0..3 => self.begin_epoch(),
-            3..150 => self.commit(),
-            150..400 => {
+            0..2 => self.begin_epoch(),
+            2..80 => self.commit(),
+            80..300 => {
                 let number = self.random.generate_range(0..REPLICA_SERVERS);
                 self.ask(true, number);
             }
@@ -161,11 +160,17 @@
     }
 }
 
+/// Few tombstones make many resets, many make none.
+fn random_limits(random: &mut WyRand) -> Limits {
+    let tombstones = [0, 20, 1000][random.generate_range(0..3)];
+    Limits { tombstones, ..Limits::default() }
+}
+
 /// Makes an answer wrong in a way that its own records, digests and checks must show. A newer version than the
 /// server's is not among them: nothing could tell it from news.
 fn garble(answer: &mut Answer, random: &mut WyRand) {
     match answer {
-        Answer::Changes(answer) => match random.generate_range(0..9) {
+        Answer::Changes(answer) => match random.generate_range(0..12) {
             0 => answer.from ^= 1,
             1 => answer.reset = true,
             2 => answer.digest = None,
@@ -210,10 +215,10 @@
     }
     let number = random.generate_range(0..records.len());
     let other = random.generate_range(0..records.len());
-    match random.generate_range(0..7) {
-        0 => drop(records.remove(number)),
+    match random.generate_range(0..9) {
+        0 | 7 => drop(records.remove(number)),
         1 => records.swap(number, other),
-        2 => records[number].value = Some(value("-1")),
+        2 | 8 => records[number].value = Some(value("-1")),
         3 => records[number].value = None,
         4 => records[number].key = random_key(random),
         5 => records[number].revision = random.generate_range(0..1000),
@@ -225,15 +230,46 @@
     key(random.generate_range(0..2 * NAMES))
 }
 
+/// What the faults of the histories must have led to, so that the histories are known to reach it.
+const EXPECTED_REJECTIONS: [&str; 17] = [
+    "DoubledKey",
+    "EmptyPiece",
+    "ForeignRecord",
+    "KeyOutOfOrder",
+    "MissingValue",
+    "NoState",
+    "OlderEpoch",
+    "OlderRevision",
+    "RepairsFailed",
+    "SnapshotsInterrupted",
+    "WrongBucket",
+    "WrongBucketCount",
+    "WrongDigest",
+    "WrongFrom",
+    "WrongKind",
+    "WrongNext",
+    "WrongRevision",
+];
+
 #[test]
 fn all_replicas_converge_after_any_history() {
+    let mut tally = Tally::default();
     for seed in 0..HISTORIES {
         let mut world = World::new(seed);
         for _ in 0..STEPS {
             world.step();
         }
         world.settle();
+        let links = world.replica_servers.iter().chain(&world.balancers);
+        links.for_each(|link| tally.add(&link.follower.tally));
     }
+    eprintln!(
+        "{} repairs, {} whole states, rejections {:?}",
+        tally.repairs, tally.whole_states, tally.rejections
+    );
+    assert!(tally.repairs > 100);
+    assert!(tally.whole_states > 100);
+    assert_eq!(tally.rejections.keys().collect::<Vec<_>>(), EXPECTED_REJECTIONS);
 }
 
 #[test]
