--- a/crates/pondlb-control/src/key.rs
+++ b/crates/pondlb-control/src/key.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::percent;
+
 /// The longest name of a record, in bytes.
 pub const LONGEST_NAME: usize = 256;
 
@@ -71,6 +73,15 @@
         Key::new(kind, name)
     }
 
+    /// Reads a key from a parameter of a request's target, where it may be percent-encoded.
+    ///
+    /// # Errors
+    /// [`KeyError`] as from [`Key::parse`], also where the encoding is wrong.
+    pub fn parse_encoded(encoded: &str) -> Result<Key, KeyError> {
+        let text = percent::decode(encoded).ok_or_else(|| KeyError::BadName(encoded.to_string()))?;
+        Key::parse(&text)
+    }
+
     /// What the record describes.
     pub fn kind(&self) -> Kind {
         let is_meant = |kind: &Kind| self.0.starts_with(kind.prefix());
--- a/crates/pondlb-control/src/lib.rs
+++ b/crates/pondlb-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod message;
 mod names;
+mod percent;
 mod record_hashes;
 mod rejection;
 mod repair;
--- a/crates/pondlb-control/src/message.rs
+++ b/crates/pondlb-control/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::value::RawValue;
 
-use crate::Key;
+use crate::{Key, percent};
 
 /// A state of all records: the epoch of the origin that numbered its changes, and the last change that it holds.
 /// A newer epoch replaces an older one as a whole; within an epoch a higher revision is newer.
@@ -176,8 +176,9 @@
 }
 
 impl Call {
-    /// The target of the request: path and query. `name` is the caller's, for the server's table of followers.
+    /// The target of the request: path and query, keys and names percent-encoded. `name` is the caller's, for the server's table of followers.
     pub fn target(&self, name: &str) -> String {
+        let name = percent::encode(name);
         match self {
             Call::Changes { from: Version { epoch, revision }, digest, hold } => {
                 let hold_ms = match hold {
@@ -189,7 +190,9 @@
                 )
             }
             Call::Snapshot { after: None } => "/control/snapshot".into(),
-            Call::Snapshot { after: Some(after) } => format!("/control/snapshot?after={after}"),
+            Call::Snapshot { after: Some(after) } => {
+                format!("/control/snapshot?after={}", percent::encode(after.as_str()))
+            }
             Call::Digests => "/control/digests".into(),
             Call::Bucket(bucket) => format!("/control/bucket?bucket={bucket}"),
         }
--- /dev/null
+++ b/crates/pondlb-control/tests/rotation.rs
@@ -0,0 +1,110 @@
+//! Which server is asked, and how long is waited.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pondlb_control::Rotation;
+
+const SERVERS: usize = 15;
+const CALLERS: u64 = 1500;
+
+fn callers() -> Vec<Rotation> {
+    (0..CALLERS).map(|number| Rotation::new(SERVERS, number, 7)).collect()
+}
+
+fn load(callers: &[Rotation]) -> BTreeMap<usize, usize> {
+    let mut load = BTreeMap::new();
+    callers.iter().for_each(|caller| *load.entry(caller.server()).or_default() += 1);
+    load
+}
+
+#[test]
+fn homes_spread_evenly() {
+    let load = load(&callers());
+    assert_eq!(load.len(), SERVERS);
+    assert!(load.values().all(|callers| *callers == 100));
+}
+
+#[test]
+fn the_callers_of_a_lost_server_spread_over_the_rest() {
+    let mut callers = callers();
+    callers.iter_mut().filter(|caller| caller.server() == 3).for_each(|caller| {
+        caller.failed();
+    });
+    let load = load(&callers);
+    assert_eq!(load.len(), SERVERS - 1);
+    assert!(load.values().all(|callers| (107..=108).contains(callers)), "{load:?}");
+}
+
+#[test]
+fn each_round_asks_every_server_once() {
+    for number in 0..100 {
+        let mut rotation = Rotation::new(SERVERS, number, 7);
+        let home = rotation.server();
+        for _ in 0..3 {
+            let mut asked = Vec::new();
+            for _ in 0..SERVERS {
+                asked.push(rotation.server());
+                rotation.failed();
+            }
+            assert_eq!(asked[0], home);
+            asked.sort();
+            assert!(asked.into_iter().eq(0..SERVERS));
+        }
+    }
+}
+
+#[test]
+fn waits_double_with_each_round_up_to_a_bound() {
+    let mut rotation = Rotation::new(2, 0, 7);
+    let mut waits = |times: usize| -> Vec<Duration> { (0..times).map(|_| rotation.failed()).collect() };
+    for round in 0..7 {
+        let longest = Duration::from_millis(100 << round);
+        assert!(waits(2).iter().all(|wait| (longest / 2..=longest).contains(wait)));
+    }
+    let longest = Duration::from_secs(10);
+    let last = waits(10_000);
+    assert!(last.iter().all(|wait| (longest / 2..=longest).contains(wait)));
+    assert!(last.iter().max() > last.iter().min(), "jittered");
+}
+
+#[test]
+fn success_ends_the_backoff_and_keeps_the_server() {
+    let mut rotation = Rotation::new(2, 0, 7);
+    for _ in 0..9 {
+        rotation.failed();
+    }
+    let server = rotation.server();
+    rotation.succeeded();
+    assert_eq!(rotation.server(), server);
+    assert!(rotation.failed() <= Duration::from_millis(100));
+}
+
+#[test]
+fn callers_return_home_at_spread_times() {
+    let mut spans = Vec::new();
+    for mut caller in callers() {
+        assert_eq!(caller.return_home_after(), None);
+        let home = caller.server();
+        caller.failed();
+        spans.push(caller.return_home_after().unwrap());
+        caller.return_home();
+        assert_eq!(caller.server(), home);
+    }
+    spans.sort();
+    assert!(spans[0] >= Duration::from_secs(30) && spans[0] < Duration::from_secs(32));
+    let last = spans[spans.len() - 1];
+    assert!(last <= Duration::from_secs(90) && last > Duration::from_secs(88));
+}
+
+#[test]
+fn one_server_or_none() {
+    for servers in [0, 1] {
+        let mut rotation = Rotation::new(servers, 5, 7);
+        assert_eq!(rotation.server(), 0);
+        assert!(rotation.failed() <= Duration::from_millis(100));
+        assert_eq!(rotation.server(), 0);
+        assert_eq!(rotation.return_home_after(), None);
+        assert!(rotation.failed() > Duration::from_millis(99));
+    }
+}
