--- a/crates/pondlb-control-net/src/server/request.rs
+++ b/crates/pondlb-control-net/src/server/request.rs
@@ -106,21 +106,18 @@
         Ok(Request::Call { name: Some(name.to_string()), call: Call::Changes { from, digest, hold } })
     }
 
-    /// A key may hold any printable character, so all that follows belongs to it.
     fn snapshot(query: &str) -> Result<Request, RequestError> {
-        let after = match query.strip_prefix("after=") {
+        let bad = RequestError::Parameter { parameter: "after", accepted: "a key" };
+        let after = match Query(query).get("after") {
             None if query.is_empty() => None,
-            after => Some(
-                after
-                    .and_then(|key| Key::parse(key).ok())
-                    .ok_or(RequestError::Parameter { parameter: "after", accepted: "a key" })?,
-            ),
+            None => return Err(bad),
+            Some(after) => Some(Key::parse_encoded(after).map_err(|_| bad)?),
         };
         Ok(Request::Call { name: None, call: Call::Snapshot { after } })
     }
 }
 
-/// The parameters of a request, none of which is escaped.
+/// The parameters of a request, as they came.
 struct Query<'a>(&'a str);
 
 impl<'a> Query<'a> {
--- a/crates/pondlb-control-net/src/server/tests.rs
+++ b/crates/pondlb-control-net/src/server/tests.rs
@@ -26,7 +26,7 @@
         format!("GET /control/changes?name=b-1&epoch=7&from=9&{digest}&hold_ms=99999999 HTTP/1.1"),
         format!("GET /control/changes?hold_ms=0&{digest}&from=9&epoch=7&name=b-1 HTTP/1.1"),
         "GET /control/snapshot HTTP/1.1".into(),
-        "GET /control/snapshot?after=upstream/a&b=c HTTP/1.1".into(),
+        "GET /control/snapshot?after=upstream/a%26b%3Dc HTTP/1.1".into(),
         "GET /control/digests HTTP/1.1".into(),
         "GET /control/bucket?bucket=3 HTTP/1.1".into(),
         "GET /control/followers HTTP/1.1".into(),
--- a/crates/pondlb-control-net/tests/distribution.rs
+++ b/crates/pondlb-control-net/tests/distribution.rs
@@ -166,3 +166,16 @@
         assert_eq!(answer.head.one("Retry-After"), Ok(Some("1")));
     });
 }
+
+#[test]
+fn keys_of_odd_characters_are_carried_between_pieces() {
+    run(async {
+        let odd = |number: u64| set(&format!("a&b=c%20?#+/\"{number:05}"), number);
+        let origin = origin(7, (0..2000).map(odd).collect());
+        let follower = Follower::start(&[origin.address], 0);
+        wait_for("the first whole state", || follower.len() == 2000).await;
+        assert!(follower.holds("a&b=c%20?#+/\"01999", 1999));
+        let counters = follower.status.counters();
+        assert_eq!((counters.snapshots, counters.rejections, counters.failures), (1, 0, 0), "{counters:?}");
+    });
+}
--- a/crates/pondlb-control-net/tests/faults.rs
+++ b/crates/pondlb-control-net/tests/faults.rs
@@ -115,7 +115,7 @@
                 }
             }
             "/control/snapshot" => {
-                let after = parameter(target, "after").map(|key| Key::parse(key).unwrap());
+                let after = parameter(target, "after").map(|key| Key::parse_encoded(key).unwrap());
                 serde_json::to_string(&store.snapshot(after.as_ref(), 1 << 16)).unwrap()
             }
             "/control/digests" => serde_json::to_string(&store.digests()).unwrap(),
@@ -328,7 +328,8 @@
             ("/control/changes?name=b&epoch=7&from=1&digest=xyz&hold_ms=0", 400),
             ("/control/snapshot?before=upstream/a", 400),
             ("/control/snapshot?after=nothing", 400),
-            ("/control/snapshot?after=upstream/a&b=c?d#e%", 200),
+            ("/control/snapshot?after=upstream/a%26b%3Dc%3Fd%23e%25", 200),
+            ("/control/snapshot?after=upstream/a%2", 400),
             ("/control/bucket?bucket=511", 200),
             ("/control/bucket?bucket=512", 400),
             ("/control/bucket?bucket=", 400),
