Balancer follows control servers in place of discovery where it is told to

With the key control the list of upstreams comes as verified updates, in slices of 64 records a turn of the loop, and is put in force in place. Health is good once the first whole state is; what is remembered beside it is dropped. A value that is no upstream of its record's name is not taken. Classes, tenants and limits arrive at one function of the exchange that does not change them yet.

--- a/crates/pondlb-server/src/program/line/tests.rs
+++ b/crates/pondlb-server/src/program/line/tests.rs
@@ -11,6 +11,8 @@
         name
         listen
         discovery
+        control.servers
+        control.hold_ms
         seed
         limits.memory_mb
         limits.sockets
--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -60,7 +60,7 @@
     match Setup::read(from) {
         Ok(setup) => {
             let schemes = setup.deployment.names.schemes.join(", ");
-            println!("{} would listen on {} and ask {}", setup.name, setup.listen, setup.discovery);
+            println!("{} would listen on {} and {}", setup.name, setup.listen, sources(&setup));
             println!("upstreams known: {}; schemes: {schemes}", setup.known.targets.len());
             ExitCode::SUCCESS
         }
@@ -71,6 +71,18 @@
     }
 }
 
+/// Where the lists of upstreams would come from.
+fn sources(setup: &Setup) -> String {
+    match (&setup.control, setup.discovery) {
+        (Some(control), _) => {
+            let servers: Vec<String> = control.servers.iter().map(ToString::to_string).collect();
+            format!("follow {}", servers.join(", "))
+        }
+        (None, Some(discovery)) => format!("ask {discovery}"),
+        (None, None) => "ask nobody".into(),
+    }
+}
+
 fn explain(key: Option<&str>) -> ExitCode {
     let keys = line::keys();
     let Some(key) = key else {
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -13,7 +13,10 @@
 
 use super::setup::{Given, Setup};
 use crate::routing::{Directory, Exchange, Note};
-use crate::transport::{Ask, Clock, Crowd, Front, Patience, Phase, Pool, Postings, discover, listen, span};
+use crate::transport::{
+    Ask, Clock, Crowd, Follower, Front, Patience, Phase, Pool, Postings, discover, follow_control, listen,
+    span,
+};
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
@@ -54,6 +57,8 @@
 /// For a late loop and the way to the client.
 const SLACK: Tenths = 50;
 const BATCH: usize = 256;
+/// A whole state from control servers may take this part of the memory, beside what is served.
+const STATE_SHARE: usize = 4;
 
 /// The running program: its phase, and the loop that hands what happens to the exchange.
 pub struct Service {
@@ -81,10 +86,13 @@
             .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", setup.listen)))?;
         let address = listener.local_addr()?;
         let (mut terms, links) = (setup.deployment.terms, setup.deployment.links);
-        // Where the settings have the list come unasked, it does so on the simulator's wire only.
-        if terms.lists == Lists::Unasked {
-            terms.lists = Lists::Agent;
-        }
+        let own_number = terms.own_number;
+        // Control servers bring the list unasked; discovery does so on the simulator's wire only.
+        terms.lists = match terms.lists {
+            _ if setup.control.is_some() => Lists::Unasked,
+            Lists::Unasked => Lists::Agent,
+            asked => asked,
+        };
         let clock = Clock::start();
         let (phase, phase_seen) = watch::channel(Phase::Starting);
         let (notes_in, notes) = mpsc::unbounded_channel();
@@ -103,10 +111,25 @@
         spawn_local(listen(listener, Rc::new(front)));
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
-        spawn_local(discover(setup.discovery, setup.known.version, Patience::new(), asks, notes_in.clone()));
+        if let Some(discovery) = setup.discovery {
+            spawn_local(discover(discovery, setup.known.version, Patience::new(), asks, notes_in.clone()));
+        }
+        if let Some(control) = setup.control.clone() {
+            let follower = Follower {
+                name: setup.name.clone(),
+                number: own_number.into(),
+                seed: setup.seed,
+                state_bytes: memory.most / STATE_SHARE,
+                remembered: setup.known.targets.iter().map(|target| target.upstream.clone()).collect(),
+            };
+            spawn_local(follow_control(control, follower, notes_in.clone()));
+        }
         let carrier =
             Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
+        if setup.control.is_some() {
+            exchange.await_state();
+        }
         exchange.remember(clock.now(), setup.known);
         log::info!("{} listens on {address}: {:?}", setup.name, setup.budget);
         Ok(Service {
@@ -163,10 +186,16 @@
         for key in given.changed_since(&self.given) {
             log::warn!("configuration: {key}: the change takes a restart");
         }
-        log::info!("configuration read anew: discovery is at {}", given.discovery);
-        if given.discovery != self.given.discovery {
-            let _ended = self.asks.send(Ask::Move(given.discovery));
-            self.given.discovery = given.discovery;
+        match given.discovery {
+            Some(discovery) => log::info!("configuration read anew: discovery is at {discovery}"),
+            None => log::info!("configuration read anew: control servers are followed"),
+        }
+        // From control servers to discovery and back takes a restart, as has been logged.
+        if let (Some(now), Some(before)) = (given.discovery, self.given.discovery)
+            && now != before
+        {
+            let _ended = self.asks.send(Ask::Move(now));
+            self.given.discovery = Some(now);
         }
     }
 
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -13,13 +13,15 @@
 use serde_json::value::RawValue;
 
 use crate::protocol::discovery::Roster;
-use crate::transport::{Memory, Probing};
+use crate::transport::{Control, Memory, Probing};
 
 /// All that the program is told, checked.
 pub struct Setup {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// None where control servers are followed in its place.
+    pub discovery: Option<SocketAddr>,
+    pub control: Option<Control>,
     pub seed: u64,
     pub budget: Budget,
     pub known: Roster,
@@ -30,7 +32,8 @@
 
 /// What a configuration read anew is compared with.
 pub struct Given {
-    pub discovery: SocketAddr,
+    pub discovery: Option<SocketAddr>,
+    control: Option<Control>,
     name: String,
     listen: SocketAddr,
     budget: Budget,
@@ -44,6 +47,7 @@
         let changes = [
             ("name", self.name != before.name),
             ("listen", self.listen != before.listen),
+            ("control", self.control != before.control),
             ("limits", self.budget != before.budget),
             ("probe", self.probing != before.probing),
             ("settings", self.settings.get() != before.settings.get()),
@@ -65,6 +69,7 @@
     name: Option<String>,
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    control: Option<ControlKeys>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -73,6 +78,29 @@
     settings: Box<RawValue>,
 }
 
+#[derive(Deserialize)]
+struct ControlKeys {
+    servers: Vec<SocketAddr>,
+    #[serde(default = "ControlKeys::hold_ms")]
+    hold_ms: u64,
+}
+
+impl ControlKeys {
+    fn hold_ms() -> u64 {
+        1000
+    }
+
+    fn read(self) -> Result<Control, String> {
+        if self.servers.is_empty() {
+            return Err("control.servers: one address or more is accepted".into());
+        }
+        if !(10..=60_000).contains(&self.hold_ms) {
+            return Err(format!("control.hold_ms: {}: 10 to 60000 are accepted", self.hold_ms));
+        }
+        Ok(Control { servers: self.servers, hold: Duration::from_millis(self.hold_ms) })
+    }
+}
+
 #[derive(Deserialize)]
 struct Probe {
     path: Option<String>,
@@ -134,7 +162,12 @@
         };
         let mut faults = Vec::new();
         let listen = noted(&mut faults, address(file.listen, "listen", "RELAY_LISTEN"));
-        let discovery = noted(&mut faults, address(file.discovery, "discovery", "RELAY_DISCOVERY"));
+        let is_controlled = file.control.is_some();
+        let control = noted(&mut faults, file.control.map(ControlKeys::read).transpose());
+        let discovery = match is_controlled {
+            true => Some(None),
+            false => noted(&mut faults, address(file.discovery, "discovery", "RELAY_DISCOVERY").map(Some)),
+        };
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed));
         let seed = noted(&mut faults, seed);
         let budget = noted(&mut faults, Budget::of(&file.limits));
@@ -143,7 +176,8 @@
         let terms = pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
         let deployment = noted(&mut faults, terms);
         let probing = noted(&mut faults, file.probe.map(Probe::read).transpose());
-        let (Some(listen), Some(discovery), Some(seed)) = (listen, discovery, seed) else {
+        let (Some(listen), Some(discovery), Some(control), Some(seed)) = (listen, discovery, control, seed)
+        else {
             return Err(faults);
         };
         let (Some(budget), Some(known), Some(mut deployment), Some(probing)) =
@@ -165,6 +199,7 @@
             name,
             listen,
             discovery,
+            control,
             seed,
             budget,
             known,
@@ -175,9 +210,10 @@
     }
 
     pub fn given(&self) -> Given {
-        let Setup { name, listen, discovery, budget, probing, settings, .. } = self;
-        let (name, probing, settings) = (name.clone(), probing.clone(), settings.clone());
-        Given { discovery: *discovery, name, listen: *listen, budget: *budget, probing, settings }
+        let Setup { name, listen, discovery, control, budget, probing, settings, .. } = self;
+        let (name, control) = (name.clone(), control.clone());
+        let (probing, settings) = (probing.clone(), settings.clone());
+        Given { discovery: *discovery, control, name, listen: *listen, budget: *budget, probing, settings }
     }
 }
 
--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -15,6 +15,9 @@
     #[serde(rename = "all")]
     pub whole: bool,
     pub targets: Vec<Target>,
+    /// Names of upstreams that are gone, from control servers only.
+    #[serde(skip)]
+    pub removed: Vec<String>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -38,6 +41,13 @@
     pub started: u64,
 }
 
+impl Target {
+    /// Whether its size is a number that can be one.
+    pub fn has_size(&self) -> bool {
+        self.size.is_finite() && self.size >= 0.0
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum State {
@@ -59,7 +69,7 @@
         let mut reader = serde_json::Deserializer::from_slice(json);
         let roster: Roster = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
         reader.end().map_err(|e| e.to_string())?;
-        match roster.targets.iter().position(|t| !(t.size.is_finite() && t.size >= 0.0)) {
+        match roster.targets.iter().position(|target| !target.has_size()) {
             Some(at) => Err(format!("targets[{at}].capacity_hint is no size")),
             None => Ok(roster),
         }
--- a/crates/pondlb-server/src/protocol/mod.rs
+++ b/crates/pondlb-server/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod client;
+pub mod control;
 pub mod discovery;
 #[cfg(test)]
 mod tests;
--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -109,10 +109,20 @@
                 stage: target.stage,
             });
         }
+        entries.extend(roster.removed.into_iter().filter_map(|upstream| self.remove(upstream)));
         self.zones.keep(self.places.values().map(|place| place.zone));
         self.kinds.keep(self.places.values().map(|place| place.kind));
         entries.into()
     }
+
+    /// The entry of an upstream that is gone; none where it is not known.
+    fn remove(&mut self, upstream: String) -> Option<Entry> {
+        log::debug!("{upstream} is removed");
+        let upstream: UpstreamId = upstream.into();
+        let Place { zone, kind, .. } = self.places.remove(&upstream)?;
+        let (cell, started, size, stage) = (0, None, 0.0, Stage::Gone);
+        Some(Entry { upstream, cell, started, size, zone, kind, stage })
+    }
 }
 
 fn started(unix_ms: u64, unix_start: i64) -> Option<Tenths> {
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 
 use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
+use pondlb_control::Change;
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use super::{Directory, End, Note, Order, PostingId};
 use crate::protocol::answer::Answer;
+use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 /// Does the work that the decisions ask for.
@@ -91,6 +93,8 @@
     end: Option<Tenths>,
     /// How much before its expiry a txn must have its answer, for a loop that runs late.
     slack: Tenths,
+    /// The list of upstreams is not whole before control servers have told it.
+    awaits_state: bool,
 }
 
 impl<C: Carrier> Exchange<C> {
@@ -108,9 +112,15 @@
             wake: None,
             end: None,
             slack,
+            awaits_state: false,
         }
     }
 
+    /// Control servers are followed: nothing is known until their first whole state is in force.
+    pub fn await_state(&mut self) {
+        self.awaits_state = true;
+    }
+
     /// The list as it was before the start.
     pub fn remember(&mut self, now: Tenths, known: Roster) {
         let entries = self.directory.read(known);
@@ -162,7 +172,7 @@
 
     /// Without any, whatever came would have to be declined.
     pub fn knows_upstreams(&self) -> bool {
-        !self.directory.is_empty()
+        !self.directory.is_empty() && !self.awaits_state
     }
 
     /// Txns that are owed an answer.
@@ -199,20 +209,14 @@
                 log::debug!("{upstream} is asked: {outcome:?} after {took}{load}");
                 self.events.push(Event::Probed { upstream, outcome, took, load });
             }
-            Note::Listed(roster) => {
-                let whole = roster.whole;
-                let entries = self.directory.read(roster);
-                // Nothing is begun at who is announced as leaving, or is not named any more.
-                self.take_back(now, |_, up| {
-                    let named = entries.iter().find(|entry| entry.upstream == *up);
-                    named.map_or(whole, |entry| entry.stage != Stage::Live)
-                });
-                let listing = if whole { Listing::Whole } else { Listing::Changes };
-                self.events.push(Event::Listed(listing(entries)));
-                let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
-                log::debug!(
-                    "listed upstreams, other zones, kinds: {listed:?}; upstreams, zones, kinds, txns: {known:?}"
-                );
+            Note::Listed(roster) => self.listed(now, roster),
+            Note::Changed { changes: RecordChanges { upstreams, settings }, completes, applied } => {
+                if !(upstreams.targets.is_empty() && upstreams.removed.is_empty()) {
+                    self.listed(now, upstreams);
+                }
+                self.change_settings(&settings);
+                self.awaits_state &= !completes;
+                let _ended = applied.send(());
             }
             Note::ListLost => self.events.push(Event::Listed(Listing::Lost)),
             Note::ListUnreached => self.events.push(Event::Listed(Listing::Unreached)),
@@ -220,6 +224,29 @@
         }
     }
 
+    fn listed(&mut self, now: Tenths, roster: Roster) {
+        let whole = roster.whole;
+        let entries = self.directory.read(roster);
+        // Nothing is begun at who is announced as leaving, or is not named any more.
+        self.take_back(now, |_, up| {
+            let named = entries.iter().find(|entry| entry.upstream == *up);
+            named.map_or(whole, |entry| entry.stage != Stage::Live)
+        });
+        let listing = if whole { Listing::Whole } else { Listing::Changes };
+        self.events.push(Event::Listed(listing(entries)));
+        let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
+        log::debug!(
+            "listed upstreams, other zones, kinds: {listed:?}; upstreams, zones, kinds, txns: {known:?}"
+        );
+    }
+
+    /// Classes, tenants and limits from control servers.
+    fn change_settings(&mut self, changes: &[Change]) {
+        for change in changes {
+            log::warn!("control: {}: can't be changed yet while the program runs", change.key);
+        }
+    }
+
     /// A posting given up may have ended at the same moment: only the first of the two ends counts.
     fn ended(&mut self, now: Tenths, (id, posting): PostingId, end: End) {
         let Some(out) = self.outs.remove(&(id.clone(), posting)) else { return };
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::protocol::answer::Answer;
+use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 /// The postings of a txn are numbered as they leave.
@@ -60,6 +61,14 @@
         load: Load,
     },
     Listed(Roster),
+    /// Control servers have changed records.
+    Changed {
+        changes: RecordChanges,
+        /// The first whole state is in force with it.
+        completes: bool,
+        /// To be told once they are in force.
+        applied: oneshot::Sender<()>,
+    },
     /// Discovery turned a call away, or what came is no list.
     ListLost,
     /// Nobody answered a call to discovery, or its connection broke.
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -12,6 +12,7 @@
 
 use super::{Carrier, Directory, End, Exchange, Hold, Note, Order};
 use crate::protocol::answer::Answer;
+use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 type Trace = Rc<RefCell<String>>;
@@ -134,6 +135,11 @@
             }
             Some(Note::Probed { upstream, outcome, .. }) => format!("{upstream} is asked: {outcome:?}"),
             Some(Note::Listed(_)) => "listed".into(),
+            Some(Note::Changed { changes, completes, .. }) => {
+                let (upstreams, settings) = (&changes.upstreams, changes.settings.len());
+                let counts = [upstreams.targets.len(), upstreams.removed.len(), settings];
+                format!("changed, removed, settings: {counts:?}, completes: {completes}")
+            }
             Some(Note::ListLost) => "list lost".into(),
             Some(Note::ListUnreached) => "list unreached".into(),
             Some(Note::WatchSilent) => "watch silent".into(),
@@ -494,3 +500,38 @@
         directory.sizes()
     ));
 }
+
+/// The danger is a balancer that serves with a part of its list, or posts to who has been removed.
+#[test]
+fn records_are_in_force_once_told_and_the_first_whole_state_makes_ready() {
+    let mut play = Play::new(ONE);
+    play.exchange.await_state();
+    let change = |play: &mut Play, now, targets, removed: &[&str], completes| {
+        let mut upstreams = roster(false, targets);
+        upstreams.removed = removed.iter().map(ToString::to_string).collect();
+        let (applied, mut is_applied) = oneshot::channel();
+        let changes = RecordChanges { upstreams, settings: Vec::new() };
+        play.step(now, Some(Note::Changed { changes, completes, applied }));
+        assert!(is_applied.try_recv().is_ok());
+        play.exchange.knows_upstreams()
+    };
+    let two = &TWO[1..];
+    let mut ready = vec![play.exchange.knows_upstreams()];
+    ready.push(change(&mut play, 10, two, &["unknown"], false));
+    ready.push(change(&mut play, 20, &[], &["u1"], true));
+    play.arrive(30, "a", 0, 1000);
+    play.end(40, "a", 0, Outcome::Ok);
+    ready.push(change(&mut play, 50, &[], &["u2"], false));
+    assert_eq!(ready, [false, false, true, false]);
+    play.ends_with(expect![[r#"
+        10: changed, removed, settings: [1, 1, 0], completes: false
+        20: changed, removed, settings: [0, 1, 0], completes: true
+        30: a comes
+          post a 0 to u2 at 127.0.0.1:2 until 980
+        40: a 0 ends: Ok
+          a 0 is let go
+          answer to a: settled of a 0
+        50: changed, removed, settings: [0, 1, 0], completes: false
+        owed: 0
+    "#]]);
+}
--- /dev/null
+++ b/crates/pondlb-server/src/transport/control.rs
@@ -0,0 +1,115 @@
+//! Follows the control servers and hands their updates over, a slice at a time.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pondlb_control::{Kind, Limits, Update, Version};
+use pondlb_control_net::{Delivered, Following, Status, follow};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::protocol::control::{RecordChanges, check_record};
+use crate::routing::Note;
+
+/// So many records change in one turn of the loop: requests are served between.
+const SLICE: usize = 64;
+/// New versions are logged so often at most, except for debugging.
+const LOG_EVERY: Duration = Duration::from_secs(1);
+
+/// Which control servers are followed, and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Control {
+    pub servers: Vec<SocketAddr>,
+    pub hold: Duration,
+}
+
+/// Who follows them.
+pub struct Follower {
+    pub name: String,
+    /// Number among the balancers, which are spread over the servers by it.
+    pub number: u64,
+    pub seed: u64,
+    /// Most bytes of a whole state that is taken.
+    pub state_bytes: usize,
+    /// Upstreams known before the first whole state: what that does not name has been removed.
+    pub remembered: BTreeSet<String>,
+}
+
+/// Follows the control servers for as long as the program runs.
+pub async fn follow_control(control: Control, follower: Follower, notes: mpsc::UnboundedSender<Note>) {
+    let Follower { name, number, seed, state_bytes, remembered } = follower;
+    let limits = Limits { total_bytes: state_bytes, ..Limits::default() };
+    let mut following = Following::new(control.servers, &name, number);
+    (following.seed, following.hold, following.limits) = (seed, control.hold, limits);
+    let (deliver, delivered) = mpsc::unbounded_channel();
+    let consumer = Consumer { notes, remembered, logged: None };
+    tokio::select! {
+        () = follow(following, check_record, deliver, Rc::new(Status::default())) => {}
+        () = consumer.run(delivered) => {}
+    }
+}
+
+struct Consumer {
+    notes: mpsc::UnboundedSender<Note>,
+    remembered: BTreeSet<String>,
+    logged: Option<Instant>,
+}
+
+impl Consumer {
+    async fn run(mut self, mut delivered: mpsc::UnboundedReceiver<Delivered>) {
+        while let Some(Delivered { update, in_force }) = delivered.recv().await {
+            let (version, records) = (update.version, update.changes.len());
+            if self.put_in_force(update).await.is_none() {
+                return;
+            }
+            self.log(version, records);
+            let _ended = in_force.send(());
+        }
+    }
+
+    /// None where the program ends.
+    async fn put_in_force(&mut self, update: Update) -> Option<()> {
+        let unlisted = self.unlisted(&update);
+        for names in unlisted.chunks(SLICE) {
+            let mut changes = RecordChanges::default();
+            changes.upstreams.removed = names.to_vec();
+            self.hand_over(changes, false).await?;
+        }
+        let is_whole = update.whole;
+        for slice in update.slices(SLICE) {
+            let completes = is_whole && !slice.more;
+            self.hand_over(RecordChanges::read(slice), completes).await?;
+        }
+        Some(())
+    }
+
+    /// What is remembered from before the start and not part of the first whole state.
+    fn unlisted(&mut self, update: &Update) -> Vec<String> {
+        if !update.whole {
+            return Vec::new();
+        }
+        let mut unlisted = std::mem::take(&mut self.remembered);
+        let upstreams = update.changes.iter().filter(|change| change.key.kind() == Kind::Upstream);
+        for change in upstreams {
+            unlisted.remove(change.key.name());
+        }
+        unlisted.into_iter().collect()
+    }
+
+    async fn hand_over(&self, changes: RecordChanges, completes: bool) -> Option<()> {
+        let (applied, is_applied) = oneshot::channel();
+        self.notes.send(Note::Changed { changes, completes, applied }).ok()?;
+        is_applied.await.ok()
+    }
+
+    fn log(&mut self, version: Version, records: usize) {
+        let is_due = self.logged.is_none_or(|at| at.elapsed() >= LOG_EVERY);
+        let level = if is_due { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "control: version {version} is in force, {records} records changed");
+        if is_due {
+            self.logged = Some(Instant::now());
+        }
+    }
+}
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod clock;
+mod control;
 mod crowd;
 mod discovery;
 mod listener;
@@ -15,6 +16,7 @@
 
 pub use client::Front;
 pub use clock::{Clock, span};
+pub use control::{Control, Follower, follow_control};
 pub use crowd::Crowd;
 pub use discovery::{Ask, Patience, discover};
 pub use listener::listen;
--- /dev/null
+++ b/crates/pondlb-server/tests/control/mod.rs
@@ -0,0 +1,181 @@
+//! The program with control servers in place of discovery.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use pondlb_control_net::{Role, Server, ServerOptions};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use crate::helper::*;
+
+/// A control server in a thread of its own; dropping it closes all of its connections.
+struct ControlServer {
+    address: SocketAddr,
+    commit: Option<SocketAddr>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl ControlServer {
+    fn start(role: impl FnOnce() -> Role + Send + 'static) -> ControlServer {
+        let (tell, told) = channel();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let serve = move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            LocalSet::new().block_on(&runtime, async {
+                let server = Server::bind(ServerOptions::new(any_address(), role())).unwrap();
+                tell.send((server.address().unwrap(), server.commit_address().unwrap())).unwrap();
+                tokio::select! {
+                    () = server.run() => {}
+                    _ = stopped => {}
+                }
+            });
+        };
+        let thread = thread::spawn(serve);
+        let (address, commit) = told.recv_timeout(SOON).unwrap();
+        ControlServer { address, commit, stop: Some(stop), thread: Some(thread) }
+    }
+
+    fn origin() -> ControlServer {
+        let role = || Role::Origin { commit: Some(any_address()), initial: Vec::new(), epoch: 7 };
+        ControlServer::start(role)
+    }
+
+    fn replica(origin: &ControlServer) -> ControlServer {
+        let follow = vec![origin.address];
+        ControlServer::start(move || Role::Replica { follow, hold: Duration::from_millis(300) })
+    }
+
+    /// Commits changes; the answer's status.
+    fn commit(&self, changes: &[String]) -> String {
+        let body = format!(r#"{{"changes":[{}]}}"#, changes.join(","));
+        let mut client = Client(std::net::TcpStream::connect(self.commit.unwrap()).unwrap());
+        client.0.set_read_timeout(Some(SOON)).unwrap();
+        let length = body.len();
+        client.send(&format!(
+            "POST /control/commit HTTP/1.1\r\nHost: c\r\nContent-Length: {length}\r\n\r\n{body}"
+        ));
+        client.read().expect("an answer").status().into()
+    }
+}
+
+impl Drop for ControlServer {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        drop(self.thread.take().map(thread::JoinHandle::join));
+    }
+}
+
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A change that lists an upstream, named by its port as in [`roster`].
+fn listed(address: SocketAddr) -> String {
+    let port = address.port();
+    format!(
+        r#"{{"key":"upstream/u{port}","value":{{"uid":"u{port}","endpoint":"{address}","az":"a","model":"m1",
+        "pod_group":0,"state":"active","capacity_hint":1.0}}}}"#
+    )
+}
+
+fn removed(address: SocketAddr) -> String {
+    format!(r#"{{"key":"upstream/u{}","value":null}}"#, address.port())
+}
+
+fn followed(servers: &[&ControlServer], known: &[&Upstream]) -> Plan {
+    let mut plan = Plan::with(known);
+    plan.control = Some(servers.iter().map(|server| server.address.to_string()).collect());
+    plan
+}
+
+#[test]
+fn a_balancer_follows_control_servers_and_serves_on_without_them() {
+    let (one, two) = (Upstream::start(HELLO), Upstream::start(HELLO));
+    let origin = ControlServer::origin();
+    let replica = ControlServer::replica(&origin);
+    let balancer = followed(&[&replica, &origin], &[]).start();
+    assert_eq!(balancer.health(), "503");
+    assert_eq!(origin.commit(&[listed(one.address)]), "200");
+    wait_until("it is ready", || balancer.health() == "200");
+    assert_eq!(balancer.ask("a1", "order").status(), "200");
+    assert_eq!(one.requests().len(), 1);
+    assert_eq!(origin.commit(&[listed(two.address), removed(one.address)]), "200");
+    let number = Cell::new(0);
+    wait_until("the other one is asked", || {
+        number.set(number.get() + 1);
+        assert_eq!(balancer.ask(&format!("b{}", number.get()), "order").status(), "200");
+        !two.requests().is_empty()
+    });
+    let _earlier = one.requests();
+    drop((replica, origin));
+    for number in 0..10 {
+        assert_eq!(balancer.ask(&format!("c{number}"), "order").status(), "200");
+    }
+    assert_eq!((balancer.health(), one.requests().len()), ("200".into(), 0));
+    balancer.ends_having_said(&["control: version 7.", "is in force"]);
+}
+
+#[test]
+fn a_list_of_many_upstreams_comes_in_slices_and_drops_what_was_remembered() {
+    let (one, remembered) = (Upstream::start(HELLO), Upstream::start(HELLO));
+    let origin = ControlServer::origin();
+    let nobody = nobody();
+    let draining = (0..500).map(|number| {
+        listed(nobody)
+            .replace(&format!("u{}", nobody.port()), &format!("d{number}"))
+            .replace("active", "leaving")
+    });
+    let changes: Vec<String> = draining.chain([listed(one.address)]).collect();
+    assert_eq!(origin.commit(&changes), "200");
+    let balancer = followed(&[&origin], &[&remembered]).start();
+    wait_until("it is ready", || balancer.health() == "200");
+    for number in 0..10 {
+        assert_eq!(balancer.ask(&format!("a{number}"), "order").status(), "200");
+    }
+    assert_eq!((one.requests().len(), remembered.requests().len()), (10, 0));
+}
+
+/// The danger is a list with one bad entry that ends what was good before.
+#[test]
+fn a_record_that_is_no_upstream_is_not_taken_and_changes_nothing() {
+    let one = Upstream::start(HELLO);
+    let origin = ControlServer::origin();
+    assert_eq!(origin.commit(&[listed(one.address)]), "200");
+    let balancer = followed(&[&origin], &[]).start();
+    wait_until("it is ready", || balancer.health() == "200");
+    let foreign = listed(one.address).replace("\"uid\":\"u", "\"uid\":\"x");
+    assert_eq!(origin.commit(&[removed(one.address), foreign.clone()]), "200");
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(balancer.ask("a1", "order").status(), "200");
+    assert_eq!(origin.commit(&[listed(one.address)]), "200");
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(balancer.ask("a2", "order").status(), "200");
+    balancer.ends_having_said(&["the answer is rejected: upstream/u", "the record's name is accepted"]);
+}
+
+#[test]
+fn faulty_control_keys_are_told() {
+    for (keys, fault) in [
+        (r#""control":{"servers":[]}"#, "control.servers: one address or more is accepted"),
+        (r#""control":{"servers":["x"]}"#, "control.servers[0]: invalid socket address syntax"),
+        (
+            r#""control":{"servers":["127.0.0.1:1"],"hold_ms":1}"#,
+            "control.hold_ms: 1: 10 to 60000 are accepted",
+        ),
+    ] {
+        let plan = Plan::with(&[]);
+        let given = format!(r#""discovery":"{}""#, plan.discovery);
+        let file = place(&plan.configuration().replace(&given, keys));
+        let (mut child, mut log) = launch(&file, 1024);
+        let mut told = String::new();
+        std::io::Read::read_to_string(&mut log, &mut told).unwrap();
+        assert_eq!(child.wait().unwrap().code(), Some(2), "{keys}: {told}");
+        assert!(told.contains(fault), "{told}");
+    }
+}
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -302,17 +302,23 @@
     pub idle_ms: u64,
     pub descriptors: u64,
     pub list: &'static str,
+    /// Control servers to follow in place of discovery.
+    pub control: Option<Vec<String>>,
 }
 
 impl Plan {
     pub fn with(upstreams: &[&Upstream]) -> Plan {
         let known = upstreams.iter().map(|upstream| upstream.address).collect();
         let (discovery, list, idle_ms, descriptors) = (nobody(), "ask", 15_000, 1024);
-        Plan { known, discovery, memory_mb: 192, sockets: 1024, idle_ms, descriptors, list }
+        Plan { known, discovery, memory_mb: 192, sockets: 1024, idle_ms, descriptors, list, control: None }
     }
 
     pub fn configuration(&self) -> String {
-        let Plan { discovery, memory_mb, sockets, idle_ms, list, .. } = self;
+        let sources = match &self.control {
+            Some(servers) => format!(r#""control":{{"servers":{servers:?},"hold_ms":300}}"#),
+            None => format!(r#""discovery":"{}""#, self.discovery),
+        };
+        let Plan { memory_mb, sockets, idle_ms, list, .. } = self;
         let known = roster(1, true, "active", &self.known);
         let scheme = |name: &str, effect: &str| {
             format!(
@@ -321,7 +327,7 @@
             )
         };
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"127.0.0.1:0",{sources},"seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{{
             "Balancers":1,"SelfIndex":0,"Discovery":"{list}","ExcessValue":0.1,"MyZone":0,"Zones":["a"],
             "MachineTypes":["m1"],"Reporting":{{"Fields":["lat_ms","rif"]}},
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -1,5 +1,6 @@
 //! The program itself, spoken to over loopback.
 
+mod control;
 mod helper;
 mod races;
 
