--- a/crates/pondlb-control-net/src/client/driver.rs
+++ b/crates/pondlb-control-net/src/client/driver.rs
@@ -16,7 +16,8 @@
 
 /// How long a call may take that is answered at once.
 const ANSWER_WITHIN: Duration = Duration::from_millis(2200);
-/// A server that does not hold its answers would else be called without end.
+/// A server that does not hold its answers, or tells the same whole state again and again, would else be called
+/// without a rest.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Follows the servers with one replica.
@@ -95,12 +96,12 @@
             Progress::Unchanged => self.status.note_heard(answered, told.staleness),
             Progress::Pending => {}
             Progress::Applied(update) => {
-                let is_last = !update.more;
+                let (is_last, is_empty) = (!update.more, update.changes.is_empty());
                 self.put_in_force(update).await;
                 if is_last {
                     self.status.note_heard(answered, told.staleness);
                 }
-                return Ok(None);
+                return Ok(is_empty.then_some(PAUSE));
             }
         }
         Ok((told.is_empty && called.elapsed() < PAUSE).then_some(PAUSE))
--- a/crates/pondlb-control-net/src/main.rs
+++ b/crates/pondlb-control-net/src/main.rs
@@ -14,11 +14,30 @@
 /// The machine doesn't let the program serve.
 const CANNOT_SERVE: u8 = 1;
 
+/// The keys of the options file, as `--help` tells them.
+const KEYS: &str = "\
+Keys of the options file:
+  listen                      address for followers; required
+  commit                      origin: address at which changes are committed; no commits without it
+  initial                     origin: file of the first records, in the form of a commit, relative to the options file
+  epoch                       origin: number of its epoch, greater than any before [the time of the start]
+  follow                      replica server: addresses of the control servers that it follows
+  hold_ms                     replica server: how long those may wait for news, 10 to 60000 [1000]
+  name                        letters, digits, '-', '_', '.'; own name towards those [control-PORT]
+  number                      replica server: own number among them; spreads them over those that they follow [0]
+  gather_ms                   least time between two answers with news to one follower, 0 to 10000 [200]
+  piece_bytes                 most bytes of changes in one answer, 1024 to 1048576 [16384]
+  followers                   most connections of followers, 1 to 100000 [2000]
+  memory_mb                   what the process may use: half of it for records, an eighth for a commit [256]
+  snapshot_pieces_per_second  pieces of 64 KiB of snapshots that are given in a second, 1 to 1000000 [1000]
+
+An origin has commit or initial, a replica server has follow.";
+
 /// A control server of pondlb: distributes upstreams, classes, tenants and limits to balancers.
 ///
 /// Exit codes: 0 ended by SIGTERM or SIGINT, 1 cannot serve, 2 faulty options file.
 #[derive(Parser)]
-#[command(version)]
+#[command(version, after_help = KEYS)]
 struct Arguments {
     /// The options file, in TOML. An origin has `commit` (address for changes) or `initial` (file of the first
     /// records), a replica server has `follow` (addresses of control servers); both have `listen`
--- a/crates/pondlb-control-net/tests/program.rs
+++ b/crates/pondlb-control-net/tests/program.rs
@@ -102,5 +102,11 @@
 fn help_says_what_the_file_holds() {
     let output = program().arg("--help").output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(output.status.success() && text.contains("FILE.toml") && text.contains("follow"), "{text}");
+    assert!(output.status.success() && text.contains("FILE.toml"), "{text}");
+    let faults = faults(&run("unknown.toml", "unknown = 1\n"));
+    let keys =
+        faults.lines().find_map(|line| line.split_once("accepted are ").map(|(_, keys)| keys)).unwrap();
+    for key in keys.split(", ") {
+        assert!(text.contains(&format!("\n  {key} ")), "{key}: {text}");
+    }
 }
--- a/crates/pondlb-server/tests/control/mod.rs
+++ b/crates/pondlb-server/tests/control/mod.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use pondlb_control::Commit;
 use pondlb_control_net::{Role, Server, ServerOptions};
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
@@ -22,13 +23,13 @@
 }
 
 impl ControlServer {
-    fn start(role: impl FnOnce() -> Role + Send + 'static) -> ControlServer {
+    fn start(listen: SocketAddr, role: impl FnOnce() -> Role + Send + 'static) -> ControlServer {
         let (tell, told) = channel();
         let (stop, stopped) = oneshot::channel::<()>();
         let serve = move || {
             let runtime = Builder::new_current_thread().enable_all().build().unwrap();
             LocalSet::new().block_on(&runtime, async {
-                let server = Server::bind(ServerOptions::new(any_address(), role())).unwrap();
+                let server = Server::bind(ServerOptions::new(listen, role())).unwrap();
                 tell.send((server.address().unwrap(), server.commit_address().unwrap())).unwrap();
                 tokio::select! {
                     () = server.run() => {}
@@ -42,13 +43,24 @@
     }
 
     fn origin() -> ControlServer {
-        let role = || Role::Origin { commit: Some(any_address()), initial: Vec::new(), epoch: 7 };
-        ControlServer::start(role)
+        ControlServer::origin_at(any_address(), 7, &[])
+    }
+
+    fn origin_at(listen: SocketAddr, epoch: u64, initial: &[String]) -> ControlServer {
+        let initial = format!(r#"{{"changes":[{}]}}"#, initial.join(","));
+        let role = move || {
+            let Commit { changes } = serde_json::from_str(&initial).unwrap();
+            Role::Origin { commit: Some(any_address()), initial: changes, epoch }
+        };
+        ControlServer::start(listen, role)
     }
 
     fn replica(origin: &ControlServer) -> ControlServer {
         let follow = vec![origin.address];
-        ControlServer::start(move || Role::Replica { follow, hold: Duration::from_millis(300) })
+        ControlServer::start(any_address(), move || Role::Replica {
+            follow,
+            hold: Duration::from_millis(300),
+        })
     }
 
     /// Commits changes; the answer's status.
@@ -179,3 +191,33 @@
         assert!(told.contains(fault), "{told}");
     }
 }
+
+#[test]
+fn a_stale_state_is_told_once_and_again_when_it_is_fresh() {
+    let one = Upstream::start(HELLO);
+    let origin = ControlServer::origin();
+    assert_eq!(origin.commit(&[listed(one.address)]), "200");
+    let replica = ControlServer::replica(&origin);
+    let balancer = followed(&[&replica, &origin], &[]).start();
+    wait_until("it is ready", || balancer.health() == "200");
+    // The replica server serves on and tells how stale it is; nothing else is left to ask.
+    let address = origin.address;
+    drop(origin);
+    std::thread::sleep(Duration::from_secs(13));
+    assert_eq!(balancer.ask("a1", "order").status(), "200");
+    let two = Upstream::start(HELLO);
+    let _back = ControlServer::origin_at(address, 8, &[listed(two.address)]);
+    let number = Cell::new(0);
+    wait_until("the new epoch is in force", || {
+        number.set(number.get() + 1);
+        assert_eq!(balancer.ask(&format!("b{}", number.get()), "order").status(), "200");
+        !two.requests().is_empty()
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    balancer.signal("TERM");
+    let (status, log) = balancer.ended();
+    assert!(status.success());
+    assert_eq!(log.matches("is stale: nothing is known since").count(), 1, "{log}");
+    assert_eq!(log.matches("fresh again at version 8.").count(), 1, "{log}");
+    assert!(log.matches("control: ").count() < 20, "{log}");
+}
