--- a/crates/pondlb-control-net/tests/faults.rs
+++ b/crates/pondlb-control-net/tests/faults.rs
@@ -359,3 +359,35 @@
         }
     });
 }
+
+/// The danger is a follower that takes its whole core to ask who has nothing to say.
+#[test]
+fn a_server_that_never_gets_on_is_called_at_a_bounded_rate() {
+    run(async {
+        let empty = json!({"epoch": 7, "revision": 1, "records": [], "next": null, "changes": [], "from": 1});
+        let with = |reset: bool, more: bool, digest: Value| {
+            let mut answer = empty.clone();
+            (answer["reset"], answer["more"], answer["digest"]) = (json!(reset), json!(more), digest);
+            answer.to_string()
+        };
+        let right = json!("0000000000000000");
+        for answer in [
+            with(false, false, right.clone()),
+            with(false, false, Value::Null),
+            with(true, false, right.clone()),
+            with(false, true, right),
+            with(false, false, json!("00000000000000ff")),
+            "[]".into(),
+        ] {
+            let calls = Rc::new(Cell::new(0));
+            let (counted, body) = (calls.clone(), answer.clone());
+            let server = scripted(move |_| {
+                counted.set(counted.get() + 1);
+                Some(body.clone())
+            });
+            let _follower = Follower::start(&[server], 0);
+            sleep(Duration::from_secs(1)).await;
+            assert!((1..200).contains(&calls.get()), "{} calls for {answer}", calls.get());
+        }
+    });
+}
