Upstreams take what happened at once, without inboxes and copies of what they show

Cause: each posting and each answer was a note to an upstream's inbox, worked off later, and a clone of all that the upstream shows put on the board. Nothing reads the board between the note and the clone.

Change: the board holds the upstreams themselves, and the desk calls them. The desk owns the terms and hands them on, instead of an Rc in each part.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,10 +1,9 @@
 //! All decisions of the balancer: events in, actions out, in order; no I/O, no clock. Inside are the desk
-//! (txns), an actor for each upstream and the roster (when to ask for the list), who talk by notes in inboxes
-//! that `shell` keeps, as `Balancer`. docs/design.md tells what was kept of the design.
+//! (txns and upstreams) and the roster (when to ask for the list), which `shell` holds together, as `Balancer`.
+//! docs/design.md tells what was kept of the design.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
-use std::rc::Rc;
 
 use histogram::Histogram;
 use nanorand::{Rng, WyRand};
@@ -17,7 +16,6 @@
 mod shell;
 
 pub use shell::Balancer;
-use shell::Inboxes;
 
 const SECOND: Tenths = 10_000;
 
@@ -110,20 +108,6 @@
 const SILENT_WAITS: Tenths = 32_000;
 const FAILED_WAITS: Tenths = 40_000;
 
-enum UpstreamNote {
-    Listed(Entry),
-    Unlisted,
-    Posted { cost: f64, arrives: f64 },
-    Ended { outcome: Outcome, took: Tenths, cost: f64, way: f64, tp: Tenths },
-    Overdue { sent: Tenths },
-    Reported { outcome: Outcome, load: Load },
-}
-
-enum DeskNote {
-    Event(Event),
-    Standing(usize, Standing),
-}
-
 /// The pooled window: response times of all upstreams together, and the mean wait before first postings.
 struct Gauge {
     took: Histogram,
@@ -166,16 +150,8 @@
     }
 }
 
+/// What this balancer knows of an upstream.
 struct Upstream {
-    shown: Standing,
-    answered: Tenths,
-    /// When the last of the answered postings left.
-    answered_sent: Tenths,
-    pace: Pace,
-}
-
-#[derive(Clone)]
-struct Standing {
     entry: Entry,
     /// Its place in the order of the lanes, alike at every balancer.
     order: u64,
@@ -187,6 +163,10 @@
     cold_work: Fading,
     gone: Tenths,
     told: Told,
+    answered: Tenths,
+    /// When the last of the answered postings left.
+    answered_sent: Tenths,
+    pace: Pace,
 }
 
 /// What an upstream told last of its load, when, and the cost posted there since.
@@ -197,7 +177,29 @@
     since: f64,
 }
 
-impl Standing {
+impl Upstream {
+    fn new(entry: &Entry, terms: &Terms) -> Self {
+        let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
+        let (in_flight, cost_out, cap) = (0, 0.0, terms.part(FIRST_CAP).max(1.0));
+        let (distrust, cold_work) = (Fading::default(), Fading::default());
+        let (gone, told, answered, answered_sent, pace) = (0, Told::default(), 0, 0, Pace::default());
+        Upstream {
+            entry,
+            order,
+            in_flight,
+            cost_out,
+            cap,
+            distrust,
+            cold_work,
+            gone,
+            told,
+            answered,
+            answered_sent,
+            pace,
+        }
+    }
+
     /// The part of its capacity that it has by now, at least.
     fn present(&self, now: Tenths, terms: &Terms) -> f64 {
         let cold = &terms.cold;
@@ -208,95 +210,83 @@
     fn cold_age(&self, now: Tenths, terms: &Terms) -> Option<Tenths> {
         self.entry.started.map(|at| now.saturating_sub(at)).filter(|age| *age < terms.cold.warm_within)
     }
-}
 
-impl Upstream {
-    fn new(entry: &Entry, terms: &Terms) -> Self {
-        let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-        let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
-        let (in_flight, cost_out, cap) = (0, 0.0, terms.part(FIRST_CAP).max(1.0));
-        let (distrust, cold_work) = (Fading::default(), Fading::default());
-        let (gone, told) = (0, Told::default());
-        let shown = Standing { entry, order, in_flight, cost_out, cap, distrust, cold_work, gone, told };
-        Upstream { shown, answered: 0, answered_sent: 0, pace: Pace::default() }
+    fn listed(&mut self, now: Tenths, entry: Entry, terms: &Terms) {
+        let known = std::mem::replace(&mut self.entry, entry);
+        self.gone = now;
+        if self.cold_age(now, terms).is_some() && self.entry.started != known.started {
+            // A new process: what was known of the old one would send it too much too soon.
+            (self.cap, self.distrust.level) = (1.0, 0.0);
+        }
     }
 
-    fn receive(&mut self, now: Tenths, note: UpstreamNote, terms: &Terms) {
-        match note {
-            UpstreamNote::Listed(entry) => {
-                let known = std::mem::replace(&mut self.shown.entry, entry);
-                self.shown.gone = now;
-                if self.shown.cold_age(now, terms).is_some() && self.shown.entry.started != known.started {
-                    // A new process: what was known of the old one would send it too much too soon.
-                    (self.shown.cap, self.shown.distrust.level) = (1.0, 0.0);
-                }
-            }
-            UpstreamNote::Unlisted if self.shown.entry.stage == Stage::Gone => {}
-            UpstreamNote::Unlisted => (self.shown.entry.stage, self.shown.gone) = (Stage::Gone, now),
-            UpstreamNote::Posted { cost, arrives } => {
-                self.shown.in_flight += 1;
-                self.shown.cost_out += cost;
-                self.shown.told.since += cost;
-                self.shown.cold_work.add(now, terms.cold.window.max(1), arrives);
-            }
-            UpstreamNote::Ended { outcome, took, cost, way, tp } => {
-                self.shown.in_flight = self.shown.in_flight.saturating_sub(1);
-                let idle = self.shown.in_flight == 0;
-                self.shown.cost_out = if idle { 0.0 } else { (self.shown.cost_out - cost).max(0.0) };
-                match outcome {
-                    Outcome::Ok => {
-                        self.answered = now;
-                        self.answered_sent = self.answered_sent.max(now.saturating_sub(took));
-                        let crowding = self.pace.crowding(took, cost + way);
-                        let shown = &mut self.shown;
-                        shown.distrust.level *= ANSWER_CALMS;
-                        if crowding > CROWDED {
-                            self.halve(terms);
-                        } else if took <= tp {
-                            shown.cap += GROWTH / shown.cap;
-                        }
-                    }
-                    Outcome::TimedOut if now.saturating_sub(took) < self.answered_sent => {}
-                    // A full waiting room is the shortest queue to look at; it must not draw more.
-                    Outcome::Full | Outcome::TimedOut => {
-                        self.halve(terms);
-                        self.doubt(now, 1.0);
-                    }
-                    // One in so many from everybody is no sign of this one's health; nothing else is.
-                    Outcome::Spoilt => self.doubt(now, SPOILT_DOUBT),
-                    Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
-                    Outcome::Cancelled | Outcome::Moot => {}
-                }
-            }
-            UpstreamNote::Reported { outcome, load } => {
-                match outcome {
-                    Outcome::Ok => (self.shown.told.load, self.shown.told.since) = (load, 0.0),
-                    Outcome::Full => self.shown.told.load.held = Some(FULL),
-                    Outcome::Cancelled | Outcome::Moot => self.shown.told.load = Load::default(),
-                    _ => self.doubt(now, 1.0),
+    fn posted(&mut self, now: Tenths, cost: f64, arrives: f64, terms: &Terms) {
+        self.in_flight += 1;
+        self.cost_out += cost;
+        self.told.since += cost;
+        self.cold_work.add(now, terms.cold.window.max(1), arrives);
+    }
+
+    fn returned(&mut self, cost: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let idle = self.in_flight == 0;
+        self.cost_out = if idle { 0.0 } else { (self.cost_out - cost).max(0.0) };
+    }
+
+    fn ended(&mut self, now: Tenths, outcome: Outcome, took: Tenths, cost: f64, tp: Tenths, terms: &Terms) {
+        match outcome {
+            Outcome::Ok => {
+                self.answered = now;
+                self.answered_sent = self.answered_sent.max(now.saturating_sub(took));
+                self.distrust.level *= ANSWER_CALMS;
+                if self.pace.crowding(took, cost) > CROWDED {
+                    self.halve(terms);
+                } else if took <= tp {
+                    self.cap += GROWTH / self.cap;
                 }
-                self.shown.told.at = now;
             }
-            // As above, a later one was answered: this is heavy, or its connection silent, and no crowd.
-            UpstreamNote::Overdue { sent } if sent < self.answered_sent => {}
-            UpstreamNote::Overdue { sent } => {
+            Outcome::TimedOut if now.saturating_sub(took) < self.answered_sent => {}
+            // A full waiting room is the shortest queue to look at; it must not draw more.
+            Outcome::Full | Outcome::TimedOut => {
                 self.halve(terms);
-                // Silent since that posting left: perhaps it takes txns and answers none.
-                if self.answered < sent {
-                    self.doubt(now, 1.0);
-                }
+                self.doubt(now, 1.0);
+            }
+            // One in so many from everybody is no sign of this one's health; nothing else is.
+            Outcome::Spoilt => self.doubt(now, SPOILT_DOUBT),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    fn reported(&mut self, now: Tenths, outcome: Outcome, load: Load) {
+        match outcome {
+            Outcome::Ok => (self.told.load, self.told.since) = (load, 0.0),
+            Outcome::Full => self.told.load.held = Some(FULL),
+            Outcome::Cancelled | Outcome::Moot => self.told.load = Load::default(),
+            _ => self.doubt(now, 1.0),
+        }
+        self.told.at = now;
+    }
+
+    fn overdue(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
+        // A later one was answered: this is heavy, or its connection silent, and no crowd.
+        if sent >= self.answered_sent {
+            self.halve(terms);
+            // Silent since that posting left: perhaps it takes txns and answers none.
+            if self.answered < sent {
+                self.doubt(now, 1.0);
             }
         }
     }
 
     fn halve(&mut self, terms: &Terms) {
-        self.shown.cap = (self.shown.cap / 2.0).max(terms.part(self.shown.entry.size)).max(1.0);
+        self.cap = (self.cap / 2.0).max(terms.part(self.entry.size)).max(1.0);
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
     fn doubt(&mut self, now: Tenths, step: f64) {
-        let level = self.shown.distrust.at(now, FADE) * (1.0 + step / 2.0) + step;
-        self.shown.distrust = Fading { level: level.min(4.0 * BENCHED), at: now };
+        let level = self.distrust.at(now, FADE) * (1.0 + step / 2.0) + step;
+        self.distrust = Fading { level: level.min(4.0 * BENCHED), at: now };
     }
 }
 
@@ -421,7 +411,7 @@
 #[derive(Default)]
 struct Seen {
     names: BTreeMap<UpstreamId, usize>,
-    board: Vec<Standing>,
+    board: Vec<Upstream>,
     /// The upstreams used, in lane order, and how many of them make up the light lane.
     lanes: Vec<usize>,
     light: usize,
@@ -467,7 +457,7 @@
 }
 
 struct Desk {
-    terms: Rc<Terms>,
+    terms: Terms,
     rng: WyRand,
     gauge: Gauge,
     seen: Seen,
@@ -478,29 +468,21 @@
 }
 
 impl Desk {
-    fn new(terms: Rc<Terms>, rng: WyRand) -> Self {
+    fn new(terms: Terms, rng: WyRand) -> Self {
         let (gauge, quotas) = (Gauge::new(&terms), vec![(0.0, 0); terms.tenants.len()]);
         let costs = Histogram::new(3, 24).expect("the bins are fixed");
         let (seen, book) = (Seen { cores: 1.0, ..Seen::default() }, Book::default());
         Desk { gauge, quotas, terms, rng, seen, book, costs, extra: EXTRA_SAVED }
     }
 
-    fn receive(&mut self, now: Tenths, note: DeskNote, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
-        let event = match note {
-            DeskNote::Event(event) => event,
-            DeskNote::Standing(up, standing) => {
-                self.seen.stale |= self.seen.board[up].entry.stage != standing.entry.stage;
-                self.seen.board[up] = standing;
-                return;
-            }
-        };
+    fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
             Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
                     let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
-                    self.report(up, told, load, inboxes);
+                    self.report(now, up, told, load);
                 }
                 let zone = self.seen.zones.entry(self.seen.board[up].entry.zone).or_default();
                 // Lost with its zone, it says nothing of how long answers take, nor of a jam.
@@ -516,12 +498,12 @@
                     let waited = took as f64 - REST_PACE * cost;
                     self.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full);
                 }
-                let entry = &self.seen.board[up].entry;
+                let upstream = &mut self.seen.board[up];
+                let entry = &upstream.entry;
                 let size = entry.size.clamp(LEAST_SIZE, MOST_SIZE);
                 let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / size);
                 // Else a small txn's way there and back would pass for a crowd at its upstream.
                 let way = zone.pace.least;
-                inboxes.upstream(up, UpstreamNote::Ended { outcome, took, cost, way, tp: self.gauge.tp });
                 if matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut) {
                     zone.unanswered(now, now.saturating_sub(took));
                 }
@@ -532,6 +514,8 @@
                     self.seen.listed.note(took, work + way, PACE_WINDOW);
                     self.seen.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
                 }
+                upstream.returned(cost);
+                upstream.ended(now, outcome, took, cost + way, self.gauge.tp, &self.terms);
                 let Some(number) = number else { return };
                 let Some(txn) = self.book.txns.get_mut(&number) else { return };
                 if let Some(p) = txn.postings.get_mut(posting as usize) {
@@ -552,7 +536,7 @@
             }
             Event::Probed { upstream, outcome, load, .. } => {
                 if let Some(&up) = self.seen.names.get(&upstream) {
-                    self.report(up, outcome, load, inboxes);
+                    self.report(now, up, outcome, load);
                 }
             }
             // Talk with peers is not used.
@@ -560,11 +544,20 @@
         }
     }
 
-    fn report(&mut self, up: usize, outcome: Outcome, load: Load, inboxes: &mut Inboxes) {
+    /// Takes what the list says of an upstream, or that it is not on the list any more.
+    fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
+        let upstream = &mut self.seen.board[up];
+        match entry {
+            Some(entry) => upstream.listed(now, entry, &self.terms),
+            None => (upstream.entry.stage, upstream.gone) = (Stage::Gone, now),
+        }
+    }
+
+    fn report(&mut self, now: Tenths, up: usize, outcome: Outcome, load: Load) {
         if let (Some(held), Some(waiting)) = (load.held, load.waiting.filter(|waiting| *waiting >= 1.0)) {
             self.seen.cores += (held - waiting - self.seen.cores) / PACE_WINDOW;
         }
-        inboxes.upstream(up, UpstreamNote::Reported { outcome, load });
+        self.seen.board[up].reported(now, outcome, load);
     }
 
     fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
@@ -750,7 +743,7 @@
     }
 
     /// One posting, or one txn given up; false when nothing more can leave.
-    fn release(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) -> bool {
+    fn release(&mut self, now: Tenths, out: &mut Vec<Action>) -> bool {
         self.note_out(now, 0.0);
         // More than the first, against one that only some upstreams may take keeping all others waiting.
         let heads: Vec<u64> = self.book.held.iter().take(4).map(|(_, number)| *number).collect();
@@ -766,7 +759,7 @@
                 if self.told(now, up) >= self.mean_cost() && self.is_late(now, number, up) {
                     self.give_up(number, out);
                 } else {
-                    self.post(now, number, up, inboxes, out);
+                    self.post(now, number, up, out);
                 }
                 return true;
             }
@@ -944,7 +937,7 @@
         cost + LEAST_ARRIVES * self.mean_cost()
     }
 
-    fn post(&mut self, now: Tenths, number: u64, up: usize, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
+    fn post(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
         let deadline = self.book.txns[&number].deadline;
         let ((_, slot), begin_by) = (self.plan(now, deadline), self.begin_by(number));
         let Some(txn) = self.book.txns.get_mut(&number) else { return };
@@ -967,7 +960,8 @@
         let upstream = self.seen.board[up].entry.upstream.clone();
         out.push(Action::Post { txn: txn.id.clone(), upstream, timeout, begin_by });
         let cost = txn.cost;
-        inboxes.upstream(up, UpstreamNote::Posted { cost, arrives: self.arrives(cost) });
+        let arrives = self.arrives(cost);
+        self.seen.board[up].posted(now, cost, arrives, &self.terms);
         self.book.alarms.push(Reverse((now + due, number, Some(posting))));
         self.note_out(now, 1.0);
         if first && !slot && now < deadline {
@@ -1027,7 +1021,7 @@
         out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
     }
 
-    fn ring(&mut self, now: Tenths, inboxes: &mut Inboxes, out: &mut Vec<Action>) {
+    fn ring(&mut self, now: Tenths, out: &mut Vec<Action>) {
         while let Some(&Reverse((_, number, posting))) =
             self.book.alarms.peek().filter(|alarm| alarm.0.0 <= now)
         {
@@ -1036,7 +1030,7 @@
             if let Some(posting) = posting {
                 let posting = txn.postings.get(posting as usize).filter(|p| p.out);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
-                inboxes.upstream(up, UpstreamNote::Overdue { sent });
+                self.seen.board[up].overdue(now, sent, &self.terms);
                 let zone = self.seen.board[up].entry.zone;
                 self.seen.zones.entry(zone).or_default().unanswered(now, sent);
                 if now + self.gauge.quick < txn.deadline {
@@ -1054,7 +1048,6 @@
 }
 
 struct Roster {
-    terms: Rc<Terms>,
     failures: u32,
     ask_at: Option<Tenths>,
 }
@@ -1063,17 +1056,16 @@
     /// Against a bank started in step failing each other's calls, which wait in one row, worked through even
     /// for who has left it: calls are spread over the time that all take, as far as what is to be told by then
     /// lets them. Who is turned away time and again comes back ever later: all would else be for good.
-    fn ask(&mut self, now: Tenths, why: &Listing, rng: &mut WyRand) {
-        let row = LIST_CALL * u64::from(self.terms.balancers);
-        let (least, longest) = match (self.terms.lists, why) {
+    fn ask(&mut self, now: Tenths, why: &Listing, terms: &Terms, rng: &mut WyRand) {
+        let row = LIST_CALL * u64::from(terms.balancers);
+        let (least, longest) = match (terms.lists, why) {
             (Lists::Unasked, _) => return,
             (Lists::Agent, Listing::Silent | Listing::Remembered(_)) => (0, 1),
             (Lists::Agent, _) => (LIST_CALL, 4 * LIST_CALL),
             (Lists::Asked { .. }, Listing::Silent) => (0, row.min(SILENT_WAITS)),
             (Lists::Asked { within }, _) => {
                 let all = (2 * row).clamp(3 * SECOND / 2, FAILED_WAITS).min(within);
-                let most =
-                    FAILED_WAITS.max(DEAREST_LIST_CALL * u64::from(self.terms.balancers)).min(3 * within);
+                let most = FAILED_WAITS.max(DEAREST_LIST_CALL * u64::from(terms.balancers)).min(3 * within);
                 let longest = (all << (2 * self.failures.saturating_sub(1)).min(4)).min(most);
                 (longest / 16, longest)
             }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -1,23 +1,21 @@
-//! The loop of a balancer: who is told what and in which order, which places upstreams have and what is
-//! forgotten. Nothing is decided here.
+//! The loop of a balancer: what happens in which order, which places upstreams have and what is forgotten.
+//! Nothing is decided here.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::collections::{BTreeMap, BTreeSet};
 
 use nanorand::WyRand;
 
-use super::{Desk, DeskNote, Roster, SECOND, Seen, Upstream, UpstreamNote};
-use crate::{Action, Event, Listing, Stage, Tenths, Terms};
+use super::{Desk, Roster, SECOND, Seen, Upstream};
+use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
 const MANY_NAMES: usize = 32;
 
+/// The decisions of one balancer.
 pub struct Balancer {
-    inboxes: Inboxes,
     desk: Desk,
     roster: Roster,
-    upstreams: Vec<Upstream>,
     /// Places of upstreams that are forgotten.
     free: Vec<usize>,
     /// When the caller was last asked to come back, with or without news.
@@ -25,31 +23,27 @@
 }
 
 impl Balancer {
+    /// A balancer that knows no upstreams yet. Equal seeds and events bring equal actions.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let terms = Rc::new(terms);
-        let roster = Roster { terms: terms.clone(), failures: 0, ask_at: None };
+        let roster = Roster { failures: 0, ask_at: None };
         let desk = Desk::new(terms, WyRand::new_seed(seed));
-        let (inboxes, upstreams, free) = (Inboxes::default(), Vec::new(), Vec::new());
-        Balancer { inboxes, desk, roster, upstreams, free, wake: None }
+        Balancer { desk, roster, free: Vec::new(), wake: None }
     }
 
+    /// Takes what happened until now and adds to `out` what is to be done.
     pub fn handle(&mut self, now: Tenths, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
         for event in events {
             match event {
                 Event::Listed(listing) => self.list(now, listing),
-                event => self.inboxes.desk.push_back(DeskNote::Event(event)),
+                event => self.desk.receive(now, event, out),
             }
-            self.settle(now, out);
         }
         if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Watch { on: true });
         }
-        self.desk.ring(now, &mut self.inboxes, out);
-        self.settle(now, out);
+        self.desk.ring(now, out);
         self.desk.lay_lanes(now);
-        while self.desk.release(now, &mut self.inboxes, out) {
-            self.settle(now, out);
-        }
+        while self.desk.release(now, out) {}
         self.desk.shed(now, out);
         let alarm = self.desk.book.alarms.peek().map(|Reverse((at, ..))| *at);
         let Some(next) = alarm.into_iter().chain(self.roster.ask_at).min() else { return };
@@ -61,34 +55,50 @@
 
     fn list(&mut self, now: Tenths, listing: Listing) {
         let (entries, whole) = match &listing {
-            Listing::Lost | Listing::Unreached | Listing::Silent => {
-                return self.roster.ask(now, &listing, &mut self.desk.rng);
-            }
+            Listing::Lost | Listing::Unreached | Listing::Silent => return self.ask(now, &listing),
             Listing::Changes(entries) => (entries, false),
             Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
         };
         self.roster.failures = 0;
         if matches!(listing, Listing::Remembered(_)) {
-            self.roster.ask(now, &listing, &mut self.desk.rng);
+            self.ask(now, &listing);
         }
         self.forget(now);
-        let mut named = vec![!whole; self.upstreams.len()];
+        let mut stages = BTreeMap::new();
         for entry in entries.iter() {
-            let up = *self.desk.seen.names.entry(entry.upstream.clone()).or_insert_with(|| {
-                let upstream = Upstream::new(entry, &self.desk.terms);
-                let up = self.free.pop().unwrap_or(self.upstreams.len());
-                self.desk.seen.board.splice(up..named.len().min(up + 1), [upstream.shown.clone()]);
-                self.upstreams.splice(up..named.len().min(up + 1), [upstream]);
-                self.inboxes.upstreams.resize_with(self.upstreams.len(), VecDeque::new);
-                named.resize(self.upstreams.len(), true);
-                up
-            });
-            named[up] = true;
-            self.inboxes.upstream(up, UpstreamNote::Listed(entry.clone()));
+            let up = self.place(entry);
+            stages.entry(up).or_insert(self.desk.seen.board[up].entry.stage);
+            self.desk.listed(now, up, Some(entry.clone()));
         }
-        for (up, _) in named.iter().enumerate().filter(|(_, named)| !**named) {
-            self.inboxes.upstream(up, UpstreamNote::Unlisted);
+        if whole {
+            let missing: Vec<usize> = self.live_or_draining().filter(|up| !stages.contains_key(up)).collect();
+            for up in missing {
+                stages.insert(up, self.desk.seen.board[up].entry.stage);
+                self.desk.listed(now, up, None);
+            }
         }
+        let seen = &mut self.desk.seen;
+        seen.stale |= stages.into_iter().any(|(up, before)| seen.board[up].entry.stage != before);
+    }
+
+    fn live_or_draining(&self) -> impl Iterator<Item = usize> {
+        let board = &self.desk.seen.board;
+        (0..board.len()).filter(|up| board[*up].entry.stage != Stage::Gone)
+    }
+
+    fn ask(&mut self, now: Tenths, why: &Listing) {
+        self.roster.ask(now, why, &self.desk.terms, &mut self.desk.rng);
+    }
+
+    /// The place of a listed upstream; one that is new gets that of a forgotten one first.
+    fn place(&mut self, entry: &Entry) -> usize {
+        let Seen { names, board, .. } = &mut self.desk.seen;
+        *names.entry(entry.upstream.clone()).or_insert_with(|| {
+            let upstream = Upstream::new(entry, &self.desk.terms);
+            let up = self.free.pop().unwrap_or(board.len());
+            board.splice(up..board.len().min(up + 1), [upstream]);
+            up
+        })
     }
 
     /// Against a balancer that grows with each upstream that ever was. What it has sent is kept as long as
@@ -114,36 +124,4 @@
         let Seen { names, zones, kinds, .. } = &self.desk.seen;
         [names.len(), zones.len(), kinds.len(), self.desk.book.txns.len()]
     }
-
-    fn settle(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        let inboxes = &mut self.inboxes;
-        loop {
-            if let Some(up) = inboxes.ready.pop_front() {
-                while let Some(note) = inboxes.upstreams[up].pop_front() {
-                    self.upstreams[up].receive(now, note, &self.desk.terms);
-                }
-                inboxes.desk.push_back(DeskNote::Standing(up, self.upstreams[up].shown.clone()));
-            } else if let Some(note) = inboxes.desk.pop_front() {
-                self.desk.receive(now, note, inboxes, out);
-            } else {
-                return;
-            }
-        }
-    }
-}
-
-#[derive(Default)]
-pub struct Inboxes {
-    upstreams: Vec<VecDeque<UpstreamNote>>,
-    ready: VecDeque<usize>,
-    desk: VecDeque<DeskNote>,
-}
-
-impl Inboxes {
-    pub fn upstream(&mut self, up: usize, note: UpstreamNote) {
-        if self.upstreams[up].is_empty() {
-            self.ready.push_back(up);
-        }
-        self.upstreams[up].push_back(note);
-    }
 }
