A change of the list costs what it changes, not the length of the list

Cause: one changed upstream of 24,000 took 3 ms. The circle filtered, added up and sorted the whole board at each change; each listing allocated a mark for every upstream and walked all names to forget the old ones; names of zones and kinds in the directory were looked for among all places.

Change: the live upstreams of the own zone and of the others are kept in ordered sets, by the balancer's own order and place, and the circle takes the first of each. Their listed size is as of the last draw, added up by place when it is needed. What is gone waits in a queue by time until it is forgotten; zones and kinds are counted. The directory counts the uses of names that the settings don't know.

The directory was not timed.

--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::collections::btree_map::{self, BTreeMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -27,31 +28,60 @@
     known: Vec<String>,
     /// Those that the settings don't know, for as long as an upstream has them. No number is used twice, so
     /// that one name is never taken for another.
-    others: BTreeMap<String, u32>,
+    others: BTreeMap<Rc<str>, u32>,
+    /// Names and counts of the upstreams that have these numbers.
+    uses: BTreeMap<u32, (Rc<str>, usize)>,
+    /// Numbers that may be of no upstream any more.
+    unused: Vec<u32>,
     next: u32,
 }
 
 impl Numbers {
     fn new(known: Vec<String>) -> Self {
         let next = u32::try_from(known.len()).unwrap_or(u32::MAX);
-        Numbers { known, others: BTreeMap::new(), next }
+        let (others, uses) = (BTreeMap::new(), BTreeMap::new());
+        Numbers { known, others, uses, unused: Vec::new(), next }
     }
 
-    fn of(&mut self, name: String) -> u32 {
+    /// The number of a name. One that is new counts as unused until an upstream has it.
+    fn of(&mut self, name: &str) -> u32 {
         if let Some(at) = (0..).zip(&self.known).find_map(|(at, known)| (*known == name).then_some(at)) {
             return at;
         }
-        *self.others.entry(name).or_insert_with(|| {
-            let number = self.next;
-            self.next = self.next.saturating_add(1);
-            number
-        })
+        if let Some(number) = self.others.get(name) {
+            return *number;
+        }
+        let (number, name) = (self.next, Rc::<str>::from(name));
+        self.next = self.next.saturating_add(1);
+        self.others.insert(name.clone(), number);
+        self.uses.insert(number, (name, 0));
+        self.unused.push(number);
+        number
+    }
+
+    fn add_use(&mut self, number: u32) {
+        if let Some((_, uses)) = self.uses.get_mut(&number) {
+            *uses += 1;
+        }
     }
 
-    fn keep(&mut self, used: impl Iterator<Item = u32>) {
-        if !self.others.is_empty() {
-            let used: BTreeSet<u32> = used.collect();
-            self.others.retain(|_, number| used.contains(number));
+    fn remove_use(&mut self, number: u32) {
+        let Some((_, uses)) = self.uses.get_mut(&number) else { return };
+        *uses = uses.saturating_sub(1);
+        if *uses == 0 {
+            self.unused.push(number);
+        }
+    }
+
+    /// Forgets the names that no upstream has.
+    fn forget_unused(&mut self) {
+        for number in self.unused.drain(..) {
+            if let btree_map::Entry::Occupied(used) = self.uses.entry(number)
+                && used.get().1 == 0
+            {
+                let (name, _) = used.remove();
+                self.others.remove(&name);
+            }
         }
     }
 }
@@ -79,7 +109,9 @@
         log::debug!("list {} whole {} names {}", roster.version, roster.whole, roster.targets.len());
         if roster.whole {
             let named: BTreeSet<&str> = roster.targets.iter().map(|t| &*t.upstream).collect();
-            self.places.retain(|upstream, _| named.contains(&**upstream));
+            let missing = self.places.keys().filter(|upstream| !named.contains(&***upstream));
+            let missing: Vec<UpstreamId> = missing.cloned().collect();
+            missing.into_iter().for_each(|upstream| self.place(upstream, None));
         }
         let mut entries = Vec::with_capacity(roster.targets.len());
         for target in roster.targets {
@@ -93,12 +125,9 @@
                 target.started
             );
             let upstream: UpstreamId = target.upstream.into();
-            let (zone, kind) = (self.zones.of(target.zone), self.kinds.of(target.kind));
-            if target.stage == Stage::Gone {
-                self.places.remove(&upstream);
-            } else {
-                self.places.insert(upstream.clone(), Place { address: target.address, zone, kind });
-            }
+            let (zone, kind) = (self.zones.of(&target.zone), self.kinds.of(&target.kind));
+            let place = Place { address: target.address, zone, kind };
+            self.place(upstream.clone(), Some(place).filter(|_| target.stage != Stage::Gone));
             entries.push(Entry {
                 upstream,
                 cell: target.cell,
@@ -109,10 +138,26 @@
                 stage: target.stage,
             });
         }
-        self.zones.keep(self.places.values().map(|place| place.zone));
-        self.kinds.keep(self.places.values().map(|place| place.kind));
+        self.zones.forget_unused();
+        self.kinds.forget_unused();
         entries.into()
     }
+
+    /// Where an upstream is from now on; none where it is gone.
+    fn place(&mut self, upstream: UpstreamId, place: Option<Place>) {
+        if let Some(Place { zone, kind, .. }) = place {
+            self.zones.add_use(zone);
+            self.kinds.add_use(kind);
+        }
+        let before = match place {
+            Some(place) => self.places.insert(upstream, place),
+            None => self.places.remove(&upstream),
+        };
+        if let Some(Place { zone, kind, .. }) = before {
+            self.zones.remove_use(zone);
+            self.kinds.remove_use(kind);
+        }
+    }
 }
 
 fn started(unix_ms: u64, unix_start: i64) -> Option<Tenths> {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -151,6 +151,7 @@
 }
 
 /// What this balancer knows of an upstream.
+#[derive(Default)]
 struct Upstream {
     entry: Entry,
     /// Its place in the order of the lanes, alike at every balancer.
@@ -181,23 +182,7 @@
     fn new(entry: &Entry, terms: &Terms) -> Self {
         let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
-        let (in_flight, cost_out, cap) = (0, 0.0, terms.part(FIRST_CAP).max(1.0));
-        let (distrust, cold_work) = (Fading::default(), Fading::default());
-        let (gone, told, answered, answered_sent, pace) = (0, Told::default(), 0, 0, Pace::default());
-        Upstream {
-            entry,
-            order,
-            in_flight,
-            cost_out,
-            cap,
-            distrust,
-            cold_work,
-            gone,
-            told,
-            answered,
-            answered_sent,
-            pace,
-        }
+        Upstream { entry, order, cap: terms.part(FIRST_CAP).max(1.0), ..Upstream::default() }
     }
 
     /// The part of its capacity that it has by now, at least.
@@ -408,6 +393,9 @@
     }
 }
 
+/// Live upstreams in an order of this balancer's own, by which it takes them into use, and by place.
+type Ranking = BTreeSet<(u64, usize)>;
+
 #[derive(Default)]
 struct Seen {
     names: BTreeMap<UpstreamId, usize>,
@@ -429,8 +417,14 @@
     flow: Fading,
     cost_sums: [f64; 2],
     cost_count: u32,
-    /// Listed size of all live upstreams, this balancer's room among them, and what it has out.
-    size: f64,
+    /// Those of the own zone and of the others.
+    near: Ranking,
+    far: Ranking,
+    /// Listed size by place, 0 where not live, as of the last draw; the places listed since; the sum of sizes.
+    sizes: Vec<f64>,
+    relisted: BTreeSet<usize>,
+    size: Option<f64>,
+    /// This balancer's room among all live upstreams, and what it has out.
     room: f64,
     out_now: f64,
     out_mean: f64,
@@ -438,6 +432,20 @@
 }
 
 impl Seen {
+    /// Where a live upstream stands among those of the own zone or of the others.
+    fn rank(&mut self, up: usize, terms: &Terms, change: impl Fn(&mut Ranking, (u64, usize)) -> bool) {
+        let upstream = &self.board[up];
+        if upstream.entry.stage == Stage::Live {
+            let ranking = if upstream.entry.zone == terms.own_zone { &mut self.near } else { &mut self.far };
+            change(ranking, (mix(upstream.order ^ mix(u64::from(terms.own_number))), up));
+        }
+    }
+
+    /// Listed size of all that were live when the circle was drawn last, added up once it is needed.
+    fn size(&mut self) -> f64 {
+        *self.size.get_or_insert_with(|| self.sizes.iter().sum())
+    }
+
     fn slower(&self, some: Option<&Pace>) -> f64 {
         some.map_or(0.0, |p| (p.log - self.listed.log) * p.answers / (p.answers + FEW_ANSWERS))
     }
@@ -546,11 +554,14 @@
 
     /// Takes what the list says of an upstream, or that it is not on the list any more.
     fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
+        self.seen.rank(up, &self.terms, |ranking, rank| ranking.remove(&rank));
         let upstream = &mut self.seen.board[up];
         match entry {
             Some(entry) => upstream.listed(now, entry, &self.terms),
             None => (upstream.entry.stage, upstream.gone) = (Stage::Gone, now),
         }
+        self.seen.rank(up, &self.terms, |ranking, rank| ranking.insert(rank));
+        self.seen.relisted.insert(up);
     }
 
     fn report(&mut self, now: Tenths, up: usize, outcome: Outcome, load: Load) {
@@ -618,25 +629,25 @@
     /// half of all circles. Each balancer ranks all upstreams in an order of its own and uses the first live
     /// ones, so they are used by about equally many, and what comes or goes moves nobody else.
     fn draw_circle(&mut self) {
-        let board = &self.seen.board;
-        let live = |up: &usize| board[*up].entry.stage == Stage::Live;
-        let own_order = |up: &usize| mix(board[*up].order ^ mix(u64::from(self.terms.own_number)));
-        let mut all: Vec<usize> = (0..board.len()).filter(live).collect();
-        self.seen.size = all.iter().map(|up| board[*up].entry.size).sum();
-        all.sort_by_key(own_order);
-        let (mut near, mut far): (Vec<usize>, Vec<usize>) =
-            all.into_iter().partition(|up| board[*up].entry.zone == self.terms.own_zone);
-        let circle = self.seen.circle.min(near.len() + far.len());
-        let part = 3 * circle * near.len() / (2 * (near.len() + far.len()).max(1));
-        let half = part.min(circle / 2).max(circle.saturating_sub(far.len()));
-        self.seen.partial = near.len() + far.len() > circle;
-        near.truncate(half);
-        far.truncate(circle - near.len());
+        let Seen { board, near, far, sizes, relisted, circle, .. } = &mut self.seen;
+        sizes.resize(board.len(), 0.0);
+        for up in std::mem::take(relisted) {
+            let Entry { stage, size, .. } = board[up].entry;
+            sizes[up] = if stage == Stage::Live { size } else { 0.0 };
+        }
+        let all = near.len() + far.len();
+        let circle = all.min(*circle);
+        let part = 3 * circle * near.len() / (2 * all.max(1));
+        let half = part.min(circle / 2).max(circle.saturating_sub(far.len())).min(near.len());
         // The lane order puts the own zone first: a light lane of one or two upstreams would else lie in
         // another zone for most balancers, and half of all txns cross to it.
-        near.sort_by_key(|up| board[*up].order);
-        far.sort_by_key(|up| board[*up].order);
-        self.seen.lanes = [near, far].concat();
+        let first = |ranking: &Ranking, count| {
+            let mut ups: Vec<usize> = ranking.iter().take(count).map(|(_, up)| *up).collect();
+            ups.sort_by_key(|up| board[*up].order);
+            ups
+        };
+        self.seen.lanes = [first(near, half), first(far, circle - half)].concat();
+        (self.seen.partial, self.seen.size) = (all > circle, None);
     }
 
     /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
@@ -655,7 +666,7 @@
             self.draw_circle();
         }
         if self.seen.room == 0.0 {
-            self.seen.room = self.terms.part(FIRST_ROOM * self.seen.size);
+            self.seen.room = self.terms.part(FIRST_ROOM * self.seen.size());
         }
         let cost: f64 = self.seen.cost_sums.iter().sum();
         let all: f64 = self.seen.lanes.iter().map(|up| self.speed(*up)).sum();
@@ -729,7 +740,7 @@
     /// Each upstream is seen too seldom: the share of all that wait too long tells of a jam not to feed.
     fn make_room(&mut self, late: bool) {
         if late {
-            self.seen.room = (self.seen.room * LATE_SHRINKS).max(self.terms.part(self.seen.size));
+            self.seen.room = (self.seen.room * LATE_SHRINKS).max(self.terms.part(self.seen.size()));
         } else if self.seen.out_mean >= IN_USE * self.seen.room {
             self.seen.room *= TIMELY_GROWS;
         }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -7,7 +7,7 @@
 use nanorand::WyRand;
 
 use super::{Desk, Roster, SECOND, Seen, Upstream};
-use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms};
+use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, UpstreamId};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
 const MANY_NAMES: usize = 32;
@@ -18,6 +18,9 @@
     roster: Roster,
     /// Places of upstreams that are forgotten.
     free: Vec<usize>,
+    /// Places of those that are gone and not forgotten yet, by the time since when.
+    gone: BTreeSet<(Tenths, usize)>,
+    known: Known,
     /// When the caller was last asked to come back, with or without news.
     wake: Option<Tenths>,
 }
@@ -27,7 +30,8 @@
     pub fn new(terms: Terms, seed: u64) -> Self {
         let roster = Roster { failures: 0, ask_at: None };
         let desk = Desk::new(terms, WyRand::new_seed(seed));
-        Balancer { desk, roster, free: Vec::new(), wake: None }
+        let (free, gone, known) = (Vec::new(), BTreeSet::new(), Known::default());
+        Balancer { desk, roster, free, gone, known, wake: None }
     }
 
     /// Takes what happened until now and adds to `out` what is to be done.
@@ -64,26 +68,37 @@
             self.ask(now, &listing);
         }
         self.forget(now);
+        // By their stages before, since only what is another one in the end counts.
         let mut stages = BTreeMap::new();
         for entry in entries.iter() {
             let up = self.place(entry);
             stages.entry(up).or_insert(self.desk.seen.board[up].entry.stage);
-            self.desk.listed(now, up, Some(entry.clone()));
+            self.listed(now, up, Some(entry.clone()));
         }
         if whole {
-            let missing: Vec<usize> = self.live_or_draining().filter(|up| !stages.contains_key(up)).collect();
+            let board = &self.desk.seen.board;
+            let is_missing = |up: &usize| board[*up].entry.stage != Stage::Gone && !stages.contains_key(up);
+            let missing: Vec<usize> = (0..board.len()).filter(is_missing).collect();
             for up in missing {
                 stages.insert(up, self.desk.seen.board[up].entry.stage);
-                self.desk.listed(now, up, None);
+                self.listed(now, up, None);
             }
         }
         let seen = &mut self.desk.seen;
         seen.stale |= stages.into_iter().any(|(up, before)| seen.board[up].entry.stage != before);
     }
 
-    fn live_or_draining(&self) -> impl Iterator<Item = usize> {
-        let board = &self.desk.seen.board;
-        (0..board.len()).filter(|up| board[*up].entry.stage != Stage::Gone)
+    /// Hands on what the list says of an upstream, and keeps count of it.
+    fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
+        let before = &self.desk.seen.board[up];
+        self.known.remove(&before.entry);
+        self.gone.remove(&(before.gone, up));
+        self.desk.listed(now, up, entry);
+        let after = &self.desk.seen.board[up];
+        self.known.add(&after.entry);
+        if after.entry.stage == Stage::Gone {
+            self.gone.insert((after.gone, up));
+        }
     }
 
     fn ask(&mut self, now: Tenths, why: &Listing) {
@@ -97,6 +112,7 @@
             let upstream = Upstream::new(entry, &self.desk.terms);
             let up = self.free.pop().unwrap_or(board.len());
             board.splice(up..board.len().min(up + 1), [upstream]);
+            self.known.add(entry);
             up
         })
     }
@@ -104,19 +120,31 @@
     /// Against a balancer that grows with each upstream that ever was. What it has sent is kept as long as
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
-        let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
-        let posted: BTreeSet<usize> = txns.values().flat_map(|t| t.postings.iter().map(|p| p.up)).collect();
         let since = now.saturating_sub(self.desk.terms.cold.warm_within.max(SECOND));
-        let is_old = |up: &usize| {
-            let s = &seen.board[*up];
-            s.entry.stage == Stage::Gone && s.gone < since && s.in_flight == 0 && !posted.contains(up)
-        };
-        self.free.extend(seen.names.values().copied().filter(is_old));
-        seen.names.retain(|_, up| !is_old(up));
-        let named = || seen.names.values().map(|up| &seen.board[*up].entry);
-        let many = seen.zones.len().max(seen.kinds.len()) > MANY_NAMES;
-        seen.zones.retain(|zone, _| !many || named().any(|entry| entry.zone == *zone));
-        seen.kinds.retain(|kind, _| !many || named().any(|entry| entry.kind == *kind));
+        let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
+        let mut old: Vec<(UpstreamId, Tenths, usize)> = self
+            .gone
+            .range(..(since, 0))
+            .filter(|(_, up)| seen.board[*up].in_flight == 0)
+            .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
+            .collect();
+        if !old.is_empty() {
+            let posted = txns.values().flat_map(|txn| txn.postings.iter().map(|posting| posting.up));
+            let posted: BTreeSet<usize> = posted.collect();
+            old.retain(|(.., up)| !posted.contains(up));
+        }
+        // By name, so that equal events leave equal places free in equal order.
+        old.sort();
+        for (name, gone, up) in old {
+            seen.names.remove(&name);
+            self.known.remove(&seen.board[up].entry);
+            self.gone.remove(&(gone, up));
+            self.free.push(up);
+        }
+        if seen.zones.len().max(seen.kinds.len()) > MANY_NAMES {
+            seen.zones.retain(|zone, _| self.known.zones.contains_key(zone));
+            seen.kinds.retain(|kind, _| self.known.kinds.contains_key(kind));
+        }
     }
 
     /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
@@ -125,3 +153,28 @@
         [names.len(), zones.len(), kinds.len(), self.desk.book.txns.len()]
     }
 }
+
+/// How many upstreams that are not forgotten are in each zone and of each kind.
+#[derive(Default)]
+struct Known {
+    zones: BTreeMap<u32, usize>,
+    kinds: BTreeMap<u32, usize>,
+}
+
+impl Known {
+    fn add(&mut self, entry: &Entry) {
+        *self.zones.entry(entry.zone).or_default() += 1;
+        *self.kinds.entry(entry.kind).or_default() += 1;
+    }
+
+    fn remove(&mut self, entry: &Entry) {
+        for (counts, name) in [(&mut self.zones, entry.zone), (&mut self.kinds, entry.kind)] {
+            if let Some(count) = counts.get_mut(&name) {
+                *count -= 1;
+                if *count == 0 {
+                    counts.remove(&name);
+                }
+            }
+        }
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -66,7 +66,7 @@
     Silent,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub upstream: UpstreamId,
     pub cell: u32,
@@ -78,10 +78,11 @@
     pub stage: Stage,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
     Live,
     Draining,
+    #[default]
     Gone,
 }
 
