The decisions are in a file for each part, and requests carry what their class gave them

The circle is called the subset, the desk the dispatcher, the roster discovery. A request copies the effect of its class and the limits of its attempts when it arrives, in place of looking them up each time.

--- /dev/null
+++ b/src/balance/dispatch.rs
@@ -0,0 +1,237 @@
+//! Which request leaves next, and to which upstream.
+
+use std::cmp::Reverse;
+
+use nanorand::Rng;
+
+use super::{BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Posting, Txn, mix};
+use crate::{Action, Effect, Scope, Tenths};
+
+/// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
+const OVERDUE_PACE: f64 = 2.0;
+const CROSS: f64 = 0.1;
+const CROSS_LEAST: f64 = 0.03;
+const ZONE_STEEP: f64 = 3.0;
+/// With fewer than one in so many trusted, the others serve too.
+const FEW_TRUSTED: usize = 4;
+/// Txns of so many mean costs ask two upstreams for their load, who have so long for both to answer or for one.
+const ASK_FROM: f64 = 1.0;
+const ASKED: u32 = u32::MAX;
+const ASKED_BOTH: Tenths = 250;
+const ASKED_ANY: Tenths = 1500;
+/// What an upstream told of its load counts as new for so long.
+const FRESH: Tenths = 1000;
+/// A part of the room is kept from a txn that others are worth more than: how steeply, and how much at most.
+const KEPT_STEEP: i32 = 4;
+const MOST_KEPT: f64 = 0.75;
+/// Where upstreams may be asked, one has been told enough to have so many out whatever the room.
+const LEAST_ROOM: f64 = 3.0;
+/// How much of the load that would push a cold upstream over this balancer's part may reach.
+const COLD_MARGIN: f64 = 0.35;
+/// What a new connection costs there, in mean txns.
+const LEAST_ARRIVES: f64 = 0.1;
+
+impl Dispatcher {
+    /// One posting, or one txn given up; false when nothing more can leave.
+    pub fn release(&mut self, now: Tenths, out: &mut Vec<Action>) -> bool {
+        self.seen.note_out(now, 0.0);
+        // More than the first, against one that only some upstreams may take keeping all others waiting.
+        let heads: Vec<u64> = self.queue.held.iter().take(4).map(|(_, number)| *number).collect();
+        for number in heads {
+            let txn = &self.queue.txns[&number];
+            if self.seen.lanes.is_empty() || txn.begin_by().is_some_and(|by| by <= now + 1) {
+                // Nobody to send it to, or who would not know it again: the client had better hear so at once.
+                self.stop_waiting(number, out);
+                return true;
+            }
+            if let Some(up) = self.has_room(txn).then(|| self.pick(now, number, out)).flatten() {
+                self.unhold(number);
+                // Where nobody waits it costs nobody, and late is worth more than never.
+                let waits = self.seen.told(now, up) >= self.seen.mean_cost();
+                if waits && self.is_late(now, &self.queue.txns[&number], up) {
+                    self.give_up(number, out);
+                } else {
+                    self.post(now, number, up, out);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The last of the room is kept for what is worth more: with little traffic, one at a time is held.
+    pub fn has_room(&self, txn: &Txn) -> bool {
+        let least = if self.terms.probing { LEAST_ROOM } else { 0.0 };
+        let room = least.max((1.0 - self.kept(txn)) * self.seen.room);
+        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+    }
+
+    /// Whether it is foreseen to be late there, by what is told to be waiting and its own work.
+    fn is_late(&self, now: Tenths, txn: &Txn, up: usize) -> bool {
+        let left = txn.deadline.saturating_sub(now) as f64 * self.seen.speed(up);
+        self.terms.probing && self.seen.told(now, up) + txn.cost * self.seen.cores.max(1.0) > left
+    }
+
+    /// The part that a txn leaves to those that are worth more.
+    pub fn kept(&self, txn: &Txn) -> f64 {
+        let value = f64::from_bits(txn.rank);
+        let most = self.terms.schemes.iter().map(|s| s.value).fold(value, f64::max);
+        (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT)
+    }
+
+    fn pick(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) -> Option<usize> {
+        let chance = self.rng.generate::<u64>();
+        let txn = &self.queue.txns[&number];
+        let cost = txn.cost;
+        let (mut own, mut other) = self.seen.lanes.split_at(self.seen.light);
+        if txn.heavy && !other.is_empty() {
+            (own, other) = (other, own);
+        }
+        let pinned = match txn.effect {
+            Effect::Referenced { scope, .. } => txn.first().map(|p| (scope, &self.seen.board[p.up])),
+            _ => None,
+        };
+        let fit = |up: &usize, careful: bool| {
+            let s = &self.seen.board[*up];
+            let in_group = pinned.is_none_or(|(scope, first)| match scope {
+                Scope::All => true,
+                Scope::Zone => first.entry.zone == s.entry.zone,
+                Scope::Cell => first.entry.cell == s.entry.cell,
+            });
+            in_group
+                && f64::from(s.in_flight) < s.cap
+                && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
+                && self.cold_room(now, *up, self.arrives(txn.cost))
+        };
+        let trusted = |up: &usize, any_zone: bool| {
+            let s = &self.seen.board[*up];
+            let zone = self.seen.zones.get(&s.entry.zone).filter(|_| !any_zone);
+            let distrust = zone.map_or(0.0, |zone| zone.distrust.at(now, FADE));
+            distrust.max(s.distrust.at(now, FADE)) < BENCHED
+        };
+        let mut fitting: Vec<usize> = Vec::new();
+        for any_zone in [false, true] {
+            for lane in [own, other] {
+                if fitting.is_empty() {
+                    fitting.extend(lane.iter().copied().filter(|up| trusted(up, any_zone) && fit(up, true)));
+                }
+            }
+            let count = self.seen.lanes.iter().filter(|up| trusted(up, any_zone)).count();
+            if fitting.is_empty() && FEW_TRUSTED * count >= self.seen.lanes.len() {
+                return None;
+            }
+        }
+        if fitting.is_empty() {
+            // Nearly all look bad: the fault may be ours, and traffic still has to flow.
+            fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
+        }
+        let timely: Vec<usize> = fitting.iter().copied().filter(|up| !self.is_late(now, txn, *up)).collect();
+        let two = self.two(now, txn, if timely.is_empty() { &fitting } else { &timely }, chance);
+        if !self.terms.probing || cost < ASK_FROM * self.seen.mean_cost() {
+            return self.least(now, &two, cost);
+        }
+        let txn = self.queue.txns.get_mut(&number)?;
+        if txn.asked.1.is_empty() {
+            for &up in two.iter().filter(|up| self.seen.board[**up].reported_at + FRESH <= now) {
+                out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
+            }
+            txn.asked = (now, two.clone());
+            let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(ASKED))));
+            self.queue.alarms.extend(waits);
+        }
+        // Some wait like a txn before they answer: who answers first has the shortest queue.
+        let (since, asked) = (now - txn.asked.0, &txn.asked.1);
+        let heard = |up: &&usize| self.seen.board[**up].reported_at + FRESH > txn.asked.0;
+        let told: Vec<usize> = asked.iter().filter(heard).copied().collect();
+        if told.len() < asked.len() && since < if told.is_empty() { ASKED_ANY } else { ASKED_BOTH } {
+            return None;
+        }
+        let told: Vec<usize> = told.into_iter().filter(|up| fitting.contains(up)).collect();
+        self.least(now, if told.is_empty() { &two } else { &told }, cost)
+    }
+
+    fn least(&self, now: Tenths, ups: &[usize], cost: f64) -> Option<usize> {
+        ups.iter().copied().min_by(|a, b| self.load(now, *a, cost).total_cmp(&self.load(now, *b, cost)))
+    }
+
+    /// The two between which load decides, drawn by speed so that slow ones get less; a key draws alike everywhere.
+    fn two(&self, now: Tenths, txn: &Txn, fitting: &[usize], chance: u64) -> Vec<usize> {
+        let key = txn.key.filter(|_| self.terms.warm_keys);
+        // Twice its time is not left: two drawn at random may both be too slow for it.
+        let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
+        // Crossing is for when the own zone is worse: the others get more as it answers more slowly.
+        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
+        let rank = |up: usize| {
+            let s = &self.seen.board[up];
+            let drawn = mix(key.unwrap_or(chance) ^ s.order) as f64 / u64::MAX as f64;
+            let near = key.is_some() || s.entry.zone == self.terms.own_zone;
+            let slower = pace(self.terms.own_zone) - pace(s.entry.zone);
+            let away = (CROSS * (ZONE_STEEP * slower).exp()).clamp(CROSS_LEAST, 1.0);
+            let weight = self.seen.speed(up) * if near { 1.0 } else { away };
+            let by_chance = -drawn.max(f64::MIN_POSITIVE).ln() / weight;
+            if key.is_none() && tight { self.load(now, up, txn.cost) } else { by_chance }
+        };
+        let mut two: Vec<(f64, usize)> = fitting.iter().map(|up| (rank(*up), *up)).collect();
+        two.sort_by(|a, b| a.0.total_cmp(&b.0));
+        two.into_iter().map(|(_, up)| up).take(2).collect()
+    }
+
+    /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
+    fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
+        let s = &self.seen.board[up];
+        let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
+        let there = s.cost_out.max(self.seen.told(now, up));
+        let work = there + cost * self.seen.cores.max(1.0) + away * self.seen.mean_cost();
+        work / self.seen.speed(up) * (1.0 + s.distrust.at(now, FADE))
+    }
+
+    /// A cold upstream gets its part of what warm ones bear (settled cost by size) in each window. What is less
+    /// than a txn is granted by chance: one from each of many balancers would be hundreds in sum.
+    fn cold_room(&self, now: Tenths, up: usize, cost: f64) -> bool {
+        let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
+        let Some(age) = s.cold_age(now, &self.terms) else { return true };
+        // Of a fleet that is mostly cold, what its listed speed could bear would be taken for far too little.
+        let present = |up: &usize| self.seen.board[*up].present(now, &self.terms) * self.seen.speed(*up);
+        let flow = self.seen.flow.at(now, LONG) / self.seen.lanes.iter().map(present).sum::<f64>();
+        let budget = COLD_MARGIN * cold.multiple * flow * present(&up) * cold.window as f64;
+        let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
+            / u64::MAX as f64;
+        s.cold_work.at(now, cold.window.max(1)) + cost <= budget + drawn * cost
+    }
+
+    /// What a posting costs a cold upstream: a new connection too, and light ones are heavier than they look.
+    fn arrives(&self, cost: f64) -> f64 {
+        cost + LEAST_ARRIVES * self.seen.mean_cost()
+    }
+
+    fn post(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
+        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
+        let ((_, slot), begin_by) = (self.estimate.plan(now, txn.deadline), txn.begin_by());
+        let (cost, deadline) = (txn.cost, txn.deadline);
+        let first = txn.postings.is_empty();
+        if first {
+            self.estimate.wait += ((now - txn.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
+        } else if txn.out() {
+            self.extra -= 1.0;
+        }
+        // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste.
+        let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
+        let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
+        // Where two may not be out together, the first ends at tp to make room for the next.
+        let last = txn.postings.len() + 1 >= txn.attempts.max_postings as usize;
+        let alone = txn.effect == Effect::Repeatable && !txn.attempts.second_copies;
+        let timeout = (alone && !last && slot).then_some(due);
+        txn.asked.1.clear();
+        let posting = txn.postings.len() as u32;
+        txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
+        let upstream = self.seen.board[up].entry.upstream.clone();
+        out.push(Action::Post { txn: txn.id.clone(), upstream, timeout, begin_by });
+        let arrives = self.arrives(cost);
+        self.seen.board[up].posted(now, cost, arrives, &self.terms);
+        self.queue.alarms.push(Reverse((now + due, number, Some(posting))));
+        self.seen.note_out(now, 1.0);
+        if first && !slot && now < deadline {
+            self.copy(now, number);
+        }
+    }
+}
--- /dev/null
+++ b/src/balance/queue.rs
@@ -0,0 +1,184 @@
+//! Requests that are held, given up and ended.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+
+use nanorand::Rng;
+
+use super::{Dispatcher, LONG};
+use crate::{Action, Attempts, Effect, Scope, Tenths, TxnId};
+
+const GIVE_WAY: f64 = 4.0;
+
+pub struct Posting {
+    pub up: usize,
+    pub sent: Tenths,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+#[derive(Default)]
+pub struct Txn {
+    pub id: TxnId,
+    /// What it came under, whatever its class and the settings say since.
+    pub effect: Effect,
+    pub attempts: Attempts,
+    pub cost: f64,
+    pub key: Option<u64>,
+    pub heavy: bool,
+    pub arrived: Tenths,
+    pub deadline: Tenths,
+    pub rank: u64,
+    pub held: Option<Tenths>,
+    pub postings: Vec<Posting>,
+    /// When it asked for their load before it is posted, and which upstreams.
+    pub asked: (Tenths, Vec<usize>),
+}
+
+impl Txn {
+    pub fn out(&self) -> bool {
+        self.postings.iter().any(|p| p.out)
+    }
+
+    /// The first that may have run.
+    pub fn first(&self) -> Option<&Posting> {
+        self.postings.iter().find(|p| p.out || p.may_have_run)
+    }
+
+    fn never_ran(&self) -> bool {
+        self.first().is_none()
+    }
+
+    /// Whether it may be sent once more.
+    fn may_post(&self) -> bool {
+        let may_repeat = self.effect != Effect::OnceOnly || self.never_ran();
+        may_repeat && self.postings.len() < self.attempts.max_postings as usize
+    }
+
+    /// Until when one that may have run can be repeated without running twice.
+    pub fn begin_by(&self) -> Option<Tenths> {
+        let Effect::Referenced { memory, .. } = self.effect else { return None };
+        self.first().map(|p| p.sent + memory)
+    }
+}
+
+#[derive(Default)]
+pub struct Queue {
+    pub txns: BTreeMap<u64, Txn>,
+    pub numbers: HashMap<TxnId, u64>,
+    pub next: u64,
+    pub held: BTreeSet<(Tenths, u64)>,
+    pub by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
+    pub held_cost: f64,
+    /// When a posting is overdue, a held txn (no posting) runs out of time, or a probe (`ASKED`) is waited for.
+    pub alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
+}
+
+impl Dispatcher {
+    pub fn hold(&mut self, now: Tenths, number: u64) {
+        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
+        let (send_by, _) = self.estimate.plan(now, txn.deadline);
+        let by = txn.begin_by().unwrap_or(txn.deadline);
+        let last = txn.deadline.saturating_sub(self.estimate.quick).min(by).max(now + 1);
+        txn.held = Some(send_by);
+        self.queue.held.insert((send_by, number));
+        self.queue.by_rank.insert((txn.rank, Reverse(send_by), number));
+        self.queue.held_cost += txn.cost;
+        self.queue.alarms.push(Reverse((last, number, None)));
+    }
+
+    pub fn unhold(&mut self, number: u64) {
+        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
+        let Some(send_by) = txn.held.take() else { return };
+        self.queue.held.remove(&(send_by, number));
+        self.queue.by_rank.remove(&(txn.rank, Reverse(send_by), number));
+        self.queue.held_cost -= txn.cost;
+    }
+
+    /// In a jam the txns of least value give way, at once rather than at the end of a hopeless wait.
+    pub fn shed(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        while let Some(&(_, _, number)) = self.queue.by_rank.first() {
+            let txn = &self.queue.txns[&number];
+            let flow = self.seen.flow.at(now, LONG);
+            let slack = txn.deadline.saturating_sub(self.estimate.tp).saturating_sub(now);
+            // What only waits for an answer to what it asked is in nobody's way.
+            let asks = self.terms.probing && self.has_room(txn);
+            if GIVE_WAY * self.queue.held_cost <= slack as f64 * flow || flow == 0.0 || asks {
+                return;
+            }
+            self.stop_waiting(number, out);
+        }
+    }
+
+    /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
+    pub fn copy(&mut self, now: Tenths, number: u64) {
+        let txn = &self.queue.txns[&number];
+        if txn.attempts.second_copies && txn.may_post() && txn.held.is_none() && self.extra >= 1.0 {
+            self.hold(now, number);
+        }
+    }
+
+    pub fn failed(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
+        let txn = &self.queue.txns[&number];
+        if txn.held.is_some() || txn.out() {
+            return;
+        }
+        if txn.may_post() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
+    }
+
+    /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
+    pub fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
+        let txn = &self.queue.txns[&number];
+        let may_decline = match txn.effect {
+            Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
+            Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
+        };
+        let txn = txn.id.clone();
+        // Apart from each other, against all those declined coming back in one wave.
+        let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
+        out.push(if may_decline { Action::Decline { txn, cool_down } } else { Action::Reverse { txn } });
+        self.close(number, out);
+    }
+
+    pub fn stop_waiting(&mut self, number: u64, out: &mut Vec<Action>) {
+        if self.queue.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
+    }
+
+    fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
+        let hopeful = now + self.estimate.quick < self.queue.txns[&number].deadline;
+        if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
+    }
+
+    pub fn close(&mut self, number: u64, out: &mut Vec<Action>) {
+        self.unhold(number);
+        let Some(txn) = self.queue.txns.remove(&number) else { return };
+        self.queue.numbers.remove(&txn.id);
+        let outs = (0u32..).zip(&txn.postings).filter(|(_, p)| p.out && txn.attempts.cancelling);
+        out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
+    }
+
+    pub fn ring(&mut self, now: Tenths, out: &mut Vec<Action>) {
+        while let Some(&Reverse((_, number, posting))) =
+            self.queue.alarms.peek().filter(|alarm| alarm.0.0 <= now)
+        {
+            self.queue.alarms.pop();
+            let Some(txn) = self.queue.txns.get(&number) else { continue };
+            if let Some(posting) = posting {
+                let posting = txn.postings.get(posting as usize).filter(|p| p.out);
+                let Some(&Posting { up, sent, .. }) = posting else { continue };
+                self.seen.board[up].overdue(now, sent, &self.terms);
+                let zone = self.seen.board[up].entry.zone;
+                self.seen.zones.entry(zone).or_default().unanswered(now, sent);
+                if now + self.estimate.quick < txn.deadline {
+                    self.copy(now, number);
+                }
+            } else if txn.held.is_some() {
+                let still_out = txn.out();
+                self.unhold(number);
+                if !still_out {
+                    self.hold_or_give_up(now, number, out);
+                }
+            }
+        }
+    }
+}
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -6,7 +6,8 @@
 
 use nanorand::WyRand;
 
-use super::{Desk, Roster, SECOND, Seen, Upstream};
+use super::discovery::Discovery;
+use super::{Dispatcher, SECOND, Seen, Upstream};
 use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, UpstreamId};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
@@ -14,8 +15,8 @@
 
 /// The decisions of one balancer.
 pub struct Balancer {
-    desk: Desk,
-    roster: Roster,
+    dispatcher: Dispatcher,
+    discovery: Discovery,
     /// Places of upstreams that are forgotten.
     free: Vec<usize>,
     /// Places of those that are gone and not forgotten yet, by the time since when.
@@ -28,10 +29,10 @@
 impl Balancer {
     /// A balancer that knows no upstreams yet. Equal seeds and events bring equal actions.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let roster = Roster { failures: 0, ask_at: None };
-        let desk = Desk::new(terms, WyRand::new_seed(seed));
+        let discovery = Discovery { failures: 0, ask_at: None };
+        let dispatcher = Dispatcher::new(terms, WyRand::new_seed(seed));
         let (free, gone, known) = (Vec::new(), BTreeSet::new(), Known::default());
-        Balancer { desk, roster, free, gone, known, wake: None }
+        Balancer { dispatcher, discovery, free, gone, known, wake: None }
     }
 
     /// Takes what happened until now and adds to `out` what is to be done.
@@ -39,18 +40,18 @@
         for event in events {
             match event {
                 Event::Listed(listing) => self.list(now, listing),
-                event => self.desk.receive(now, event, out),
+                event => self.dispatcher.receive(now, event, out),
             }
         }
-        if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
+        if self.discovery.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Watch { on: true });
         }
-        self.desk.ring(now, out);
-        self.desk.lay_lanes(now);
-        while self.desk.release(now, out) {}
-        self.desk.shed(now, out);
-        let alarm = self.desk.book.alarms.peek().map(|Reverse((at, ..))| *at);
-        let Some(next) = alarm.into_iter().chain(self.roster.ask_at).min() else { return };
+        self.dispatcher.ring(now, out);
+        self.dispatcher.seen.lay_lanes(now, &self.dispatcher.terms);
+        while self.dispatcher.release(now, out) {}
+        self.dispatcher.shed(now, out);
+        let alarm = self.dispatcher.queue.alarms.peek().map(|Reverse((at, ..))| *at);
+        let Some(next) = alarm.into_iter().chain(self.discovery.ask_at).min() else { return };
         if self.wake.is_none_or(|at| at <= now || next < at) {
             self.wake = Some(next);
             out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
@@ -63,7 +64,7 @@
             Listing::Changes(entries) => (entries, false),
             Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
         };
-        self.roster.failures = 0;
+        self.discovery.failures = 0;
         if matches!(listing, Listing::Remembered(_)) {
             self.ask(now, &listing);
         }
@@ -72,44 +73,44 @@
         let mut stages = BTreeMap::new();
         for entry in entries.iter() {
             let up = self.place(entry);
-            stages.entry(up).or_insert(self.desk.seen.board[up].entry.stage);
+            stages.entry(up).or_insert(self.dispatcher.seen.board[up].entry.stage);
             self.listed(now, up, Some(entry.clone()));
         }
         if whole {
-            let board = &self.desk.seen.board;
+            let board = &self.dispatcher.seen.board;
             let is_missing = |up: &usize| board[*up].entry.stage != Stage::Gone && !stages.contains_key(up);
             let missing: Vec<usize> = (0..board.len()).filter(is_missing).collect();
             for up in missing {
-                stages.insert(up, self.desk.seen.board[up].entry.stage);
+                stages.insert(up, self.dispatcher.seen.board[up].entry.stage);
                 self.listed(now, up, None);
             }
         }
-        let seen = &mut self.desk.seen;
+        let seen = &mut self.dispatcher.seen;
         seen.stale |= stages.into_iter().any(|(up, before)| seen.board[up].entry.stage != before);
     }
 
     /// Hands on what the list says of an upstream, and keeps count of it.
-    fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
-        let before = &self.desk.seen.board[up];
+    pub fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
+        let before = &self.dispatcher.seen.board[up];
         self.known.remove(&before.entry);
         self.gone.remove(&(before.gone, up));
-        self.desk.listed(now, up, entry);
-        let after = &self.desk.seen.board[up];
+        self.dispatcher.listed(now, up, entry);
+        let after = &self.dispatcher.seen.board[up];
         self.known.add(&after.entry);
         if after.entry.stage == Stage::Gone {
             self.gone.insert((after.gone, up));
         }
     }
 
-    fn ask(&mut self, now: Tenths, why: &Listing) {
-        self.roster.ask(now, why, &self.desk.terms, &mut self.desk.rng);
+    pub fn ask(&mut self, now: Tenths, why: &Listing) {
+        self.discovery.ask(now, why, &self.dispatcher.terms, &mut self.dispatcher.rng);
     }
 
     /// The place of a listed upstream; one that is new gets that of a forgotten one first.
     fn place(&mut self, entry: &Entry) -> usize {
-        let Seen { names, board, .. } = &mut self.desk.seen;
+        let Seen { names, board, .. } = &mut self.dispatcher.seen;
         *names.entry(entry.upstream.clone()).or_insert_with(|| {
-            let upstream = Upstream::new(entry, &self.desk.terms);
+            let upstream = Upstream::new(entry, &self.dispatcher.terms);
             let up = self.free.pop().unwrap_or(board.len());
             board.splice(up..board.len().min(up + 1), [upstream]);
             self.known.add(entry);
@@ -120,8 +121,8 @@
     /// Against a balancer that grows with each upstream that ever was. What it has sent is kept as long as
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
-        let since = now.saturating_sub(self.desk.terms.cold.warm_within.max(SECOND));
-        let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
+        let since = now.saturating_sub(self.dispatcher.terms.cold.warm_within.max(SECOND));
+        let (seen, txns) = (&mut self.dispatcher.seen, &self.dispatcher.queue.txns);
         let mut old: Vec<(UpstreamId, Tenths, usize)> = self
             .gone
             .range(..(since, 0))
@@ -149,8 +150,8 @@
 
     /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
     pub fn sizes(&self) -> [usize; 4] {
-        let Seen { names, zones, kinds, .. } = &self.desk.seen;
-        [names.len(), zones.len(), kinds.len(), self.desk.book.txns.len()]
+        let Seen { names, zones, kinds, .. } = &self.dispatcher.seen;
+        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.txns.len()]
     }
 }
 
@@ -162,7 +163,7 @@
 }
 
 impl Known {
-    fn add(&mut self, entry: &Entry) {
+    pub fn add(&mut self, entry: &Entry) {
         *self.zones.entry(entry.zone).or_default() += 1;
         *self.kinds.entry(entry.kind).or_default() += 1;
     }
--- /dev/null
+++ b/src/balance/upstream.rs
@@ -0,0 +1,159 @@
+//! What is known of one upstream and of one zone.
+
+use super::{Decaying, Pace, SECOND, mix};
+use crate::{Entry, Load, Outcome, Stage, Tenths, Terms};
+
+const FIRST_CAP: f64 = 4.0;
+const GROWTH: f64 = 0.5;
+/// A cap is halved above so many times the best pace.
+const CROWDED: f64 = 2.2;
+/// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
+pub const FADE: Tenths = 4 * SECOND;
+pub const BENCHED: f64 = 2.0;
+pub const ANSWER_CALMS: f64 = 0.7;
+const SPOILT_DOUBT: f64 = 0.25;
+/// How much a zone is doubted for a posting since which nothing has come from it, and at most.
+const ZONE_DOUBT: f64 = 0.5;
+const MOST_ZONE_DOUBT: f64 = 3.0;
+/// A probe that is turned away stands for so many held.
+const FULL: f64 = 100.0;
+
+/// What this balancer knows of an upstream.
+#[derive(Default)]
+pub struct Upstream {
+    pub entry: Entry,
+    /// Its place in the order of the lanes, alike at every balancer.
+    pub order: u64,
+    pub in_flight: u32,
+    pub cost_out: f64,
+    pub cap: f64,
+    pub distrust: Decaying,
+    /// Work posted of late, against its budget while it is cold.
+    pub cold_work: Decaying,
+    pub gone: Tenths,
+    /// Its listed size, or 0 where it was not live, when the subset was chosen last.
+    pub counted_size: f64,
+    /// What it told last of the work it holds, when, and the cost posted there since.
+    pub reported_held: Option<f64>,
+    pub reported_at: Tenths,
+    pub cost_since: f64,
+    pub answered: Tenths,
+    /// When the last of the answered postings left.
+    pub answered_sent: Tenths,
+    pub pace: Pace,
+}
+
+impl Upstream {
+    pub fn new(entry: &Entry, terms: &Terms) -> Self {
+        let order = entry.upstream.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        let entry = Entry { started: None, stage: Stage::Gone, ..entry.clone() };
+        Upstream { entry, order, cap: terms.part(FIRST_CAP).max(1.0), ..Upstream::default() }
+    }
+
+    /// The part of its capacity that it has by now, at least.
+    pub fn present(&self, now: Tenths, terms: &Terms) -> f64 {
+        let cold = &terms.cold;
+        let warmed = |age| cold.share + (1.0 - cold.share) * age as f64 / cold.warm_within as f64;
+        self.cold_age(now, terms).map_or(1.0, warmed)
+    }
+
+    pub fn cold_age(&self, now: Tenths, terms: &Terms) -> Option<Tenths> {
+        self.entry.started.map(|at| now.saturating_sub(at)).filter(|age| *age < terms.cold.warm_within)
+    }
+
+    pub fn listed(&mut self, now: Tenths, entry: Entry, terms: &Terms) {
+        let known = std::mem::replace(&mut self.entry, entry);
+        self.gone = now;
+        if self.cold_age(now, terms).is_some() && self.entry.started != known.started {
+            // A new process: what was known of the old one would send it too much too soon.
+            (self.cap, self.distrust.level) = (1.0, 0.0);
+        }
+    }
+
+    pub fn posted(&mut self, now: Tenths, cost: f64, arrives: f64, terms: &Terms) {
+        self.in_flight += 1;
+        self.cost_out += cost;
+        self.cost_since += cost;
+        self.cold_work.add(now, terms.cold.window.max(1), arrives);
+    }
+
+    pub fn returned(&mut self, cost: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let idle = self.in_flight == 0;
+        self.cost_out = if idle { 0.0 } else { (self.cost_out - cost).max(0.0) };
+    }
+
+    pub fn end(&mut self, now: Tenths, outcome: Outcome, took: Tenths, cost: f64, tp: Tenths, terms: &Terms) {
+        match outcome {
+            Outcome::Ok => {
+                self.answered = now;
+                self.answered_sent = self.answered_sent.max(now.saturating_sub(took));
+                self.distrust.level *= ANSWER_CALMS;
+                if self.pace.crowding(took, cost) > CROWDED {
+                    self.halve(terms);
+                } else if took <= tp {
+                    self.cap += GROWTH / self.cap;
+                }
+            }
+            Outcome::TimedOut if now.saturating_sub(took) < self.answered_sent => {}
+            // A full waiting room is the shortest queue to look at; it must not draw more.
+            Outcome::Full | Outcome::TimedOut => {
+                self.halve(terms);
+                self.doubt(now, 1.0);
+            }
+            // One in so many from everybody is no sign of this one's health; nothing else is.
+            Outcome::Spoilt => self.doubt(now, SPOILT_DOUBT),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    pub fn reported(&mut self, now: Tenths, outcome: Outcome, load: Load) {
+        match outcome {
+            Outcome::Ok => (self.reported_held, self.cost_since) = (load.held, 0.0),
+            Outcome::Full => self.reported_held = Some(FULL),
+            Outcome::Cancelled | Outcome::Moot => self.reported_held = None,
+            _ => self.doubt(now, 1.0),
+        }
+        self.reported_at = now;
+    }
+
+    pub fn overdue(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
+        // A later one was answered: this is heavy, or its connection silent, and no crowd.
+        if sent >= self.answered_sent {
+            self.halve(terms);
+            // Silent since that posting left: perhaps it takes txns and answers none.
+            if self.answered < sent {
+                self.doubt(now, 1.0);
+            }
+        }
+    }
+
+    fn halve(&mut self, terms: &Terms) {
+        self.cap = (self.cap / 2.0).max(terms.part(self.entry.size)).max(1.0);
+    }
+
+    /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
+    fn doubt(&mut self, now: Tenths, step: f64) {
+        let level = self.distrust.at(now, FADE) * (1.0 + step / 2.0) + step;
+        self.distrust = Decaying { level: level.min(4.0 * BENCHED), at: now };
+    }
+}
+
+/// What is seen of the upstreams of one zone together.
+#[derive(Default)]
+pub struct Zone {
+    pub pace: Pace,
+    pub distrust: Decaying,
+    pub answered: Tenths,
+}
+
+impl Zone {
+    /// A zone that is cut off is doubted as a whole: the failures of each of its upstreams tell far too late.
+    pub fn unanswered(&mut self, now: Tenths, sent: Tenths) {
+        if self.answered < sent {
+            self.distrust.add(now, FADE, ZONE_DOUBT);
+            self.distrust.level = self.distrust.level.min(MOST_ZONE_DOUBT);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! The decisions of a load balancer, apart from every protocol.
 //!
 //! A front end turns what it sees into [`Event`]s, hands a batch of them to a [`Balancer`] and carries
-//! out the [`Action`]s that come back. All decisions are in `balance.rs`; the other files hold words only.
+//! out the [`Action`]s that come back. All decisions are in `balance`; the other files hold words only.
 
 mod balance;
 mod event;
@@ -10,5 +10,5 @@
 
 pub use balance::Balancer;
 pub use event::{Action, Arrival, Entry, Event, Listing, Load, Outcome, Stage, TxnId, UpstreamId};
-pub use terms::{ColdTerms, Effect, Lists, Scheme, Scope, Tenant, Terms};
+pub use terms::{Attempts, ColdTerms, Effect, Lists, Scheme, Scope, Tenant, Terms};
 pub use time::{Tenths, ceil_from_ns, floor_from_ns, to_ns};
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -41,8 +41,9 @@
     pub effect: Effect,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
+    #[default]
     Repeatable,
     /// A repeat is dropped inside the scope for as long as the mark is remembered.
     Referenced {
@@ -75,7 +76,24 @@
     pub window: Tenths,
 }
 
+/// How one txn may be posted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Postings in all.
+    pub max_postings: u32,
+    /// Whether two may be out together.
+    pub second_copies: bool,
+    /// Whether those still out are recalled once the txn has ended.
+    pub cancelling: bool,
+}
+
 impl Terms {
+    /// The limits of attempts as they are now.
+    pub fn attempts(&self) -> Attempts {
+        let Terms { max_postings, second_copies, cancelling, .. } = *self;
+        Attempts { max_postings, second_copies, cancelling }
+    }
+
     /// This balancer's part of a figure that all balancers together should keep to.
     pub fn part(&self, whole: f64) -> f64 {
         whole / f64::from(self.balancers.max(1))
