--- /dev/null
+++ b/crates/pondlb-server/src/program/configuration.rs
@@ -0,0 +1,69 @@
+//! The settings in force, and who has to hear of their changes.
+
+use std::rc::Rc;
+
+use pondlb::Tenths;
+use pondlb_terms::{Applied, Fault, Links, SettingChange, Settings};
+
+use super::service::connect_within;
+use crate::routing::{Carrier, Exchange};
+use crate::transport::{Front, Pool, span};
+
+/// What changes in place while the program serves.
+pub struct Configuration {
+    pub settings: Settings,
+    pub front: Rc<Front>,
+    pub pool: Rc<Pool>,
+}
+
+impl Configuration {
+    /// Puts changes by records in force: all of them or none. Requests that are open end under what they came with.
+    pub fn change<C: Carrier>(
+        &mut self,
+        now: Tenths,
+        changes: &[SettingChange],
+        exchange: &mut Exchange<C>,
+    ) -> Result<(), Fault> {
+        let applied = self.settings.change(changes)?;
+        self.put_in_force(now, applied, exchange);
+        Ok(())
+    }
+
+    /// The same for a file that was read anew, with a warning for each key that can't change in place.
+    pub fn change_to<C: Carrier>(
+        &mut self,
+        now: Tenths,
+        file: &Settings,
+        exchange: &mut Exchange<C>,
+    ) -> Result<(), Fault> {
+        let difference = self.settings.difference(file);
+        for key in &difference.restart {
+            log::warn!("configuration: settings.{key}: the change takes a restart");
+        }
+        let applied = self.settings.apply(difference)?;
+        self.put_in_force(now, applied, exchange);
+        Ok(())
+    }
+
+    pub fn links(&self) -> Links {
+        self.settings.links()
+    }
+
+    fn put_in_force<C: Carrier>(&self, now: Tenths, applied: Applied, exchange: &mut Exchange<C>) {
+        if applied.changed == 0 {
+            return;
+        }
+        exchange.change(now, &applied.terms);
+        self.front.change_classes(applied.classes);
+        self.front.cool_down.set(cool_down(self.settings.limits().cool_down));
+        let links = self.links();
+        self.front.crowd.set_most_busy(links.most_open as usize);
+        self.pool.set_limits(span(links.idle / 2), span(connect_within(&links)));
+        log::info!("configuration: {} settings put in force", applied.changed);
+    }
+}
+
+/// The advice for a client that is turned away before it is read.
+pub fn cool_down(longest: Option<Tenths>) -> Option<Tenths> {
+    longest.map(|longest| longest / 2)
+}
--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The program from start to exit.
 
+mod configuration;
 mod line;
 mod phase;
 mod service;
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -1,10 +1,11 @@
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pondlb::{Balancer, Lists, Tenths};
-use pondlb_terms::Links;
+use pondlb_terms::{Fault, Links, SettingChange};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -12,7 +13,9 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::Phase;
+use super::configuration::{Configuration, cool_down};
 use super::setup::{Given, Setup};
+use crate::protocol::client::Classes;
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{Ask, Clock, Crowd, Front, Patience, Pool, Postings, discover, listen, span};
 
@@ -63,6 +66,7 @@
     exchange: Exchange<Postings>,
     notes: mpsc::UnboundedReceiver<Note>,
     crowd: Rc<Crowd>,
+    configuration: Configuration,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -94,14 +98,15 @@
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
         let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
-        let front = Front {
+        let front = Rc::new(Front {
             crowd: crowd.clone(),
-            schemes: setup.deployment.names.schemes.clone(),
-            cool_down: terms.cool_down.map(|longest| longest / 2),
+            classes: RefCell::new(numbered(&setup.deployment.names.schemes)),
+            cool_down: Cell::new(cool_down(terms.cool_down)),
             notes: notes_in.clone(),
             phase: phase_seen,
-        };
-        spawn_local(listen(listener, Rc::new(front)));
+        });
+        spawn_local(listen(listener, front.clone()));
+        let configuration = Configuration { settings: setup.settings, front, pool: pool.clone() };
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
         spawn_local(discover(setup.discovery, setup.known.version, Patience::new(), asks, notes_in.clone()));
@@ -116,6 +121,7 @@
             exchange,
             notes,
             crowd,
+            configuration,
             terminate,
             interrupt,
             hangup,
@@ -151,8 +157,8 @@
         Ok(())
     }
 
-    /// Only discovery can move while txns are open. A file that can't be used must not end a program that
-    /// serves, so everything stays as it was.
+    /// Discovery and most of the settings can change while txns are open. A file that can't be used must not end a
+    /// program that serves, so everything stays as it was.
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
             Ok(setup) => setup,
@@ -164,6 +170,12 @@
         for key in given.changed_since(&self.given) {
             log::warn!("configuration: {key}: the change takes a restart");
         }
+        self.take_what_came();
+        let (now, file) = (self.clock.now(), &setup.settings);
+        if let Err(fault) = self.configuration.change_to(now, file, &mut self.exchange) {
+            return log::error!("configuration: settings: {fault}; the one before stays in force");
+        }
+        self.note_links();
         log::info!("configuration read anew: discovery is at {}", given.discovery);
         if given.discovery != self.given.discovery {
             let _ended = self.asks.send(Ask::Move(given.discovery));
@@ -171,6 +183,31 @@
         }
     }
 
+    /// Puts changes of the settings by records in force: all of them or none.
+    #[expect(dead_code, reason = "called once control is connected")]
+    fn change_settings(&mut self, changes: &[SettingChange]) -> Result<(), Fault> {
+        self.take_what_came();
+        self.configuration.change(self.clock.now(), changes, &mut self.exchange)?;
+        self.note_links();
+        Ok(())
+    }
+
+    /// Requests that have come already were read with the classes as they were, whose numbers may be used again.
+    fn take_what_came(&mut self) {
+        let mut come = Vec::new();
+        while let Ok(note) = self.notes.try_recv() {
+            come.push(note);
+        }
+        self.exchange.step(self.clock.now(), come);
+    }
+
+    /// An end that has begun keeps its times.
+    fn note_links(&mut self) {
+        if self.told_to_end.is_none() {
+            self.farewell = Farewell::new(self.configuration.links().expiry);
+        }
+    }
+
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
         self.exchange.end_by(self.clock.now() + self.farewell.answered);
@@ -219,3 +256,12 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// The classes that requests may name; where a name stands twice, the first has it.
+fn numbered(names: &[String]) -> Classes {
+    let mut classes = Classes::new();
+    for (number, name) in (0..).zip(names) {
+        classes.entry(name.clone()).or_insert(number);
+    }
+    classes
+}
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pondlb_terms::Deployment;
+use pondlb_terms::{Deployment, Settings};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
@@ -23,7 +23,7 @@
     pub known: Roster,
     pub deployment: Deployment,
     pub probing: Option<Probing>,
-    settings: Box<RawValue>,
+    pub settings: Settings,
 }
 
 /// What a configuration read anew is compared with.
@@ -33,18 +33,16 @@
     listen: SocketAddr,
     budget: Budget,
     probing: Option<Probing>,
-    settings: Box<RawValue>,
 }
 
 impl Given {
-    /// The keys, discovery apart, whose values are not those that the program was started with.
+    /// The keys, discovery and settings apart, whose values are not those that the program was started with.
     pub fn changed_since(&self, before: &Given) -> impl Iterator<Item = &'static str> {
         let changes = [
             ("name", self.name != before.name),
             ("listen", self.listen != before.listen),
             ("limits", self.budget != before.budget),
             ("probe", self.probing != before.probing),
-            ("settings", self.settings.get() != before.settings.get()),
         ];
         changes.into_iter().filter_map(|(key, changed)| changed.then_some(key))
     }
@@ -138,17 +136,17 @@
         let budget = noted(&mut faults, Budget::of(&file.limits));
         let known = file.known.map(|known| Roster::decode(known.get().as_bytes())).transpose();
         let known = noted(&mut faults, known.map_err(|e| format!("known: {e}")));
-        let terms = pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
-        let deployment = noted(&mut faults, terms);
+        let settings = Settings::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
+        let settings = noted(&mut faults, settings);
         let probing = noted(&mut faults, file.probe.map(Probe::read).transpose());
         let (Some(listen), Some(discovery), Some(seed)) = (listen, discovery, seed) else {
             return Err(faults);
         };
-        let (Some(budget), Some(known), Some(mut deployment), Some(probing)) =
-            (budget, known, deployment, probing)
+        let (Some(budget), Some(known), Some(settings), Some(probing)) = (budget, known, settings, probing)
         else {
             return Err(faults);
         };
+        let mut deployment = settings.deployment();
         if probing.is_some() && !deployment.terms.probing {
             return Err(vec!["settings: Limits.Probing: false: true is accepted beside probe".into()]);
         }
@@ -159,23 +157,13 @@
         known.whole = true;
         log::debug!("settings {}", file.settings.get());
         let name = file.name.or_else(|| env("RELAY_NAME")).unwrap_or_else(|| "pondlb".into());
-        Ok(Setup {
-            name,
-            listen,
-            discovery,
-            seed,
-            budget,
-            known,
-            deployment,
-            probing,
-            settings: file.settings,
-        })
+        Ok(Setup { name, listen, discovery, seed, budget, known, deployment, probing, settings })
     }
 
     pub fn given(&self) -> Given {
-        let Setup { name, listen, discovery, budget, probing, settings, .. } = self;
-        let (name, probing, settings) = (name.clone(), probing.clone(), settings.clone());
-        Given { discovery: *discovery, name, listen: *listen, budget: *budget, probing, settings }
+        let Setup { name, listen, discovery, budget, probing, .. } = self;
+        let (name, probing) = (name.clone(), probing.clone());
+        Given { discovery: *discovery, name, listen: *listen, budget: *budget, probing }
     }
 }
 
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -1,5 +1,7 @@
 //! The side that clients speak to: bytes to txns, answers to bytes.
 
+use std::collections::HashMap;
+
 use pondlb::{Arrival, Tenths, ceil_from_ns, floor_from_ns};
 
 use super::framing::{Framing, framing};
@@ -11,6 +13,9 @@
     reader: Reader,
 }
 
+/// The numbers of the classes that requests may name.
+pub type Classes = HashMap<String, u32>;
+
 /// What a client wants.
 #[derive(Debug)]
 pub enum Wish {
@@ -72,13 +77,13 @@
         })
     }
 
-    /// The next request; `schemes` are the names that a txn may give for its scheme.
-    pub fn next(&mut self, schemes: &[String]) -> Result<Option<Asked>, Fault> {
-        self.reader.next()?.map(|message| asked(message, schemes)).transpose()
+    /// The next request, which must be of one of these classes.
+    pub fn next(&mut self, classes: &Classes) -> Result<Option<Asked>, Fault> {
+        self.reader.next()?.map(|message| asked(message, classes)).transpose()
     }
 }
 
-fn asked(message: Message, schemes: &[String]) -> Result<Asked, Fault> {
+fn asked(message: Message, classes: &Classes) -> Result<Asked, Fault> {
     let head = &message.head;
     let mut parts = head.first.split(' ');
     let (Some(method), Some(target), Some(version), None) =
@@ -107,8 +112,7 @@
         return Err(Fault::Malformed("Req-Id is no id"));
     }
     let kind = head.one("Req-Kind")?.ok_or(Fault::Malformed("no Req-Kind"))?;
-    let scheme =
-        schemes.iter().position(|name| name == kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
+    let scheme = *classes.get(kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
     let left = head.one("Req-Deadline")?.ok_or(Fault::Malformed("no Req-Deadline"))?;
     let left = span_ns(left).ok_or(Fault::Malformed("Req-Deadline is no time"))?;
     let cost = match head.one("Req-Cost")? {
@@ -117,7 +121,7 @@
     };
     let arrival = Arrival {
         txn: id.into(),
-        scheme: scheme as u32,
+        scheme,
         tenant: 0,
         key: None,
         left: floor_from_ns(left),
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -6,7 +6,7 @@
 use nanorand::{Rng, WyRand};
 
 use super::buffer::Buffer;
-use super::client::{ClientSide, Wish, write_answer, write_fault};
+use super::client::{Classes, ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, Roster, write_call};
 use super::reader::{MOST_HELD, Message, Reader};
 use super::upstream::{UpstreamSide, write_posting};
@@ -26,7 +26,7 @@
     }
 
     fn made(&mut self, _: bool) -> Result<Option<String>, String> {
-        let asked = match self.next(&["browse".into(), "order".into()]) {
+        let asked = match self.next(&Classes::from([("browse".into(), 0), ("order".into(), 1)])) {
             Ok(None) => return Ok(None),
             Ok(Some(asked)) => asked,
             Err(fault) => {
@@ -361,7 +361,7 @@
     let mut side = ClientSide::new();
     side.input().room()[..bytes.len()].copy_from_slice(bytes.as_bytes());
     side.input().fill(bytes.len());
-    match side.next(&["browse".into(), "order".into()]) {
+    match side.next(&Classes::from([("browse".into(), 0), ("order".into(), 1)])) {
         Ok(Some(asked)) => match asked.wish {
             Wish::Txn { request, .. } => request,
             Wish::Health => panic!("a txn is wanted"),
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
+use pondlb::{
+    Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TermsChange, TxnId, UpstreamId,
+};
 use tokio::sync::oneshot;
 
 use super::{Answer, Directory, End, Note, Order, PostingId};
@@ -110,6 +112,12 @@
         }
     }
 
+    /// Puts checked changes of the terms in force; txns that are open end under what they came with.
+    pub fn change(&mut self, now: Tenths, changes: &[TermsChange]) {
+        self.balancer.change(changes);
+        self.decide(now);
+    }
+
     /// The list as it was before the start.
     pub fn remember(&mut self, now: Tenths, known: Roster) {
         let entries = self.directory.read(known);
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -1,4 +1,4 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::program::Phase;
 use crate::protocol::client::{
-    Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
+    Asked, Classes, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
 };
 use crate::protocol::head::Fault;
 use crate::routing::{Answer, Note};
@@ -37,8 +37,8 @@
 /// What all client connections share.
 pub struct Front {
     pub crowd: Rc<Crowd>,
-    pub schemes: Vec<String>,
-    pub cool_down: Option<Tenths>,
+    pub classes: RefCell<Classes>,
+    pub cool_down: Cell<Option<Tenths>>,
     pub notes: mpsc::UnboundedSender<Note>,
     pub phase: watch::Receiver<Phase>,
 }
@@ -54,6 +54,17 @@
 }
 
 impl Front {
+    /// Requests that are read from now on may name these classes, or no longer.
+    pub fn change_classes(&self, changes: Vec<(String, Option<u32>)>) {
+        let mut classes = self.classes.borrow_mut();
+        for (name, number) in changes {
+            match number {
+                Some(number) => classes.insert(name, number),
+                None => classes.remove(&name),
+            };
+        }
+    }
+
     pub async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _unset = stream.set_nodelay(true);
         let mut side = ClientSide::new();
@@ -71,7 +82,9 @@
                     (write_fault(fault), true)
                 }
                 Next::TooSlow => (write_too_slow(), true),
-                Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
+                Next::Crowded => {
+                    (write_answer(&Answer::Declined { cool_down: self.cool_down.get() }, true), true)
+                }
                 Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
             };
@@ -95,7 +108,7 @@
         let mut phase = self.phase.clone();
         let mut slow = None;
         loop {
-            match side.next(&self.schemes) {
+            match side.next(&self.classes.borrow()) {
                 Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
                 Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
                 Ok(Some(asked)) => return Next::Asked(asked),
--- a/crates/pondlb-server/src/transport/crowd.rs
+++ b/crates/pondlb-server/src/transport/crowd.rs
@@ -12,7 +12,7 @@
 /// are busy.
 pub struct Crowd {
     most: usize,
-    most_busy: usize,
+    most_busy: Cell<usize>,
     memory: Memory,
     open: Cell<usize>,
     /// Those that have been told that they end, and are only read on for a moment.
@@ -30,7 +30,7 @@
     pub fn new(most: usize, most_busy: usize, memory: Memory) -> Rc<Self> {
         Rc::new(Crowd {
             most,
-            most_busy,
+            most_busy: Cell::new(most_busy),
             memory,
             open: Cell::new(0),
             lingering: Cell::new(0),
@@ -42,6 +42,11 @@
         })
     }
 
+    /// How many may be busy from now on; those that are stay.
+    pub fn set_most_busy(&self, most_busy: usize) {
+        self.most_busy.set(most_busy);
+    }
+
     pub fn is_empty(&self) -> bool {
         self.open.get() + self.lingering.get() == 0
     }
@@ -59,7 +64,7 @@
     /// another's: it has been taken from nobody yet.
     pub fn turns_away(&self) -> bool {
         let busy = self.open.get() - self.idle.borrow().len() - self.fresh.borrow().len();
-        (busy > self.most_busy || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
+        (busy > self.most_busy.get() || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
     }
 
     /// Room is made only for one that has come: closing idle ones ahead would cost clients theirs for nothing.
--- a/crates/pondlb-server/src/transport/pool.rs
+++ b/crates/pondlb-server/src/transport/pool.rs
@@ -17,8 +17,8 @@
     idle: RefCell<HashMap<UpstreamId, VecDeque<Kept>>>,
     /// Idle ones are retired after this, well before their upstream closes them: a posting written to one
     /// that is being closed may or may not have run.
-    retire: Duration,
-    connect_within: Duration,
+    retire: Cell<Duration>,
+    connect_within: Cell<Duration>,
 }
 
 pub struct Link {
@@ -48,9 +48,16 @@
 impl Pool {
     pub fn new(most: usize, retire: Duration, connect_within: Duration) -> Rc<Self> {
         let (open, idle) = (Cell::new(0), RefCell::default());
+        let (retire, connect_within) = (Cell::new(retire), Cell::new(connect_within));
         Rc::new(Pool { most, open, idle, retire, connect_within })
     }
 
+    /// For connections that are kept or made from now on, and for those that stand idle.
+    pub fn set_limits(&self, retire: Duration, connect_within: Duration) {
+        self.retire.set(retire);
+        self.connect_within.set(connect_within);
+    }
+
     /// A connection that nothing is under way on: one kept, if it still stands, or a new one.
     pub async fn take(
         self: &Rc<Self>,
@@ -60,7 +67,7 @@
     ) -> Result<Link, NoLink> {
         while let Some(kept) = self.take_kept(upstream) {
             if kept.link.address == address
-                && kept.since.elapsed() < self.retire
+                && kept.since.elapsed() < self.retire.get()
                 && waiting(&kept.link.stream) == Waiting::Nothing
             {
                 return Ok(kept.link);
@@ -73,7 +80,7 @@
             return Err(NoLink::Budget);
         }
         let place = Place::enter(self);
-        let until = until.min(Instant::now() + self.connect_within);
+        let until = until.min(Instant::now() + self.connect_within.get());
         match timeout_at(until, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => {
                 let _unset = stream.set_nodelay(true);
@@ -119,7 +126,8 @@
             let mut idle = self.idle.borrow_mut();
             for kept in idle.values_mut() {
                 kept.retain(|k| {
-                    k.since.elapsed() + SWEEP < self.retire && waiting(&k.link.stream) == Waiting::Nothing
+                    k.since.elapsed() + SWEEP < self.retire.get()
+                        && waiting(&k.link.stream) == Waiting::Nothing
                 });
             }
             idle.retain(|_, kept| !kept.is_empty());
--- /dev/null
+++ b/crates/pondlb-terms/src/settings.rs
@@ -0,0 +1,358 @@
+//! The settings of a deployment, kept for changes in place.
+
+use std::borrow::Cow;
+use std::collections::{HashMap, HashSet};
+
+use pondlb::{Lists, Scheme, Tenant, Terms, TermsChange, floor_from_ns};
+use serde_json::Value;
+
+use crate::table::Table;
+use crate::tunable::{IN_PLACE, Tunables};
+use crate::wire::{Discovery, NO_SCHEMES, Object, Realm, WireScheme, read};
+use crate::{Deployment, Fault, Links, Names};
+
+/// A change of one setting, in the form of a record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingChange<'a> {
+    /// `class/NAME` for an entry of `Schemes`, `tenant/NAME` for one of `Realms` (those of the file are named by their
+    /// index), `limit/PATH` for a scalar, as in `limit/Limits.MaxOpen`.
+    pub key: Cow<'a, str>,
+    /// The entry or scalar as JSON. Without one a class or tenant is removed, and a scalar is as the file says.
+    pub value: Option<Cow<'a, str>>,
+}
+
+/// What changes of the settings bring for those who use them.
+#[derive(Debug, Default, PartialEq)]
+pub struct Applied {
+    /// For the decisions.
+    pub terms: Vec<TermsChange>,
+    /// Names of classes with the numbers that they have from now on; none where there is no such class any more.
+    pub classes: Vec<(String, Option<u32>)>,
+    /// How many settings have other values than before.
+    pub changed: usize,
+}
+
+/// What leads from the settings in force to those of a file.
+pub struct Difference {
+    changes: Vec<Change>,
+    file: Tunables,
+    /// The keys whose change takes a restart.
+    pub restart: Vec<&'static str>,
+}
+
+/// What of the settings takes a restart.
+#[derive(PartialEq)]
+struct Fixed {
+    balancers: u32,
+    self_index: u32,
+    discovery: Discovery,
+    warm_keys: bool,
+    machine_types: Vec<String>,
+    my_zone: u32,
+    fields: Vec<String>,
+    zones: Vec<String>,
+}
+
+/// A class with the scheme that the decisions know.
+#[derive(Clone, PartialEq)]
+struct Class {
+    wire: WireScheme,
+    scheme: Scheme,
+}
+
+impl Class {
+    /// `key` is what faults call the entry.
+    fn of(wire: WireScheme, key: &str) -> Result<Class, Fault> {
+        Ok(Class { scheme: wire.scheme(key)?, wire })
+    }
+}
+
+/// A change that was read, and checked as far as that needs no other setting.
+enum Change {
+    Class(String, Option<Class>),
+    Tenant(String, Option<Realm>),
+    Limit(&'static str, Option<Value>),
+}
+
+impl Change {
+    fn read(change: &SettingChange) -> Result<Change, Fault> {
+        let (key, value) = (&*change.key, change.value.as_deref());
+        let named = |fault: Fault| format!("{key}: {fault}");
+        if let Some(name) = key.strip_prefix("class/") {
+            let wire = value.map(read::<WireScheme>).transpose().map_err(named)?;
+            if let Some(wire) = wire.as_ref().filter(|wire| wire.name != name) {
+                return Err(format!("{key}.Name: {:?}: the name in the key is accepted", wire.name));
+            }
+            let check = |wire: WireScheme| wire.check(key).and_then(|()| Class::of(wire, key));
+            Ok(Change::Class(name.into(), wire.map(check).transpose()?))
+        } else if let Some(name) = key.strip_prefix("tenant/") {
+            let realm = value.map(read::<Realm>).transpose().map_err(named)?;
+            realm.map_or(Ok(()), |realm| realm.check(key))?;
+            Ok(Change::Tenant(name.into(), realm))
+        } else if let Some(path) = key.strip_prefix("limit/") {
+            let known = IN_PLACE.into_iter().find(|known| *known == path);
+            let path = known.ok_or_else(|| format!("{path}: the change takes a restart"))?;
+            Ok(Change::Limit(path, value.map(read::<Value>).transpose().map_err(named)?))
+        } else {
+            Err(format!("{key}: class/NAME, tenant/NAME and limit/PATH are accepted"))
+        }
+    }
+
+    fn key(&self) -> String {
+        match self {
+            Change::Class(name, _) => format!("class/{name}"),
+            Change::Tenant(name, _) => format!("tenant/{name}"),
+            Change::Limit(path, _) => format!("limit/{path}"),
+        }
+    }
+}
+
+/// Checks a change as far as that needs no other setting: for whoever keeps settings and does not use them.
+///
+/// # Errors
+/// A [`Fault`] that names the key.
+pub fn check(change: &SettingChange) -> Result<(), Fault> {
+    match Change::read(change)? {
+        Change::Limit(path, Some(value)) => Tunables::neutral().with([(path, value)]).map(|_| ()),
+        _ => Ok(()),
+    }
+}
+
+/// The settings as read from a file and changed since by records.
+pub struct Settings {
+    fixed: Fixed,
+    /// As the file says, and as they are in force.
+    file: Tunables,
+    tunables: Tunables,
+    classes: Table<Class>,
+    tenants: Table<Realm>,
+    /// Keys whose values, or whose want of a value that the file has, are by a record: the file does not change them.
+    recorded: HashSet<String>,
+}
+
+impl Settings {
+    /// Reads the settings of a file.
+    ///
+    /// # Errors
+    /// A [`Fault`] that names the key.
+    pub fn decode(json: &str) -> Result<Settings, Fault> {
+        let object: Object = read(json)?;
+        object.check()?;
+        let Object { balancers, self_index, discovery, my_zone, .. } = object;
+        let tunables = Tunables {
+            excess_value: object.excess_value,
+            limits: object.limits.clone(),
+            rules: object.rules.clone(),
+        };
+        tunables.check()?;
+        object.check_asking()?;
+        let keys: Vec<String> = (0..object.schemes.len()).map(|n| format!("Schemes[{n}]")).collect();
+        for (key, scheme) in keys.iter().zip(&object.schemes) {
+            scheme.check(key)?;
+        }
+        for (n, realm) in object.realms.iter().enumerate() {
+            realm.check(&format!("Realms[{n}]"))?;
+        }
+        let named = |(key, wire): (&String, WireScheme)| Ok((wire.name.clone(), Class::of(wire, key)?));
+        let classes: Vec<_> = keys.iter().zip(object.schemes).map(named).collect::<Result<_, Fault>>()?;
+        let tenants = object.realms.into_iter().enumerate().map(|(n, realm)| (n.to_string(), realm));
+        Ok(Settings {
+            fixed: Fixed {
+                balancers,
+                self_index,
+                discovery,
+                warm_keys: object.extra.warm_keys,
+                machine_types: object.machine_types,
+                my_zone,
+                fields: object.reporting.fields,
+                zones: object.zones,
+            },
+            file: tunables.clone(),
+            tunables,
+            classes: Table::of_file(classes),
+            tenants: Table::of_file(tenants),
+            recorded: HashSet::new(),
+        })
+    }
+
+    /// What a front end needs of them, as at its start: no class or tenant has been removed yet.
+    pub fn deployment(&self) -> Deployment {
+        let Fixed { balancers, self_index, my_zone, warm_keys, .. } = self.fixed;
+        let pondlb::Limits { excess_value, attempts, cool_down, cold } = self.tunables.terms();
+        let must_ask_in = floor_from_ns(self.tunables.rules.must_ask_in_ns);
+        let terms = Terms {
+            balancers,
+            own_number: self_index,
+            own_zone: my_zone,
+            lists: match self.fixed.discovery {
+                Discovery::Push => Lists::Unasked,
+                Discovery::Ask => Lists::Asked { within: must_ask_in },
+            },
+            schemes: self.classes.values().map(|class| class.scheme.clone()).collect(),
+            tenants: self.tenants.values().map(|realm| Tenant { quota: realm.quota_rps }).collect(),
+            excess_value,
+            warm_keys,
+            max_postings: attempts.max_postings,
+            second_copies: attempts.second_copies,
+            cancelling: attempts.cancelling,
+            probing: self.tunables.limits.probing,
+            cool_down,
+            cold,
+        };
+        let names = Names {
+            schemes: self.classes.values().map(|class| class.wire.name.clone()).collect(),
+            zones: self.fixed.zones.clone(),
+            kinds: self.fixed.machine_types.clone(),
+        };
+        Deployment { terms, names, report: self.fixed.fields.clone(), links: self.links() }
+    }
+
+    /// Limits of connections as they are now.
+    pub fn links(&self) -> Links {
+        let expiries: Option<Vec<u64>> = self.classes.values().map(|class| class.wire.expiry_ns).collect();
+        self.tunables.links(expiries.and_then(|all| all.into_iter().max()))
+    }
+
+    /// What the decisions need of the scalars as they are now.
+    pub fn limits(&self) -> pondlb::Limits {
+        self.tunables.terms()
+    }
+
+    /// Puts changes by records in force, in their order: all of them or none.
+    ///
+    /// # Errors
+    /// The first [`Fault`], which names its key.
+    pub fn change(&mut self, changes: &[SettingChange]) -> Result<Applied, Fault> {
+        let changes: Vec<Change> = changes.iter().map(Change::read).collect::<Result<_, Fault>>()?;
+        self.check_classes(&changes)?;
+        let tunables = self.changed_tunables(&changes)?;
+        for change in &changes {
+            self.note_record(change);
+        }
+        Ok(self.apply_checked(changes, tunables, false))
+    }
+
+    /// What leads from these settings to those of a file, where no record says otherwise.
+    pub fn difference(&self, file: &Settings) -> Difference {
+        let mut changes = Vec::new();
+        changes.extend(differences(&self.classes, &file.classes).map(|(n, class)| Change::Class(n, class)));
+        changes.extend(differences(&self.tenants, &file.tenants).map(|(n, realm)| Change::Tenant(n, realm)));
+        let in_force: HashMap<_, _> = self.tunables.values().collect();
+        let limits = file.tunables.values().filter(|(path, value)| in_force.get(path) != Some(value));
+        changes.extend(limits.map(|(path, value)| Change::Limit(path, Some(value))));
+        changes.retain(|change| !self.recorded.contains(&change.key()));
+        Difference { changes, file: file.tunables.clone(), restart: self.restart(file) }
+    }
+
+    /// Puts what a file changed in force. Its settings were checked when they were read.
+    ///
+    /// # Errors
+    /// A [`Fault`] where the file and the records don't go together.
+    pub fn apply(&mut self, difference: Difference) -> Result<Applied, Fault> {
+        let Difference { changes, file, .. } = difference;
+        self.check_classes(&changes)?;
+        let tunables = self.changed_tunables(&changes)?;
+        self.file = file;
+        Ok(self.apply_checked(changes, tunables, true))
+    }
+
+    fn restart(&self, file: &Settings) -> Vec<&'static str> {
+        let (old, new) = (&self.fixed, &file.fixed);
+        let changes = [
+            ("Balancers", old.balancers != new.balancers),
+            ("Discovery", old.discovery != new.discovery),
+            ("Extra.WarmKeys", old.warm_keys != new.warm_keys),
+            ("Limits.Probing", self.tunables.limits.probing != file.tunables.limits.probing),
+            ("MachineTypes", old.machine_types != new.machine_types),
+            ("MyZone", old.my_zone != new.my_zone),
+            ("Reporting.Fields", old.fields != new.fields),
+            ("Rules.MustAskInNs", self.tunables.rules.must_ask_in_ns != file.tunables.rules.must_ask_in_ns),
+            ("SelfIndex", old.self_index != new.self_index),
+            ("Zones", old.zones != new.zones),
+        ];
+        changes.into_iter().filter_map(|(key, changed)| changed.then_some(key)).collect()
+    }
+
+    /// At least one class must be left.
+    fn check_classes(&self, changes: &[Change]) -> Result<(), Fault> {
+        let mut after = HashMap::new();
+        for change in changes {
+            if let Change::Class(name, class) = change {
+                after.insert(name.as_str(), class.is_some());
+            }
+        }
+        let removed =
+            after.iter().filter(|(name, stays)| !**stays && self.classes.get(name).is_some()).count();
+        let stays = removed < self.classes.len() || after.values().any(|stays| *stays);
+        if stays { Ok(()) } else { Err(NO_SCHEMES.into()) }
+    }
+
+    fn changed_tunables(&self, changes: &[Change]) -> Result<Option<Tunables>, Fault> {
+        let limits = changes.iter().filter_map(|change| match change {
+            Change::Limit(path, value) => Some((*path, value.clone())),
+            _ => None,
+        });
+        let mut limits = limits.peekable();
+        if limits.peek().is_none() {
+            return Ok(None);
+        }
+        let file: HashMap<_, _> = self.file.values().collect();
+        let value =
+            |path, value: Option<Value>| value.or_else(|| file.get(path).cloned()).unwrap_or_default();
+        let changed = self.tunables.with(limits.map(|(path, new)| (path, value(path, new))))?;
+        Ok(Some(changed))
+    }
+
+    fn note_record(&mut self, change: &Change) {
+        let stays = match change {
+            Change::Class(name, class) => class.is_some() || self.classes.is_in_file(name),
+            Change::Tenant(name, realm) => realm.is_some() || self.tenants.is_in_file(name),
+            Change::Limit(_, value) => value.is_some(),
+        };
+        if stays {
+            self.recorded.insert(change.key());
+        } else {
+            self.recorded.remove(&change.key());
+        }
+    }
+
+    fn apply_checked(&mut self, changes: Vec<Change>, tunables: Option<Tunables>, in_file: bool) -> Applied {
+        let mut applied = Applied::default();
+        for change in changes {
+            match change {
+                Change::Class(name, class) => {
+                    let scheme = class.as_ref().map(|class| class.scheme.clone());
+                    let Some(number) = self.classes.set(&name, class, in_file) else { continue };
+                    applied.classes.push((name, scheme.as_ref().map(|_| number)));
+                    applied.terms.push(TermsChange::Class { number, scheme });
+                    applied.changed += 1;
+                }
+                Change::Tenant(name, realm) => {
+                    let tenant = realm.map(|realm| Tenant { quota: realm.quota_rps });
+                    let Some(number) = self.tenants.set(&name, realm, in_file) else { continue };
+                    applied.terms.push(TermsChange::Tenant { number, tenant });
+                    applied.changed += 1;
+                }
+                Change::Limit(..) => {}
+            }
+        }
+        if let Some(tunables) = tunables {
+            applied.changed += self.tunables.values().zip(tunables.values()).filter(|(a, b)| a != b).count();
+            let before = std::mem::replace(&mut self.tunables, tunables);
+            if self.tunables.terms() != before.terms() {
+                applied.terms.push(TermsChange::Limits(self.tunables.terms()));
+            }
+        }
+        applied
+    }
+}
+
+/// Names whose values differ, with those of the new table; names that only a record brought are left alone.
+fn differences<'a, T: Clone + PartialEq>(
+    old: &'a Table<T>,
+    new: &'a Table<T>,
+) -> impl Iterator<Item = (String, Option<T>)> + 'a {
+    let gone = old.names().filter(|name| old.is_in_file(name) && new.get(name).is_none());
+    let other = new.names().filter(|name| old.get(name) != new.get(name));
+    gone.map(|name| (name.clone(), None)).chain(other.map(|name| (name.clone(), new.get(name).cloned())))
+}
--- /dev/null
+++ b/crates/pondlb-terms/src/tunable.rs
@@ -0,0 +1,106 @@
+//! The scalars of the settings that can change in place.
+
+use pondlb::{Attempts, ColdTerms, Limits as TermsLimits, ceil_from_ns, floor_from_ns};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::wire::{Limits, Rules, within};
+use crate::{Fault, Links};
+
+/// The paths of the keys that can change without a restart.
+pub const IN_PLACE: [&str; 14] = [
+    "ExcessValue",
+    "Limits.Cancelling",
+    "Limits.ConnIdleNs",
+    "Limits.DialTimeoutNs",
+    "Limits.MaxOpen",
+    "Limits.MaxPostings",
+    "Limits.MaxRetryAfterNs",
+    "Limits.RetryAfter",
+    "Limits.SecondCopies",
+    "Rules.ColdShare",
+    "Rules.DrainGraceNs",
+    "Rules.FallMultiple",
+    "Rules.FallNs",
+    "Rules.WarmWithinNs",
+];
+
+/// All scalars beside schemes and tenants, among them the few that take a restart.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Tunables {
+    pub excess_value: f64,
+    pub limits: Limits,
+    pub rules: Rules,
+}
+
+impl Tunables {
+    /// Values that stand for no deployment and yet pass the check.
+    pub fn neutral() -> Tunables {
+        let limits = Limits { max_postings: 1, ..Limits::default() };
+        Tunables { limits, ..Tunables::default() }
+    }
+
+    pub fn check(&self) -> Result<(), Fault> {
+        within("ExcessValue", self.excess_value, 0.0, 1.0)?;
+        within("Limits.MaxPostings", self.limits.max_postings.into(), 1.0, u32::MAX.into())?;
+        within("Rules.ColdShare", self.rules.cold_share, 0.0, 1.0)?;
+        within("Rules.FallMultiple", self.rules.fall_multiple, 0.0, f64::MAX)
+    }
+
+    /// The same with other values under some paths, checked.
+    pub fn with<'a>(&self, values: impl IntoIterator<Item = (&'a str, Value)>) -> Result<Tunables, Fault> {
+        let mut json = serde_json::to_value(self).map_err(|e| e.to_string())?;
+        for (path, value) in values {
+            if let Some(place) = json.pointer_mut(&pointer(path)) {
+                *place = value;
+            }
+        }
+        let changed: Tunables = serde_path_to_error::deserialize(json).map_err(|e| e.to_string())?;
+        changed.check()?;
+        Ok(changed)
+    }
+
+    /// The values under the paths that can change in place.
+    pub fn values(&self) -> impl Iterator<Item = (&'static str, Value)> {
+        let json = serde_json::to_value(self).unwrap_or_default();
+        IN_PLACE.into_iter().filter_map(move |path| Some((path, json.pointer(&pointer(path))?.clone())))
+    }
+
+    /// What the decisions need of them.
+    pub fn terms(&self) -> TermsLimits {
+        let Tunables { excess_value, limits, rules } = self;
+        TermsLimits {
+            excess_value: *excess_value,
+            attempts: Attempts {
+                max_postings: limits.max_postings,
+                second_copies: limits.second_copies,
+                cancelling: limits.cancelling,
+            },
+            cool_down: limits.retry_after.then(|| floor_from_ns(limits.max_retry_after_ns)),
+            cold: ColdTerms {
+                share: rules.cold_share,
+                warm_within: ceil_from_ns(rules.warm_within_ns),
+                multiple: rules.fall_multiple,
+                window: ceil_from_ns(rules.fall_ns),
+            },
+        }
+    }
+
+    /// What connections need of them; `expiry_ns` is the longest of all classes.
+    pub fn links(&self, expiry_ns: Option<u64>) -> Links {
+        let Tunables { limits, rules, .. } = self;
+        Links {
+            connect_within: floor_from_ns(limits.dial_timeout_ns),
+            idle: floor_from_ns(limits.conn_idle_ns),
+            drain_grace: floor_from_ns(rules.drain_grace_ns),
+            most_open: limits.max_open,
+            expiry: expiry_ns.map(ceil_from_ns),
+        }
+    }
+}
+
+/// The JSON pointer of a path: `/Limits/MaxOpen` for `Limits.MaxOpen`.
+fn pointer(path: &str) -> String {
+    format!("/{}", path.replace('.', "/"))
+}
--- /dev/null
+++ b/crates/pondlb-terms/tests/settings.rs
@@ -0,0 +1,73 @@
+//! What is read of the settings, and what is refused.
+
+use expect_test::expect;
+
+use pondlb_terms::{Deployment, decode};
+
+const GOOD: &str = r#"{"Balancers":3,"SelfIndex":1,"Discovery":"ask","ExcessValue":0.1,"MyZone":0,"New":[1],
+"Limits":{"Cancelling":true,"ConnIdleNs":15000000000,"DialTimeoutNs":250000000,"MaxOpen":20000,"MaxPostings":3,
+"MaxRetryAfterNs":2000000000,"RetryAfter":true,"SecondCopies":true},"MachineTypes":["m"],"Zones":["z"],
+"Reporting":{"Fields":["rif"]},"Rules":{"ColdShare":0.3,"DrainGraceNs":500000099,"FallMultiple":4.0,
+"FallNs":2000000001,"MustAskInNs":10000000000,"WarmWithinNs":8900000001},
+"Schemes":[{"Effect":"idempotent","Name":"s","SlaTimeNs":2500000099,"Value":3.0},
+{"Effect":"deduplicated","DedupScope":"cell","KeyTtlNs":5000000099,"Name":"t","SlaTimeNs":1,"Value":1.0}]}"#;
+
+#[test]
+fn limits_are_rounded_so_that_none_is_overrun() {
+    let Deployment { terms, links, .. } = decode(GOOD).unwrap();
+    let effects: Vec<_> = terms.schemes.iter().map(|s| (s.sla, s.effect)).collect();
+    expect![[r#"
+        [(25000, Repeatable), (0, Referenced { scope: Cell, memory: 50000 })]
+        ColdTerms { share: 0.3, warm_within: 89001, multiple: 4.0, window: 20001 }
+        Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000, expiry: None }"#]]
+    .assert_eq(&format!("{effects:?}\n{:?}\n{links:?}", terms.cold));
+}
+
+#[test]
+fn the_key_at_fault_is_named() {
+    let made: Vec<String> = [
+        ("\"Balancers\":3,", ""),
+        ("\"MaxPostings\":3", "\"MaxPostings\":-3"),
+        ("\"FallNs\":2000000001", "\"FallNs\":2.5"),
+        ("idempotent", "harmless"),
+        ("\"DedupScope\":\"cell\",", ""),
+        ("\"KeyTtlNs\":5000000099,", ""),
+        ("\"Zones\":[\"z\"]", "\"Zones\":[1]"),
+        ("\"Balancers\":3", "\"Balancers\":0"),
+        ("\"SelfIndex\":1", "\"SelfIndex\":3"),
+        ("\"MyZone\":0", "\"MyZone\":1"),
+        ("\"Value\":3.0", "\"LateValue\":1.2,\"Value\":3.0"),
+        ("\"ColdShare\":0.3", "\"ColdShare\":1.5"),
+        ("\"ExcessValue\":0.1", "\"ExcessValue\":-1"),
+        ("\"MustAskInNs\":10000000000", "\"MustAskInNs\":0"),
+        ("\"MaxPostings\":3", "\"MaxPostings\":0"),
+        ("\"SecondCopies\":true", "\"SecondCopies\":true,\"Probing\":1"),
+        ("}]}", "}]"),
+        ("}]}", "}]}}"),
+    ]
+    .into_iter()
+    .map(|(from, to)| {
+        assert!(GOOD.contains(from), "{from}");
+        decode(&GOOD.replacen(from, to, 1)).unwrap_err()
+    })
+    .collect();
+    expect![[r#"
+        missing field `Balancers` at line 7 column 106
+        Limits.MaxPostings: invalid value: integer `-3`, expected u32 at line 2 column 111
+        Rules.FallNs: invalid type: floating point `2.5`, expected u64 at line 5 column 12
+        Schemes[0].Effect: unknown variant `harmless`, expected one of `idempotent`, `deduplicated`, `at_most_once` at line 6 column 31
+        Schemes[1].DedupScope is missing, though the scheme is deduplicated
+        Schemes[1].KeyTtlNs is missing, though the scheme is deduplicated
+        Zones[0]: invalid type: integer `1`, expected a string at line 3 column 99
+        Balancers: 0: 1 to 4294967295 are accepted
+        SelfIndex: 3: 0 to 2 are accepted
+        MyZone: 1: 0 to 0 are accepted
+        Schemes[0].LateValue: 1.2: 0 to 1 are accepted
+        Rules.ColdShare: 1.5: 0 to 1 are accepted
+        ExcessValue: -1: 0 to 1 are accepted
+        Rules.MustAskInNs: 0: 100000000 to 86400000000000 are accepted
+        Limits.MaxPostings: 0: 1 to 4294967295 are accepted
+        Limits.Probing: invalid type: integer `1`, expected a boolean at line 3 column 78
+        EOF while parsing an object at line 7 column 105
+        trailing characters at line 7 column 107"#]].assert_eq(&made.join("\n"));
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,6 +44,7 @@
     costs: Histogram,
     extra: f64,
     quotas: Vec<(f64, Tenths)>,
+    highest_value: f64,
 }
 
 impl Dispatcher {
@@ -51,7 +52,8 @@
         let (estimate, quotas) = (Estimate::new(&terms), vec![(0.0, 0); terms.tenants.len()]);
         let costs = Histogram::new(3, 24).expect("the bins are fixed");
         let (seen, queue) = (Seen { cores: 1.0, ..Seen::default() }, Queue::default());
-        Dispatcher { estimate, quotas, terms, rng, seen, queue, costs, extra: EXTRA_SAVED }
+        let (extra, highest_value) = (EXTRA_SAVED, terms.highest_value());
+        Dispatcher { estimate, quotas, terms, rng, seen, queue, costs, extra, highest_value }
     }
 
     fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -75,7 +75,7 @@
     /// The part that a txn leaves to those that are worth more.
     pub fn kept(&self, txn: &Txn) -> f64 {
         let value = f64::from_bits(txn.rank);
-        let most = self.terms.schemes.iter().map(|s| s.value).fold(value, f64::max);
+        let most = self.highest_value.max(value);
         (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT)
     }
 
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -8,7 +8,7 @@
 
 use super::discovery::Discovery;
 use super::{Dispatcher, SECOND, Seen, Upstream};
-use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, UpstreamId};
+use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, TermsChange, UpstreamId};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
 const MANY_NAMES: usize = 32;
@@ -58,6 +58,16 @@
         }
     }
 
+    /// Puts changes of the terms in force. Requests that are open end under what they came with.
+    pub fn change(&mut self, changes: &[TermsChange]) {
+        let Dispatcher { terms, quotas, highest_value, .. } = &mut self.dispatcher;
+        changes.iter().for_each(|change| terms.change(change));
+        quotas.resize(terms.tenants.len(), (0.0, 0));
+        if changes.iter().any(|change| matches!(change, TermsChange::Class { .. })) {
+            *highest_value = terms.highest_value();
+        }
+    }
+
     fn list(&mut self, now: Tenths, listing: Listing) {
         let (entries, whole) = match &listing {
             Listing::Lost | Listing::Unreached | Listing::Silent => return self.ask(now, &listing),
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,6 +1,6 @@
 use crate::Tenths;
 
-/// What a balancer is told once, at its start. Only what the decisions read is here.
+/// What a balancer is told at its start, a part of which may change later. Only what the decisions read is here.
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub balancers: u32,
@@ -34,7 +34,7 @@
     Asked { within: Tenths },
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Scheme {
     pub sla: Tenths,
     pub value: f64,
@@ -60,7 +60,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Txns a second within its share, over all balancers.
     pub quota: f64,
@@ -68,7 +68,7 @@
 
 /// A cold upstream falls over when all balancers together send it more than `multiple` of its present
 /// capacity for `window`.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ColdTerms {
     pub share: f64,
     pub warm_within: Tenths,
@@ -87,7 +87,70 @@
     pub cancelling: bool,
 }
 
+/// What of the terms may change while txns are open, apart from schemes and tenants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// The value of a txn beyond its tenant's share, as a fraction.
+    pub excess_value: f64,
+    /// How one txn may be posted.
+    pub attempts: Attempts,
+    /// The longest cool-down that clients heed; none where no advice is passed on.
+    pub cool_down: Option<Tenths>,
+    /// When cold upstreams fall over.
+    pub cold: ColdTerms,
+}
+
+/// A change of the terms. Txns that are open end under what they came with.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TermsChange {
+    /// The scheme of a number is new or another one; without one, the number may be used again.
+    Class {
+        /// Index among the schemes.
+        number: u32,
+        /// What holds from now on.
+        scheme: Option<Scheme>,
+    },
+    /// The same for a tenant.
+    Tenant {
+        /// Index among the tenants.
+        number: u32,
+        /// What holds from now on.
+        tenant: Option<Tenant>,
+    },
+    /// All limits, as they are from now on.
+    Limits(Limits),
+}
+
+/// Stands where a scheme was removed: a txn of it has no time and no value.
+const NO_SCHEME: Scheme = Scheme { sla: 0, value: 0.0, effect: Effect::OnceOnly };
+/// Stands where a tenant was removed: none of its txns is beyond its share.
+const NO_TENANT: Tenant = Tenant { quota: f64::INFINITY };
+
 impl Terms {
+    /// Puts a change in force.
+    pub fn change(&mut self, change: &TermsChange) {
+        match change {
+            TermsChange::Class { number, scheme } => {
+                set(&mut self.schemes, *number, scheme.clone().unwrap_or(NO_SCHEME), NO_SCHEME);
+            }
+            TermsChange::Tenant { number, tenant } => {
+                set(&mut self.tenants, *number, tenant.clone().unwrap_or(NO_TENANT), NO_TENANT);
+            }
+            TermsChange::Limits(Limits { excess_value, attempts, cool_down, cold }) => {
+                (self.excess_value, self.cool_down, self.cold) = (*excess_value, *cool_down, cold.clone());
+                let Attempts { max_postings, second_copies, cancelling } = *attempts;
+                self.max_postings = max_postings;
+                self.second_copies = second_copies;
+                self.cancelling = cancelling;
+            }
+        }
+    }
+
+    /// The highest value of a scheme.
+    pub fn highest_value(&self) -> f64 {
+        self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max)
+    }
+
     /// The limits of attempts as they are now.
     pub fn attempts(&self) -> Attempts {
         let Terms { max_postings, second_copies, cancelling, .. } = *self;
@@ -99,3 +162,12 @@
         whole / f64::from(self.balancers.max(1))
     }
 }
+
+/// Sets the value of a number; numbers below it that are not in use yet get `none`.
+fn set<T: Clone>(values: &mut Vec<T>, number: u32, value: T, none: T) {
+    let number = number as usize;
+    if number >= values.len() {
+        values.resize(number + 1, none);
+    }
+    values[number] = value;
+}
