Merge settings that change in place, and let records of control servers change them

Where the settings as a whole don't allow a record, each that they do is put in force and the log names the rest. The entry of an upstream moves to pondlb-terms, so that an origin commits only what balancers can use; a replica server takes whatever has the shape of a record.

--- a/crates/pondlb-control-net/src/check.rs
+++ b/crates/pondlb-control-net/src/check.rs
@@ -1,9 +1,15 @@
-//! Which values a control server takes.
+//! Which values of records are taken.
+
+use std::borrow::Cow;
 
 use pondlb_control::{Key, Kind};
+use pondlb_terms::{SettingChange, Target};
+
+/// Says whether a value may be taken for a record, or the record be removed, and why not.
+pub type CheckRecord = fn(&Key, Option<&str>) -> Result<(), String>;
 
-/// Takes any JSON object for an upstream, a class or a tenant, and any scalar for a limit. The balancers read values
-/// more strictly; a control server does not need to know what is in them.
+/// Takes any JSON object for an upstream, a class or a tenant, and any scalar for a limit: for a server that hands
+/// records on, also to balancers that know more of them than it does.
 ///
 /// # Errors
 /// Says what is accepted, where the value is of another shape.
@@ -18,3 +24,19 @@
         _ => Ok(()),
     }
 }
+
+/// Takes what a balancer can put in force, as far as that shows from the record alone.
+///
+/// # Errors
+/// Says what is wrong with the value.
+pub fn check_record(key: &Key, value: Option<&str>) -> Result<(), String> {
+    check_shape(key, value)?;
+    match (key.kind(), value) {
+        (Kind::Upstream, Some(value)) => Target::read(key.name(), value).map(drop),
+        (Kind::Upstream, None) => Ok(()),
+        _ => pondlb_terms::check(&SettingChange {
+            key: Cow::Borrowed(key.as_str()),
+            value: value.map(Cow::Borrowed),
+        }),
+    }
+}
--- a/crates/pondlb-control-net/src/lib.rs
+++ b/crates/pondlb-control-net/src/lib.rs
@@ -10,7 +10,7 @@
 mod options;
 mod server;
 
-pub use check::check_shape;
+pub use check::{CheckRecord, check_record, check_shape};
 pub use client::{Counters, Delivered, Following, Status, follow};
 pub use options::{OptionsFault, Role, ServerOptions};
 pub use server::{Server, serve};
--- a/crates/pondlb-control-net/src/options.rs
+++ b/crates/pondlb-control-net/src/options.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
 
-use crate::check::check_shape;
+use crate::check::{CheckRecord, check_record, check_shape};
 
 /// What a control server is in its group.
 #[derive(Clone, Debug)]
@@ -53,6 +53,9 @@
     pub memory_mb: usize,
     /// How many pieces of snapshots it gives in a second.
     pub snapshot_pieces_per_second: f64,
+    /// What an origin checks before it commits. A replica server takes what is in shape, as it may be older than the
+    /// balancers that it serves.
+    pub check: CheckRecord,
 }
 
 /// What is wrong with one key of an options file.
@@ -114,6 +117,7 @@
             followers: DEFAULT_FOLLOWERS,
             memory_mb: DEFAULT_MEMORY_MB,
             snapshot_pieces_per_second: DEFAULT_SNAPSHOT_PIECES,
+            check: check_shape,
         }
     }
 
@@ -153,7 +157,7 @@
             Role::Origin { initial, epoch, .. } => {
                 let mut store = Store::new(*epoch, self.limits());
                 if !initial.is_empty() {
-                    store.commit(initial, &check_shape)?;
+                    store.commit(initial, &self.check)?;
                 }
                 Ok(store)
             }
@@ -195,6 +199,7 @@
             followers,
             memory_mb,
             snapshot_pieces_per_second: pieces,
+            check: check_record,
             ..ServerOptions::new(listen?, role?)
         };
         if let Err(error) = options.store() {
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -1,21 +1,25 @@
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pondlb::{Balancer, Lists, Tenths};
-use pondlb_terms::Links;
+use pondlb_terms::{Fault, Links, SettingChange};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
+use super::configuration::{Configuration, cool_down};
 use super::setup::{Given, Setup};
+use crate::protocol::client::Classes;
+use crate::protocol::control::setting_change;
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{
-    Ask, Clock, Crowd, Follower, Front, Patience, Phase, Pool, Postings, discover, follow_control, listen,
-    span,
+    Ask, Clock, Crowd, Follower, Front, Patience, Phase, Pool, Postings, SettingsUpdate, discover,
+    follow_control, listen, span,
 };
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
@@ -66,7 +70,10 @@
     clock: Clock,
     exchange: Exchange<Postings>,
     notes: mpsc::UnboundedReceiver<Note>,
+    /// From control servers; closed where none are followed.
+    settings: mpsc::UnboundedReceiver<SettingsUpdate>,
     crowd: Rc<Crowd>,
+    configuration: Configuration,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -97,18 +104,20 @@
         let (phase, phase_seen) = watch::channel(Phase::Starting);
         let (notes_in, notes) = mpsc::unbounded_channel();
         let (asks_in, asks) = mpsc::unbounded_channel();
+        let (settings_in, settings) = mpsc::unbounded_channel();
         let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within(&links)));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
         let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
-        let front = Front {
+        let front = Rc::new(Front {
             crowd: crowd.clone(),
-            schemes: setup.deployment.names.schemes.clone(),
-            cool_down: terms.cool_down.map(|longest| longest / 2),
+            classes: RefCell::new(numbered(&setup.deployment.names.schemes)),
+            cool_down: Cell::new(cool_down(terms.cool_down)),
             notes: notes_in.clone(),
             phase: phase_seen,
-        };
-        spawn_local(listen(listener, Rc::new(front)));
+        });
+        spawn_local(listen(listener, front.clone()));
+        let configuration = Configuration { settings: setup.settings, front, pool: pool.clone() };
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
         if let Some(discovery) = setup.discovery {
@@ -120,6 +129,7 @@
                 number: own_number.into(),
                 seed: setup.seed,
                 state_bytes: memory.most / STATE_SHARE,
+                settings: settings_in,
                 remembered: setup.known.targets.iter().map(|target| target.upstream.clone()).collect(),
             };
             spawn_local(follow_control(control, follower, notes_in.clone()));
@@ -137,7 +147,9 @@
             clock,
             exchange,
             notes,
+            settings,
             crowd,
+            configuration,
             terminate,
             interrupt,
             hangup,
@@ -163,6 +175,7 @@
                 _ = self.terminate.recv(), if running => self.leave(),
                 _ = self.interrupt.recv(), if running => self.leave(),
                 _ = self.hangup.recv() => self.read_anew(),
+                Some(update) = self.settings.recv() => self.put_settings_in_force(update),
                 _ = self.notes.recv_many(&mut batch, BATCH) => {}
                 () = self.crowd.changed.notified(), if self.is(Phase::Closing) => {}
                 () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
@@ -173,8 +186,8 @@
         Ok(())
     }
 
-    /// Only discovery can move while txns are open. A file that can't be used must not end a program that
-    /// serves, so everything stays as it was.
+    /// Discovery and most of the settings can change while txns are open. A file that can't be used must not end a
+    /// program that serves, so everything stays as it was.
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
             Ok(setup) => setup,
@@ -186,6 +199,12 @@
         for key in given.changed_since(&self.given) {
             log::warn!("configuration: {key}: the change takes a restart");
         }
+        self.take_what_came();
+        let (now, file) = (self.clock.now(), &setup.settings);
+        if let Err(fault) = self.configuration.change_to(now, file, &mut self.exchange) {
+            return log::error!("configuration: settings: {fault}; the one before stays in force");
+        }
+        self.note_links();
         match given.discovery {
             Some(discovery) => log::info!("configuration read anew: discovery is at {discovery}"),
             None => log::info!("configuration read anew: control servers are followed"),
@@ -199,6 +218,44 @@
         }
     }
 
+    /// Puts changes of the settings by records in force: all of them or none.
+    fn change_settings(&mut self, changes: &[SettingChange]) -> Result<(), Fault> {
+        self.take_what_came();
+        self.configuration.change(self.clock.now(), changes, &mut self.exchange)?;
+        self.note_links();
+        Ok(())
+    }
+
+    /// The records of a settings update together. Where the settings don't allow all of them, each that they do.
+    fn put_settings_in_force(&mut self, SettingsUpdate { changes, applied }: SettingsUpdate) {
+        let changes: Vec<SettingChange> = changes.iter().map(setting_change).collect();
+        if let Err(fault) = self.change_settings(&changes) {
+            log::error!("control: settings: {fault}; {} changes are tried one by one", changes.len());
+            for change in &changes {
+                if let Err(fault) = self.change_settings(std::slice::from_ref(change)) {
+                    log::error!("control: {}: {fault}; it stays as it was", change.key);
+                }
+            }
+        }
+        let _ended = applied.send(());
+    }
+
+    /// Requests that have come already were read with the classes as they were, whose numbers may be used again.
+    fn take_what_came(&mut self) {
+        let mut come = Vec::new();
+        while let Ok(note) = self.notes.try_recv() {
+            come.push(note);
+        }
+        self.exchange.step(self.clock.now(), come);
+    }
+
+    /// An end that has begun keeps its times.
+    fn note_links(&mut self) {
+        if self.told_to_end.is_none() {
+            self.farewell = Farewell::new(self.configuration.links().expiry);
+        }
+    }
+
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
         self.exchange.end_by(self.clock.now() + self.farewell.answered);
@@ -247,3 +304,12 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// The classes that requests may name; where a name stands twice, the first has it.
+fn numbered(names: &[String]) -> Classes {
+    let mut classes = Classes::new();
+    for (number, name) in (0..).zip(names) {
+        classes.entry(name.clone()).or_insert(number);
+    }
+    classes
+}
--- a/crates/pondlb-server/src/protocol/control.rs
+++ b/crates/pondlb-server/src/protocol/control.rs
@@ -1,62 +1,56 @@
-//! Records of the control protocol: what their values must be, and what they change.
+//! Records of the control protocol: what an update changes.
 
-use pondlb_control::{Change, Key, Kind, Update};
-use pondlb_control_net::check_shape;
+use std::borrow::Cow;
 
-use super::discovery::{Roster, Target};
+use pondlb_control::{Change, Kind, Update};
+use pondlb_terms::{SettingChange, Target};
 
-/// What a slice of an update changes.
-#[derive(Clone, Debug, Default)]
-pub struct RecordChanges {
-    /// Upstreams that are added, changed or removed.
-    pub upstreams: Roster,
-    /// Classes, tenants and limits.
-    pub settings: Vec<Change>,
-}
+use super::discovery::Roster;
 
-/// Whether the value may be taken for this record: nothing of an answer with one that may not is put in force.
-///
-/// # Errors
-/// Says what is wrong with the value.
-pub fn check_record(key: &Key, value: Option<&str>) -> Result<(), String> {
-    check_shape(key, value)?;
-    match (key.kind(), value) {
-        (Kind::Upstream, Some(value)) => read_target(key, value).map(drop),
-        _ => Ok(()),
+/// The upstreams that an update adds, changes or removes.
+pub fn upstreams_of(update: Update) -> Roster {
+    let mut upstreams = Roster { version: update.version.revision, ..Roster::default() };
+    for Change { key, value, .. } in update.changes {
+        let Some(value) = value else {
+            upstreams.removed.push(key.name().to_string());
+            continue;
+        };
+        match Target::read(key.name(), value.get()) {
+            Ok(target) => upstreams.targets.push(target),
+            // It was checked before the update was taken.
+            Err(fault) => log::error!("control: {key}: {fault}"),
+        }
     }
+    upstreams
+}
+
+/// Classes, tenants and limits that an update changes, in the order in which they are put in force.
+#[derive(Clone, Debug, Default)]
+pub struct SettingRecords {
+    /// They may need each other, so they change together.
+    pub classes_and_limits: Vec<Change>,
+    /// There may be many, and none needs another.
+    pub tenants: Vec<Change>,
 }
 
-impl RecordChanges {
-    /// Sorts the changes of an update whose values have been checked.
-    pub fn read(update: Update) -> RecordChanges {
-        let mut changes = RecordChanges::default();
-        changes.upstreams.version = update.version.revision;
-        for change in update.changes {
-            if change.key.kind() != Kind::Upstream {
-                changes.settings.push(change);
-                continue;
-            }
-            let Some(value) = &change.value else {
-                changes.upstreams.removed.push(change.key.name().to_string());
-                continue;
-            };
-            match read_target(&change.key, value.get()) {
-                Ok(target) => changes.upstreams.targets.push(target),
-                Err(reason) => log::error!("control: {}: {reason}", change.key),
-            }
+/// Takes what is no upstream out of an update.
+pub fn take_settings(update: &mut Update) -> SettingRecords {
+    let mut settings = SettingRecords::default();
+    let changes = std::mem::take(&mut update.changes);
+    for change in changes {
+        match change.key.kind() {
+            Kind::Upstream => update.changes.push(change),
+            Kind::Tenant => settings.tenants.push(change),
+            Kind::Class | Kind::Limit => settings.classes_and_limits.push(change),
         }
-        changes
     }
+    // A class that takes another's place comes before that one goes, or there might be none between.
+    settings.classes_and_limits.sort_by_key(|change| change.value.is_none());
+    settings
 }
 
-fn read_target(key: &Key, value: &str) -> Result<Target, String> {
-    let mut reader = serde_json::Deserializer::from_str(value);
-    let target: Target = serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())?;
-    if target.upstream != key.name() {
-        return Err(format!("uid: {:?}: the record's name is accepted", target.upstream));
-    }
-    if !target.has_size() {
-        return Err("capacity_hint is no size".into());
-    }
-    Ok(target)
+/// A record as the settings take it.
+pub fn setting_change(change: &Change) -> SettingChange<'_> {
+    let value = change.value.as_ref().map(|value| Cow::Borrowed(value.get()));
+    SettingChange { key: Cow::Borrowed(change.key.as_str()), value }
 }
--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -3,9 +3,9 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use pondlb::Stage;
 use pondlb_http::{Fault, Framing, Reader, framing};
-use serde::{Deserialize, Deserializer};
+use pondlb_terms::Target;
+use serde::Deserialize;
 
 /// A list as discovery gives it: all upstreams, or those that changed.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -20,50 +20,6 @@
     pub removed: Vec<String>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    #[serde(rename = "uid")]
-    pub upstream: String,
-    #[serde(rename = "endpoint")]
-    pub address: SocketAddr,
-    #[serde(rename = "az")]
-    pub zone: String,
-    #[serde(rename = "model")]
-    pub kind: String,
-    #[serde(rename = "pod_group", default)]
-    pub cell: u32,
-    #[serde(rename = "state", deserialize_with = "stage")]
-    pub stage: Stage,
-    #[serde(rename = "capacity_hint")]
-    pub size: f64,
-    /// Unix time in milliseconds; 0 for long ago.
-    #[serde(rename = "boot_ms", default)]
-    pub started: u64,
-}
-
-impl Target {
-    /// Whether its size is a number that can be one.
-    pub fn has_size(&self) -> bool {
-        self.size.is_finite() && self.size >= 0.0
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Active,
-    Leaving,
-    Left,
-}
-
-fn stage<'de, D: Deserializer<'de>>(state: D) -> Result<Stage, D::Error> {
-    Ok(match State::deserialize(state)? {
-        State::Active => Stage::Live,
-        State::Leaving => Stage::Draining,
-        State::Left => Stage::Gone,
-    })
-}
-
 impl Roster {
     pub fn decode(json: &[u8]) -> Result<Roster, String> {
         let mut reader = serde_json::Deserializer::from_slice(json);
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -7,7 +7,7 @@
 use pondlb_http::{MOST_BODY, MOST_HEAD, Message, Reader};
 
 use super::answer::Answer;
-use super::client::{ClientSide, Wish, write_answer, write_fault};
+use super::client::{Classes, ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, Roster, write_call};
 use super::upstream::{UpstreamSide, write_posting};
 
@@ -24,7 +24,7 @@
     }
 
     fn made(&mut self, _: bool) -> Result<Option<String>, String> {
-        let asked = match self.next(&["browse".into(), "order".into()]) {
+        let asked = match self.next(&Classes::from([("browse".into(), 0), ("order".into(), 1)])) {
             Ok(None) => return Ok(None),
             Ok(Some(asked)) => asked,
             Err(fault) => {
@@ -359,7 +359,7 @@
     let mut side = ClientSide::new();
     side.input().room()[..bytes.len()].copy_from_slice(bytes.as_bytes());
     side.input().fill(bytes.len());
-    match side.next(&["browse".into(), "order".into()]) {
+    match side.next(&Classes::from([("browse".into(), 0), ("order".into(), 1)])) {
         Ok(Some(asked)) => match asked.wish {
             Wish::Txn { request, .. } => request,
             Wish::Health => panic!("a txn is wanted"),
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -6,7 +6,6 @@
 use tokio::sync::oneshot;
 
 use crate::protocol::answer::Answer;
-use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 /// The postings of a txn are numbered as they leave.
@@ -61,9 +60,9 @@
         load: Load,
     },
     Listed(Roster),
-    /// Control servers have changed records.
+    /// Control servers have changed upstreams.
     Changed {
-        changes: RecordChanges,
+        upstreams: Roster,
         /// The first whole state is in force with it.
         completes: bool,
         /// To be told once they are in force.
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -1,4 +1,4 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::protocol::answer::Answer;
 use crate::protocol::client::{
-    Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
+    Asked, Classes, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
 };
 use crate::routing::Note;
 
@@ -38,8 +38,8 @@
 /// What all client connections share.
 pub struct Front {
     pub crowd: Rc<Crowd>,
-    pub schemes: Vec<String>,
-    pub cool_down: Option<Tenths>,
+    pub classes: RefCell<Classes>,
+    pub cool_down: Cell<Option<Tenths>>,
     pub notes: mpsc::UnboundedSender<Note>,
     pub phase: watch::Receiver<Phase>,
 }
@@ -55,6 +55,17 @@
 }
 
 impl Front {
+    /// Requests that are read from now on may name these classes, or no longer.
+    pub fn change_classes(&self, changes: Vec<(String, Option<u32>)>) {
+        let mut classes = self.classes.borrow_mut();
+        for (name, number) in changes {
+            match number {
+                Some(number) => classes.insert(name, number),
+                None => classes.remove(&name),
+            };
+        }
+    }
+
     pub async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _unset = stream.set_nodelay(true);
         let mut side = ClientSide::new();
@@ -72,7 +83,9 @@
                     (write_fault(fault), true)
                 }
                 Next::TooSlow => (write_too_slow(), true),
-                Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
+                Next::Crowded => {
+                    (write_answer(&Answer::Declined { cool_down: self.cool_down.get() }, true), true)
+                }
                 Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
             };
@@ -96,7 +109,7 @@
         let mut phase = self.phase.clone();
         let mut slow = None;
         loop {
-            match side.next(&self.schemes) {
+            match side.next(&self.classes.borrow()) {
                 Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
                 Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
                 Ok(Some(asked)) => return Next::Asked(asked),
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -16,7 +16,7 @@
 
 pub use client::Front;
 pub use clock::{Clock, span};
-pub use control::{Control, Follower, follow_control};
+pub use control::{Control, Follower, SettingsUpdate, follow_control};
 pub use crowd::Crowd;
 pub use discovery::{Ask, Patience, discover};
 pub use listener::listen;
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -1,149 +1,191 @@
-//! The loop of a balancer: who is told what and in which order, which places upstreams have and what is
-//! forgotten. Nothing is decided here.
+//! The loop of a balancer: what happens in which order, which places upstreams have and what is forgotten.
+//! Nothing is decided here.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::collections::{BTreeMap, BTreeSet};
 
 use nanorand::WyRand;
 
-use super::{Desk, DeskNote, Roster, SECOND, Seen, Upstream, UpstreamNote};
-use crate::{Action, Event, Listing, Stage, Tenths, Terms};
+use super::discovery::Discovery;
+use super::{Dispatcher, SECOND, Seen, Upstream};
+use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, TermsChange, UpstreamId};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
 const MANY_NAMES: usize = 32;
 
+/// The decisions of one balancer.
 pub struct Balancer {
-    inboxes: Inboxes,
-    desk: Desk,
-    roster: Roster,
-    upstreams: Vec<Upstream>,
+    dispatcher: Dispatcher,
+    discovery: Discovery,
     /// Places of upstreams that are forgotten.
     free: Vec<usize>,
+    /// Places of those that are gone and not forgotten yet, by the time since when.
+    gone: BTreeSet<(Tenths, usize)>,
+    known: Known,
     /// When the caller was last asked to come back, with or without news.
     wake: Option<Tenths>,
 }
 
 impl Balancer {
+    /// A balancer that knows no upstreams yet. Equal seeds and events bring equal actions.
     pub fn new(terms: Terms, seed: u64) -> Self {
-        let terms = Rc::new(terms);
-        let roster = Roster { terms: terms.clone(), failures: 0, ask_at: None };
-        let desk = Desk::new(terms, WyRand::new_seed(seed));
-        let (inboxes, upstreams, free) = (Inboxes::default(), Vec::new(), Vec::new());
-        Balancer { inboxes, desk, roster, upstreams, free, wake: None }
+        let discovery = Discovery { failures: 0, ask_at: None };
+        let dispatcher = Dispatcher::new(terms, WyRand::new_seed(seed));
+        let (free, gone, known) = (Vec::new(), BTreeSet::new(), Known::default());
+        Balancer { dispatcher, discovery, free, gone, known, wake: None }
     }
 
+    /// Takes what happened until now and adds to `out` what is to be done.
     pub fn handle(&mut self, now: Tenths, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
         for event in events {
             match event {
                 Event::Listed(listing) => self.list(now, listing),
-                event => self.inboxes.desk.push_back(DeskNote::Event(event)),
+                event => self.dispatcher.receive(now, event, out),
             }
-            self.settle(now, out);
         }
-        if self.roster.ask_at.take_if(|at| *at <= now).is_some() {
+        if self.discovery.ask_at.take_if(|at| *at <= now).is_some() {
             out.push(Action::Watch { on: true });
         }
-        self.desk.ring(now, &mut self.inboxes, out);
-        self.settle(now, out);
-        self.desk.lay_lanes(now);
-        while self.desk.release(now, &mut self.inboxes, out) {
-            self.settle(now, out);
-        }
-        self.desk.shed(now, out);
-        let alarm = self.desk.book.alarms.peek().map(|Reverse((at, ..))| *at);
-        let Some(next) = alarm.into_iter().chain(self.roster.ask_at).min() else { return };
+        self.dispatcher.ring(now, out);
+        self.dispatcher.seen.lay_lanes(now, &self.dispatcher.terms);
+        while self.dispatcher.release(now, out) {}
+        self.dispatcher.shed(now, out);
+        let alarm = self.dispatcher.queue.alarms.peek().map(|Reverse((at, ..))| *at);
+        let Some(next) = alarm.into_iter().chain(self.discovery.ask_at).min() else { return };
         if self.wake.is_none_or(|at| at <= now || next < at) {
             self.wake = Some(next);
             out.push(Action::Wake { token: "wake", after: next.saturating_sub(now).max(1) });
         }
     }
 
+    /// Puts changes of the terms in force. Requests that are open end under what they came with.
+    pub fn change(&mut self, changes: &[TermsChange]) {
+        let Dispatcher { terms, quotas, highest_value, .. } = &mut self.dispatcher;
+        changes.iter().for_each(|change| terms.change(change));
+        quotas.resize(terms.tenants.len(), (0.0, 0));
+        if changes.iter().any(|change| matches!(change, TermsChange::Class { .. })) {
+            *highest_value = terms.highest_value();
+        }
+    }
+
     fn list(&mut self, now: Tenths, listing: Listing) {
         let (entries, whole) = match &listing {
-            Listing::Lost | Listing::Unreached | Listing::Silent => {
-                return self.roster.ask(now, &listing, &mut self.desk.rng);
-            }
+            Listing::Lost | Listing::Unreached | Listing::Silent => return self.ask(now, &listing),
             Listing::Changes(entries) => (entries, false),
             Listing::Whole(entries) | Listing::Remembered(entries) => (entries, true),
         };
-        self.roster.failures = 0;
+        self.discovery.failures = 0;
         if matches!(listing, Listing::Remembered(_)) {
-            self.roster.ask(now, &listing, &mut self.desk.rng);
+            self.ask(now, &listing);
         }
         self.forget(now);
-        let mut named = vec![!whole; self.upstreams.len()];
+        // By their stages before, since only what is another one in the end counts.
+        let mut stages = BTreeMap::new();
         for entry in entries.iter() {
-            let up = *self.desk.seen.names.entry(entry.upstream.clone()).or_insert_with(|| {
-                let upstream = Upstream::new(entry, &self.desk.terms);
-                let up = self.free.pop().unwrap_or(self.upstreams.len());
-                self.desk.seen.board.splice(up..named.len().min(up + 1), [upstream.shown.clone()]);
-                self.upstreams.splice(up..named.len().min(up + 1), [upstream]);
-                self.inboxes.upstreams.resize_with(self.upstreams.len(), VecDeque::new);
-                named.resize(self.upstreams.len(), true);
-                up
-            });
-            named[up] = true;
-            self.inboxes.upstream(up, UpstreamNote::Listed(entry.clone()));
+            let up = self.place(entry);
+            stages.entry(up).or_insert(self.dispatcher.seen.board[up].entry.stage);
+            self.listed(now, up, Some(entry.clone()));
         }
-        for (up, _) in named.iter().enumerate().filter(|(_, named)| !**named) {
-            self.inboxes.upstream(up, UpstreamNote::Unlisted);
+        if whole {
+            let board = &self.dispatcher.seen.board;
+            let is_missing = |up: &usize| board[*up].entry.stage != Stage::Gone && !stages.contains_key(up);
+            let missing: Vec<usize> = (0..board.len()).filter(is_missing).collect();
+            for up in missing {
+                stages.insert(up, self.dispatcher.seen.board[up].entry.stage);
+                self.listed(now, up, None);
+            }
         }
+        let seen = &mut self.dispatcher.seen;
+        seen.stale |= stages.into_iter().any(|(up, before)| seen.board[up].entry.stage != before);
+    }
+
+    /// Hands on what the list says of an upstream, and keeps count of it.
+    pub fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
+        let before = &self.dispatcher.seen.board[up];
+        self.known.remove(&before.entry);
+        self.gone.remove(&(before.gone, up));
+        self.dispatcher.listed(now, up, entry);
+        let after = &self.dispatcher.seen.board[up];
+        self.known.add(&after.entry);
+        if after.entry.stage == Stage::Gone {
+            self.gone.insert((after.gone, up));
+        }
+    }
+
+    pub fn ask(&mut self, now: Tenths, why: &Listing) {
+        self.discovery.ask(now, why, &self.dispatcher.terms, &mut self.dispatcher.rng);
+    }
+
+    /// The place of a listed upstream; one that is new gets that of a forgotten one first.
+    fn place(&mut self, entry: &Entry) -> usize {
+        let Seen { names, board, .. } = &mut self.dispatcher.seen;
+        *names.entry(entry.upstream.clone()).or_insert_with(|| {
+            let upstream = Upstream::new(entry, &self.dispatcher.terms);
+            let up = self.free.pop().unwrap_or(board.len());
+            board.splice(up..board.len().min(up + 1), [upstream]);
+            self.known.add(entry);
+            up
+        })
     }
 
     /// Against a balancer that grows with each upstream that ever was. What it has sent is kept as long as
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
-        let (seen, txns) = (&mut self.desk.seen, &self.desk.book.txns);
-        let posted: BTreeSet<usize> = txns.values().flat_map(|t| t.postings.iter().map(|p| p.up)).collect();
-        let since = now.saturating_sub(self.desk.terms.cold.warm_within.max(SECOND));
-        let is_old = |up: &usize| {
-            let s = &seen.board[*up];
-            s.entry.stage == Stage::Gone && s.gone < since && s.in_flight == 0 && !posted.contains(up)
-        };
-        self.free.extend(seen.names.values().copied().filter(is_old));
-        seen.names.retain(|_, up| !is_old(up));
-        let named = || seen.names.values().map(|up| &seen.board[*up].entry);
-        let many = seen.zones.len().max(seen.kinds.len()) > MANY_NAMES;
-        seen.zones.retain(|zone, _| !many || named().any(|entry| entry.zone == *zone));
-        seen.kinds.retain(|kind, _| !many || named().any(|entry| entry.kind == *kind));
+        let since = now.saturating_sub(self.dispatcher.terms.cold.warm_within.max(SECOND));
+        let (seen, txns) = (&mut self.dispatcher.seen, &self.dispatcher.queue.txns);
+        let mut old: Vec<(UpstreamId, Tenths, usize)> = self
+            .gone
+            .range(..(since, 0))
+            .filter(|(_, up)| seen.board[*up].in_flight == 0)
+            .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
+            .collect();
+        if !old.is_empty() {
+            let posted = txns.values().flat_map(|txn| txn.postings.iter().map(|posting| posting.up));
+            let posted: BTreeSet<usize> = posted.collect();
+            old.retain(|(.., up)| !posted.contains(up));
+        }
+        // By name, so that equal events leave equal places free in equal order.
+        old.sort();
+        for (name, gone, up) in old {
+            seen.names.remove(&name);
+            self.known.remove(&seen.board[up].entry);
+            self.gone.remove(&(gone, up));
+            self.free.push(up);
+        }
+        if seen.zones.len().max(seen.kinds.len()) > MANY_NAMES {
+            seen.zones.retain(|zone, _| self.known.zones.contains_key(zone));
+            seen.kinds.retain(|kind, _| self.known.kinds.contains_key(kind));
+        }
     }
 
     /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
     pub fn sizes(&self) -> [usize; 4] {
-        let Seen { names, zones, kinds, .. } = &self.desk.seen;
-        [names.len(), zones.len(), kinds.len(), self.desk.book.txns.len()]
-    }
-
-    fn settle(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        let inboxes = &mut self.inboxes;
-        loop {
-            if let Some(up) = inboxes.ready.pop_front() {
-                while let Some(note) = inboxes.upstreams[up].pop_front() {
-                    self.upstreams[up].receive(now, note, &self.desk.terms);
-                }
-                inboxes.desk.push_back(DeskNote::Standing(up, self.upstreams[up].shown.clone()));
-            } else if let Some(note) = inboxes.desk.pop_front() {
-                self.desk.receive(now, note, inboxes, out);
-            } else {
-                return;
-            }
-        }
+        let Seen { names, zones, kinds, .. } = &self.dispatcher.seen;
+        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.txns.len()]
     }
 }
 
+/// How many upstreams that are not forgotten are in each zone and of each kind.
 #[derive(Default)]
-pub struct Inboxes {
-    upstreams: Vec<VecDeque<UpstreamNote>>,
-    ready: VecDeque<usize>,
-    desk: VecDeque<DeskNote>,
+struct Known {
+    zones: BTreeMap<u32, usize>,
+    kinds: BTreeMap<u32, usize>,
 }
 
-impl Inboxes {
-    pub fn upstream(&mut self, up: usize, note: UpstreamNote) {
-        if self.upstreams[up].is_empty() {
-            self.ready.push_back(up);
+impl Known {
+    pub fn add(&mut self, entry: &Entry) {
+        *self.zones.entry(entry.zone).or_default() += 1;
+        *self.kinds.entry(entry.kind).or_default() += 1;
+    }
+
+    fn remove(&mut self, entry: &Entry) {
+        for (counts, name) in [(&mut self.zones, entry.zone), (&mut self.kinds, entry.kind)] {
+            if let Some(count) = counts.get_mut(&name) {
+                *count -= 1;
+                if *count == 0 {
+                    counts.remove(&name);
+                }
+            }
         }
-        self.upstreams[up].push_back(note);
     }
 }
