Tests of doubled records in a commit and of unknown revisions in the log

Trials with planted faults in the code found two lines that no test noticed: the count of a record changed twice in one commit, and the log's refusal of a revision that is taken.

--- a/crates/pondlb-control/tests/faults.rs
+++ b/crates/pondlb-control/tests/faults.rs
@@ -183,17 +183,17 @@
 
 #[test]
 fn a_replica_servers_repair_reaches_those_behind_it() {
-    let (store, mut relay) = three_changes_behind();
+    let (store, mut replica_server) = three_changes_behind();
     let mut balancer = Follower::new();
-    balancer.catch_up(&relay.store, WHOLE);
-    let mut piece = changes(answer(&store, &relay.call(), 1));
+    balancer.catch_up(&replica_server.store, WHOLE);
+    let mut piece = changes(answer(&store, &replica_server.call(), 1));
     piece.changes[0].value = Some(value("0"));
-    relay.receive(Answer::Changes(piece)).unwrap();
-    balancer.step(&relay.store, WHOLE).unwrap();
+    replica_server.receive(Answer::Changes(piece)).unwrap();
+    balancer.step(&replica_server.store, WHOLE).unwrap();
     assert_eq!(balancer.records[&key(10)], "0");
-    relay.catch_up(&store, WHOLE);
-    balancer.step(&relay.store, WHOLE).unwrap();
-    assert_repairs_one_record(&relay.store, &mut balancer, key(10).name());
+    replica_server.catch_up(&store, WHOLE);
+    balancer.step(&replica_server.store, WHOLE).unwrap();
+    assert_repairs_one_record(&replica_server.store, &mut balancer, key(10).name());
     balancer.assert_same_as(&store);
 }
 
--- a/crates/pondlb-control/tests/snapshots.rs
+++ b/crates/pondlb-control/tests/snapshots.rs
@@ -124,19 +124,19 @@
 #[test]
 fn a_followers_own_store_resets_callers_from_before_its_whole_state() {
     let mut origin = filled_store(1, 30);
-    let mut relay = Follower::new();
+    let mut replica_server = Follower::new();
     let mut balancer = Follower::new();
-    relay.catch_up(&origin, PIECE);
-    balancer.catch_up(&relay.store, PIECE);
+    replica_server.catch_up(&origin, PIECE);
+    balancer.catch_up(&replica_server.store, PIECE);
     assert_eq!(balancer.tally.whole_states, 1);
     origin.commit(&[remove(3)], &allow_all).unwrap();
-    relay.catch_up(&origin, PIECE);
-    balancer.catch_up(&relay.store, PIECE);
+    replica_server.catch_up(&origin, PIECE);
+    balancer.catch_up(&replica_server.store, PIECE);
     assert_eq!(balancer.tally.whole_states, 1);
 
     let newer = filled_store(2, 10);
-    relay.catch_up(&newer, PIECE);
-    balancer.catch_up(&relay.store, PIECE);
+    replica_server.catch_up(&newer, PIECE);
+    balancer.catch_up(&replica_server.store, PIECE);
     balancer.assert_same_as(&newer);
     assert_eq!(balancer.tally.whole_states, 2);
 }
--- a/crates/pondlb-control/tests/store.rs
+++ b/crates/pondlb-control/tests/store.rs
@@ -76,6 +76,16 @@
     assert!(matches!(error, CommitError::TooManyBytes { most: 100, .. }), "{error}");
 }
 
+#[test]
+fn a_record_changed_twice_in_a_commit_counts_once() {
+    let mut store = limited(Limits { records: 2, ..Limits::default() });
+    store.commit(&[set(1, "1"), set(1, "22"), set(2, "2"), remove(2), set(3, "3")], &allow_all).unwrap();
+    let held = [("22", key(1)), ("3", key(3))];
+    assert_eq!(store.bytes(), held.iter().map(|(text, key)| text.len() + key.as_str().len()).sum::<usize>());
+    let error = refused(&mut store, &[remove(1), set(1, "1"), set(2, "2")]);
+    assert_eq!(error, CommitError::TooManyRecords { records: 3, most: 2 });
+}
+
 #[test]
 fn the_checker_sees_normalised_values_and_removals() {
     let mut store = filled_store(1, 5);
@@ -262,11 +272,19 @@
     let mut store = Store::new(0, Limits::default());
     store.replicate(&update(5, vec![change(5, 1, Some("5")), change(5, 2, Some("5")), change(0, 3, None)]));
     store.replicate(&update(6, vec![change(900, 4, Some("6"))]));
-    let revisions: Vec<u64> = since(&store, 0).iter().map(|(revision, ..)| *revision).collect();
-    assert_eq!(revisions, [5, 6]);
+    let name = |number| key(number).name().to_string();
+    assert_eq!(since(&store, 0), [(5, name(1), Some("5".into())), (6, name(4), Some("6".into()))]);
     assert_eq!(store.len(), 3);
 }
 
+#[test]
+fn removals_of_unknown_revision_take_no_tombstone() {
+    let mut store = Store::new(0, Limits { tombstones: 1, ..Limits::default() });
+    store.replicate(&update(5, vec![change(4, 1, Some("4")), change(5, 2, None)]));
+    store.replicate(&update(6, vec![change(0, 1, None)]));
+    assert_eq!(since(&store, 0), [(5, key(2).name().to_string(), None)]);
+}
+
 #[test]
 fn a_store_that_is_halfway_through_pieces_tells_no_digest() {
     let mut store = Store::new(0, Limits::default());
