--- a/crates/pondlb-control/src/limits.rs
+++ b/crates/pondlb-control/src/limits.rs
@@ -7,7 +7,8 @@
     pub records: usize,
     /// The longest value, in bytes.
     pub value_bytes: usize,
-    /// The most bytes of all keys and values. A replica holds no values and bounds only a staged snapshot by it.
+    /// The most bytes of all keys and values. A replica, which holds no values, bounds by it what a
+    /// staged snapshot holds of them.
     pub total_bytes: usize,
     /// How many removed records a store remembers; a caller that needs an older one takes a snapshot.
     pub tombstones: usize,
--- a/crates/pondlb-control/src/record_hashes.rs
+++ b/crates/pondlb-control/src/record_hashes.rs
@@ -25,12 +25,12 @@
         RecordHashes { buckets: vec![Bucket::default(); BUCKETS], digest: 0, len: 0 }
     }
 
-    /// Those of the records of each bucket, in the order of the buckets.
-    pub(crate) fn from_buckets(buckets: impl Iterator<Item = BTreeMap<Key, u64>>) -> RecordHashes {
-        let buckets: Vec<Bucket> = buckets.map(Bucket::new).collect();
-        let digest = buckets.iter().fold(0, |sum, bucket| u64::wrapping_add(sum, bucket.digest));
-        let len = buckets.iter().map(|bucket| bucket.hashes.len()).sum();
-        RecordHashes { buckets, digest, len }
+    /// The same records in maps that are built anew, which takes less memory than maps that have grown.
+    pub(crate) fn compacted(mut self) -> RecordHashes {
+        for bucket in &mut self.buckets {
+            bucket.hashes = std::mem::take(&mut bucket.hashes).into_iter().collect();
+        }
+        self
     }
 
     /// The digest of all records.
@@ -79,9 +79,10 @@
         self.buckets.iter().map(|bucket| Digest(bucket.digest))
     }
 
-    /// The records of each bucket.
-    pub(crate) fn buckets(&self) -> impl Iterator<Item = &BTreeMap<Key, u64>> {
-        self.buckets.iter().map(|bucket| &bucket.hashes)
+    /// The keys that the others do not have.
+    pub(crate) fn keys_missing_in<'a>(&'a self, others: &'a RecordHashes) -> impl Iterator<Item = &'a Key> {
+        let pairs = self.buckets.iter().zip(&others.buckets);
+        pairs.flat_map(|(bucket, other)| bucket.keys_missing_in(other))
     }
 
     /// The records of one bucket in the order of their keys; none where there is no such bucket.
@@ -91,8 +92,12 @@
 }
 
 impl Bucket {
-    fn new(hashes: BTreeMap<Key, u64>) -> Bucket {
-        let digest = hashes.values().copied().fold(0, u64::wrapping_add);
-        Bucket { hashes, digest }
+    /// Goes through both buckets at once. Keys of one allocation are equal without a look at their text.
+    fn keys_missing_in<'a>(&'a self, other: &'a Bucket) -> impl Iterator<Item = &'a Key> {
+        let mut others = other.hashes.keys().peekable();
+        self.hashes.keys().filter(move |key| {
+            while others.next_if(|other| other != key && other < key).is_some() {}
+            others.next_if(|other| other == key).is_none()
+        })
     }
 }
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -3,9 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde_json::value::RawValue;
-
-use crate::digest::{BUCKETS, bucket_of};
 use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
 use crate::record_hashes::RecordHashes;
 use crate::{
@@ -18,9 +15,10 @@
     stage: Stage,
     /// The newest version that a piece was read at.
     newest: Version,
-    buckets: Vec<BTreeMap<Key, StagedRecord>>,
-    digest: u64,
-    records: usize,
+    records: RecordHashes,
+    /// The records that are not in force as they are staged.
+    differences: BTreeMap<Key, Change>,
+    /// Bytes of the keys and values of the differences.
     bytes: usize,
 }
 
@@ -32,15 +30,6 @@
     Changes { from: Version, hurry: bool },
 }
 
-#[derive(Debug)]
-struct StagedRecord {
-    hash: u64,
-    revision: u64,
-    bytes: usize,
-    /// None where the same value is in force.
-    value: Option<Box<RawValue>>,
-}
-
 /// How a snapshot goes on.
 #[derive(Debug)]
 pub(crate) enum SnapshotStep {
@@ -66,9 +55,8 @@
         StagedSnapshot {
             stage: Stage::Pieces { first: None, after: None },
             newest: Version::default(),
-            buckets: std::iter::repeat_with(BTreeMap::new).take(BUCKETS).collect(),
-            digest: 0,
-            records: 0,
+            records: RecordHashes::new(),
+            differences: BTreeMap::new(),
             bytes: 0,
         }
     }
@@ -149,40 +137,31 @@
         held: &Held,
         check: &Check<'_>,
     ) -> Result<SnapshotStep, Rejection> {
-        let computed = Digest(self.digest);
+        let computed = self.records.digest();
         if told != computed {
             return Err(Rejection::WrongDigest { told, computed });
         }
-        let removals = self.removals(held);
+        let missing = held.records.keys_missing_in(&self.records);
+        let removals: Vec<HashedChange> = missing.cloned().map(HashedChange::removal).collect();
         removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
-        let mut changes: Vec<Change> = removals.into_iter().map(|removal| removal.change).collect();
-        let buckets = std::mem::take(&mut self.buckets);
-        let records =
-            RecordHashes::from_buckets(buckets.into_iter().map(|bucket| settle(bucket, &mut changes)));
-        changes.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+        let mut changes: Vec<Change> = std::mem::take(&mut self.differences).into_values().collect();
+        if !removals.is_empty() {
+            changes.extend(removals.into_iter().map(|removal| removal.change));
+            changes.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+        }
+        let records = std::mem::replace(&mut self.records, RecordHashes::new()).compacted();
         Ok(SnapshotStep::Complete(Box::new(WholeState { version, records, changes })))
     }
 
-    /// Removals of the records in force that are not in the snapshot.
-    fn removals(&self, held: &Held) -> Vec<HashedChange> {
-        let pairs = self.buckets.iter().zip(held.records.buckets());
-        let gone = pairs.flat_map(|(staged, held)| held.keys().filter(|key| !staged.contains_key(key)));
-        gone.map(|key| HashedChange::removal(key.clone())).collect()
-    }
-
     /// Whether the limits allow what is staged with these changes.
     fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
-        let mut records = self.records;
+        let mut records = self.records.len();
         let mut bytes = self.bytes;
-        for HashedChange { change, .. } in changes {
-            if let Some(before) = self.buckets[bucket_of(&change.key)].get(&change.key) {
-                records -= 1;
-                bytes -= before.bytes;
-            }
-            if let Some(value) = &change.value {
-                records += 1;
-                bytes += change.key.as_str().len() + value.get().len();
-            }
+        for HashedChange { change, hash } in changes {
+            records -= usize::from(self.records.get(&change.key).is_some());
+            records += usize::from(hash.is_some());
+            bytes -= self.differences.get(&change.key).map_or(0, staged_bytes);
+            bytes += staged_bytes(change);
         }
         verify_count(records, limits)?;
         let most = limits.total_bytes;
@@ -190,34 +169,23 @@
     }
 
     fn put(&mut self, HashedChange { change, hash }: HashedChange, held: &Held) {
-        let Change { revision, key, value } = change;
-        let bucket = &mut self.buckets[bucket_of(&key)];
-        let before = match (hash, value) {
-            (Some(hash), Some(value)) => {
-                let bytes = key.as_str().len() + value.get().len();
-                let value = Some(value).filter(|_| held.records.get(&key) != Some(hash));
-                self.digest = self.digest.wrapping_add(hash);
-                self.records += 1;
-                self.bytes += bytes;
-                bucket.insert(held.names.share(key), StagedRecord { hash, revision, bytes, value })
-            }
-            _ => bucket.remove(&key),
-        };
-        if let Some(before) = before {
-            self.digest = self.digest.wrapping_sub(before.hash);
-            self.records -= 1;
-            self.bytes -= before.bytes;
+        let key = held.names.share(change.key.clone());
+        match hash {
+            Some(hash) => self.records.set(&key, hash, Key::clone),
+            None => self.records.remove(&key),
         }
+        let is_difference = hash.is_some() && held.records.get(&key) != hash;
+        let before = if is_difference {
+            self.bytes += staged_bytes(&change);
+            self.differences.insert(key.clone(), Change { key, ..change })
+        } else {
+            self.differences.remove(&key)
+        };
+        self.bytes -= before.as_ref().map_or(0, staged_bytes);
     }
 }
 
-/// The hashes of a staged bucket; the records that are not in force go to `changes`.
-fn settle(bucket: BTreeMap<Key, StagedRecord>, changes: &mut Vec<Change>) -> BTreeMap<Key, u64> {
-    let settle_record = |(key, record): (Key, StagedRecord)| {
-        if let Some(value) = record.value {
-            changes.push(Change { revision: record.revision, key: key.clone(), value: Some(value) });
-        }
-        (key, record.hash)
-    };
-    bucket.into_iter().map(settle_record).collect()
+/// What a change takes of the bytes that may be staged.
+fn staged_bytes(change: &Change) -> usize {
+    change.value.as_deref().map_or(0, |value| change.key.as_str().len() + value.get().len())
 }
