--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -20,7 +20,7 @@
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Farewell {
+pub(super) struct ShutdownTimeline {
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
@@ -31,7 +31,7 @@
     at_most: Duration,
 }
 
-impl Farewell {
+impl ShutdownTimeline {
     pub(super) fn new(expiry: Option<Tenths>) -> Self {
         let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
         let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
@@ -39,7 +39,7 @@
         // What comes last still has time for a quick answer.
         let stays = expiry.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
         let leaving = span(stays.max(LEAVING.min(answered)));
-        Farewell { leaving, answered, at_most: span(killed - MARGIN) }
+        ShutdownTimeline { leaving, answered, at_most: span(killed - MARGIN) }
     }
 }
 
@@ -71,7 +71,7 @@
     given: Given,
     asks: mpsc::UnboundedSender<Ask>,
     told_to_end: Option<Instant>,
-    farewell: Farewell,
+    shutdown: ShutdownTimeline,
 }
 
 impl Service {
@@ -131,7 +131,7 @@
             given,
             asks: asks_in,
             told_to_end: None,
-            farewell: Farewell::new(links.expiry),
+            shutdown: ShutdownTimeline::new(links.expiry),
         })
     }
 
@@ -140,7 +140,7 @@
         while !self.is_over() {
             self.note_phase();
             let wake = self.exchange.wake_at().map(|at| self.clock.instant(at));
-            let Farewell { leaving, at_most, .. } = self.farewell;
+            let ShutdownTimeline { leaving, at_most, .. } = self.shutdown;
             let turn =
                 self.told_to_end.map(|at| at + if self.is(Phase::Closing) { at_most } else { leaving });
             let next = wake.into_iter().chain(turn.filter(|at| *at > Instant::now())).min();
@@ -182,7 +182,7 @@
 
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
-        self.exchange.end_by(self.clock.now() + self.farewell.answered);
+        self.exchange.end_by(self.clock.now() + self.shutdown.answered);
     }
 
     fn is(&self, phase: Phase) -> bool {
@@ -191,7 +191,7 @@
 
     fn note_phase(&mut self) {
         let phase = match self.told_to_end {
-            Some(at) if at.elapsed() >= self.farewell.leaving => Phase::Closing,
+            Some(at) if at.elapsed() >= self.shutdown.leaving => Phase::Closing,
             Some(_) => Phase::Leaving,
             None if self.exchange.knows_upstreams() => Phase::Serving,
             None => Phase::Starting,
@@ -207,7 +207,7 @@
     }
 
     fn is_over(&self) -> bool {
-        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.farewell.at_most);
+        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.shutdown.at_most);
         self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.is_empty() || late)
     }
 }
--- a/crates/pondlb-server/src/program/tests.rs
+++ b/crates/pondlb-server/src/program/tests.rs
@@ -3,7 +3,7 @@
 use expect_test::expect;
 use pondlb_terms::Links;
 
-use super::service::{Farewell, connect_within};
+use super::service::{ShutdownTimeline, connect_within};
 
 #[test]
 fn connections_come_up_within_half_the_grace_and_have_time_to_without_one() {
@@ -18,13 +18,13 @@
 fn the_end_comes_before_the_kill_and_no_sooner_than_clients_stay() {
     let mut trace = String::new();
     for expiry in [None, Some(60_000), Some(20_000), Some(1000)] {
-        trace += &format!("{expiry:?}: {:?}\n", Farewell::new(expiry));
+        trace += &format!("{expiry:?}: {:?}\n", ShutdownTimeline::new(expiry));
     }
     expect![[r#"
-        None: Farewell { leaving: 600ms, answered: 33000, at_most: 3.5s }
-        Some(60000): Farewell { leaving: 2.9s, answered: 33000, at_most: 3.5s }
-        Some(20000): Farewell { leaving: 1.9s, answered: 23000, at_most: 2.5s }
-        Some(1000): Farewell { leaving: 400ms, answered: 4000, at_most: 600ms }
+        None: ShutdownTimeline { leaving: 600ms, answered: 33000, at_most: 3.5s }
+        Some(60000): ShutdownTimeline { leaving: 2.9s, answered: 33000, at_most: 3.5s }
+        Some(20000): ShutdownTimeline { leaving: 1.9s, answered: 23000, at_most: 2.5s }
+        Some(1000): ShutdownTimeline { leaving: 400ms, answered: 4000, at_most: 600ms }
     "#]]
     .assert_eq(&trace);
 }
