Crowd becomes ConnectionTable

The table of client connections is named as such: type, file and fields; the turning away of a client for want of room is `Next::Overloaded`.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -14,7 +14,8 @@
 use super::setup::{Given, Setup};
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{
-    Ask, Backoff, Clock, Crowd, Front, ListLimit, Patience, Phase, Pool, Postings, discover, listen, span,
+    Ask, Backoff, Clock, ConnectionTable, Front, ListLimit, Patience, Phase, Pool, Postings, discover,
+    listen, span,
 };
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
@@ -63,7 +64,7 @@
     clock: Clock,
     exchange: Exchange<Postings>,
     notes: mpsc::UnboundedReceiver<Note>,
-    crowd: Rc<Crowd>,
+    connections: Rc<ConnectionTable>,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -94,9 +95,9 @@
         let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within(&links)));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
-        let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
+        let connections = ConnectionTable::new(setup.budget.clients, links.most_open as usize, memory);
         let front = Front {
-            crowd: crowd.clone(),
+            connections: connections.clone(),
             schemes: setup.deployment.names.schemes.clone(),
             cool_down: terms.cool_down.map(|longest| longest / 2),
             notes: notes_in.clone(),
@@ -124,7 +125,7 @@
             clock,
             exchange,
             notes,
-            crowd,
+            connections,
             terminate,
             interrupt,
             hangup,
@@ -151,7 +152,7 @@
                 _ = self.interrupt.recv(), if running => self.leave(),
                 _ = self.hangup.recv() => self.read_anew(),
                 _ = self.notes.recv_many(&mut batch, BATCH) => {}
-                () = self.crowd.changed.notified(), if self.is(Phase::Closing) => {}
+                () = self.connections.changed.notified(), if self.is(Phase::Closing) => {}
                 () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
             self.exchange.step(self.clock.now(), batch.drain(..));
@@ -208,7 +209,7 @@
 
     fn is_over(&self) -> bool {
         let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.shutdown.at_most);
-        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.is_empty() || late)
+        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.connections.is_empty() || late)
     }
 }
 
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -10,7 +10,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::crowd::{Crowd, Place, Standing};
+use super::connection_table::{ConnectionTable, Place, Standing};
 use super::phase::Phase;
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::protocol::answer::Answer;
@@ -37,7 +37,7 @@
 
 /// What all client connections share.
 pub struct Front {
-    pub crowd: Rc<Crowd>,
+    pub connections: Rc<ConnectionTable>,
     pub schemes: Vec<String>,
     pub cool_down: Option<Tenths>,
     pub notes: mpsc::UnboundedSender<Note>,
@@ -48,7 +48,7 @@
     Asked(Asked),
     Fault(Fault),
     TooSlow,
-    Crowded,
+    Overloaded,
     /// The balancer ends the connection, on which nothing is owed.
     Ends,
     Over,
@@ -72,7 +72,9 @@
                     (write_fault(fault), true)
                 }
                 Next::TooSlow => (write_too_slow(), true),
-                Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
+                Next::Overloaded => {
+                    (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true)
+                }
                 Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
             };
@@ -97,15 +99,15 @@
         let mut slow = None;
         loop {
             match side.next(&self.schemes) {
-                Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
-                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
+                Ok(Some(_)) if self.connections.turns_away() => return Next::Overloaded,
+                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Overloaded,
                 Ok(Some(asked)) => return Next::Asked(asked),
                 Ok(None) => {}
                 Err(fault) => return Next::Fault(fault),
             }
             // Before its body is read: hundreds of them let in at once would cost more memory than there is.
-            if !side.is_idle() && (place.is_excess() || self.crowd.turns_away()) {
-                return Next::Crowded;
+            if !side.is_idle() && (place.is_excess() || self.connections.turns_away()) {
+                return Next::Overloaded;
             }
             if side.wants_leave_to_send() && write_all(stream, LEAVE_TO_SEND).await.is_err() {
                 return Next::Over;
--- a/crates/pondlb-server/src/transport/crowd.rs
+++ b/crates/pondlb-server/src/transport/connection_table.rs
@@ -1,3 +1,5 @@
+//! Which client connections there are, and which of them may be closed when there is no room for more.
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -10,7 +12,7 @@
 
 /// The client connections: how many there are, and which stand idle, without a byte of a request. The others
 /// are busy.
-pub struct Crowd {
+pub struct ConnectionTable {
     most: usize,
     most_busy: usize,
     memory: Memory,
@@ -26,9 +28,9 @@
     pub changed: Notify,
 }
 
-impl Crowd {
+impl ConnectionTable {
     pub fn new(most: usize, most_busy: usize, memory: Memory) -> Rc<Self> {
-        Rc::new(Crowd {
+        Rc::new(ConnectionTable {
             most,
             most_busy,
             memory,
@@ -66,7 +68,7 @@
     pub fn enter(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
         let excess = Cell::new(self.is_over() && !self.close_one_idle());
-        Place { crowd: self.clone(), excess, lingers: false }
+        Place { table: self.clone(), excess, lingers: false }
     }
 
     /// Tells one to close: of those that said nothing for a while, else of those that stand idle, the one
@@ -98,7 +100,7 @@
 
 /// One connection's place; leaving it makes room for another.
 pub struct Place {
-    crowd: Rc<Crowd>,
+    table: Rc<ConnectionTable>,
     /// It came when there was no room, and none could be made.
     excess: Cell<bool>,
     lingers: bool,
@@ -107,34 +109,34 @@
 impl Place {
     /// Whether there is no room for its requests, still.
     pub fn is_excess(&self) -> bool {
-        self.excess.set(self.excess.get() && self.crowd.is_over());
+        self.excess.set(self.excess.get() && self.table.is_over());
         self.excess.get()
     }
 
     /// Its connection has been told that it ends; another may come.
     pub fn linger(mut self) -> Place {
         self.lingers = true;
-        self.crowd.open.set(self.crowd.open.get() - 1);
-        self.crowd.lingering.set(self.crowd.lingering.get() + 1);
-        self.crowd.changed.notify_one();
+        self.table.open.set(self.table.open.get() - 1);
+        self.table.lingering.set(self.table.lingering.get() + 1);
+        self.table.changed.notify_one();
         self
     }
 
     pub fn idle(&self) -> Standing<'_> {
-        self.stand(&self.crowd.idle)
+        self.stand(&self.table.idle)
     }
 
     pub fn fresh(&self) -> Standing<'_> {
-        self.stand(&self.crowd.fresh)
+        self.stand(&self.table.fresh)
     }
 
     pub fn slow(&self) -> Standing<'_> {
-        self.stand(&self.crowd.slow)
+        self.stand(&self.table.slow)
     }
 
     fn stand<'a>(&'a self, row: &'a Row) -> Standing<'a> {
-        let number = self.crowd.next.get();
-        self.crowd.next.set(number + 1);
+        let number = self.table.next.get();
+        self.table.next.set(number + 1);
         let close = Rc::new(Notify::new());
         row.borrow_mut().insert(number, (Instant::now(), close.clone()));
         Standing { row, number, close }
@@ -143,9 +145,9 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let count = if self.lingers { &self.crowd.lingering } else { &self.crowd.open };
+        let count = if self.lingers { &self.table.lingering } else { &self.table.open };
         count.set(count.get() - 1);
-        self.crowd.changed.notify_one();
+        self.table.changed.notify_one();
     }
 }
 
--- a/crates/pondlb-server/src/transport/listener.rs
+++ b/crates/pondlb-server/src/transport/listener.rs
@@ -15,13 +15,13 @@
 pub async fn listen(listener: TcpListener, front: Rc<Front>) {
     let mut phase = front.phase.clone();
     loop {
-        let crowd = &front.crowd;
-        if crowd.is_full() {
-            if crowd.is_over() {
-                crowd.close_one_idle();
+        let connections = &front.connections;
+        if connections.is_full() {
+            if connections.is_over() {
+                connections.close_one_idle();
             }
             tokio::select! {
-                _ = crowd.changed.notified() => {}
+                _ = connections.changed.notified() => {}
                 _ = sleep(BREATH) => {}
             }
             continue;
@@ -33,13 +33,13 @@
         };
         match taken {
             Ok((stream, _)) => {
-                let place = crowd.enter();
+                let place = connections.enter();
                 spawn_local(front.clone().serve(stream, place));
             }
             // Out of descriptors, or the client has gone again: neither is a reason to end or to spin.
             Err(e) => {
                 log::warn!("a connection can't be taken: {e}");
-                crowd.close_one_idle();
+                connections.close_one_idle();
                 sleep(BREATH).await;
             }
         }
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -3,7 +3,7 @@
 mod backoff;
 mod client;
 mod clock;
-mod crowd;
+mod connection_table;
 mod discovery;
 mod listener;
 mod memory;
@@ -17,7 +17,7 @@
 pub use backoff::Backoff;
 pub use client::Front;
 pub use clock::{Clock, span};
-pub use crowd::Crowd;
+pub use connection_table::ConnectionTable;
 pub use discovery::{Ask, ListLimit, Patience, discover};
 pub use listener::listen;
 pub use memory::Memory;
