Standing becomes EvictionGuard

What keeps a client connection among those that may be closed for others is a guard of an eviction queue, and is named so; closing one of them is an eviction.

--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -10,7 +10,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::connection_table::{ConnectionTable, Place, Standing};
+use super::connection_table::{ConnectionTable, EvictionGuard, Place};
 use super::phase::Phase;
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::protocol::answer::Answer;
@@ -135,7 +135,7 @@
                 tokio::select! {
                     biased;
                     count = feed(stream, side.input()) => count,
-                    () = slow.told_to_close() => return Next::TooSlow,
+                    () = slow.evicted() => return Next::TooSlow,
                     () = sleep_until(*until) => return Next::TooSlow,
                 }
             };
@@ -185,10 +185,10 @@
     }
 }
 
-async fn closing(phase: &mut watch::Receiver<Phase>, idle: &Standing<'_>, most: Duration) {
+async fn closing(phase: &mut watch::Receiver<Phase>, idle: &EvictionGuard<'_>, most: Duration) {
     tokio::select! {
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-        () = idle.told_to_close() => {}
+        () = idle.evicted() => {}
         () = sleep(most) => {}
     }
 }
--- a/crates/pondlb-server/src/transport/connection_table.rs
+++ b/crates/pondlb-server/src/transport/connection_table.rs
@@ -21,10 +21,10 @@
     lingering: Cell<usize>,
     next: Cell<u64>,
     /// Idle ones that never asked for anything, and those that did.
-    fresh: Row,
-    idle: Row,
+    fresh: EvictionQueue,
+    idle: EvictionQueue,
     /// Those that have sent a part of a request.
-    slow: Row,
+    slow: EvictionQueue,
     pub changed: Notify,
 }
 
@@ -37,9 +37,9 @@
             open: Cell::new(0),
             lingering: Cell::new(0),
             next: Cell::new(0),
-            fresh: Row::default(),
-            idle: Row::default(),
-            slow: Row::default(),
+            fresh: EvictionQueue::default(),
+            idle: EvictionQueue::default(),
+            slow: EvictionQueue::default(),
             changed: Notify::new(),
         })
     }
@@ -61,25 +61,25 @@
     /// another's: it has been taken from nobody yet.
     pub fn turns_away(&self) -> bool {
         let busy = self.open.get() - self.idle.borrow().len() - self.fresh.borrow().len();
-        (busy > self.most_busy || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
+        (busy > self.most_busy || self.memory.is_short()) && !evict_first(&self.slow, Some(SLOW))
     }
 
     /// Room is made only for one that has come: closing idle ones ahead would cost clients theirs for nothing.
     pub fn enter(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
-        let excess = Cell::new(self.is_over() && !self.close_one_idle());
+        let excess = Cell::new(self.is_over() && !self.evict_one_idle());
         Place { table: self.clone(), excess, lingers: false }
     }
 
     /// Tells one to close: of those that said nothing for a while, else of those that stand idle, the one
     /// that does so longest. Clients with a connection for each of their requests need theirs.
-    pub fn close_one_idle(&self) -> bool {
-        close_first(&self.fresh, Some(SILENT)) || close_first(&self.idle, None)
+    pub fn evict_one_idle(&self) -> bool {
+        evict_first(&self.fresh, Some(SILENT)) || evict_first(&self.idle, None)
     }
 }
 
-/// Connections that may be closed, in the order in which they came to be so, with what tells each.
-type Row = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
+/// Connections that may be evicted, in the order in which they came to be so, with what tells each.
+type EvictionQueue = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
 
 /// Taken beyond the most, of the descriptors that are kept for the program's own use: for who asks whether it is ready,
 /// to turn others away, and while those that were told to close are read on.
@@ -88,9 +88,9 @@
 const SILENT: Duration = Duration::from_millis(250);
 
 /// False when there is none, or none that has stood there for so long.
-fn close_first(row: &Row, after: Option<Duration>) -> bool {
-    let mut row = row.borrow_mut();
-    let Some(first) = row.first_entry() else { return false };
+fn evict_first(queue: &EvictionQueue, after: Option<Duration>) -> bool {
+    let mut queue = queue.borrow_mut();
+    let Some(first) = queue.first_entry() else { return false };
     if after.is_some_and(|after| first.get().0.elapsed() < after) {
         return false;
     }
@@ -122,24 +122,24 @@
         self
     }
 
-    pub fn idle(&self) -> Standing<'_> {
-        self.stand(&self.table.idle)
+    pub fn idle(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.idle)
     }
 
-    pub fn fresh(&self) -> Standing<'_> {
-        self.stand(&self.table.fresh)
+    pub fn fresh(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.fresh)
     }
 
-    pub fn slow(&self) -> Standing<'_> {
-        self.stand(&self.table.slow)
+    pub fn slow(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.slow)
     }
 
-    fn stand<'a>(&'a self, row: &'a Row) -> Standing<'a> {
+    fn make_evictable<'a>(&'a self, queue: &'a EvictionQueue) -> EvictionGuard<'a> {
         let number = self.table.next.get();
         self.table.next.set(number + 1);
         let close = Rc::new(Notify::new());
-        row.borrow_mut().insert(number, (Instant::now(), close.clone()));
-        Standing { row, number, close }
+        queue.borrow_mut().insert(number, (Instant::now(), close.clone()));
+        EvictionGuard { queue, number, close }
     }
 }
 
@@ -151,21 +151,22 @@
     }
 }
 
-/// Stands in a row until it is dropped.
-pub struct Standing<'a> {
-    row: &'a Row,
+/// Keeps a connection in an eviction queue until it is dropped.
+pub struct EvictionGuard<'a> {
+    queue: &'a EvictionQueue,
     number: u64,
     close: Rc<Notify>,
 }
 
-impl Standing<'_> {
-    pub async fn told_to_close(&self) {
+impl EvictionGuard<'_> {
+    /// Returns when the connection is to be closed for another.
+    pub async fn evicted(&self) {
         self.close.notified().await;
     }
 }
 
-impl Drop for Standing<'_> {
+impl Drop for EvictionGuard<'_> {
     fn drop(&mut self) {
-        self.row.borrow_mut().remove(&self.number);
+        self.queue.borrow_mut().remove(&self.number);
     }
 }
--- a/crates/pondlb-server/src/transport/listener.rs
+++ b/crates/pondlb-server/src/transport/listener.rs
@@ -18,7 +18,7 @@
         let connections = &front.connections;
         if connections.is_full() {
             if connections.is_over() {
-                connections.close_one_idle();
+                connections.evict_one_idle();
             }
             tokio::select! {
                 _ = connections.changed.notified() => {}
@@ -39,7 +39,7 @@
             // Out of descriptors, or the client has gone again: neither is a reason to end or to spin.
             Err(e) => {
                 log::warn!("a connection can't be taken: {e}");
-                connections.close_one_idle();
+                connections.evict_one_idle();
                 sleep(BREATH).await;
             }
         }
