--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -14,14 +14,14 @@
 use super::setup::{Given, Setup};
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{
-    Ask, Clock, Crowd, Follower, Front, Patience, Phase, Pool, Postings, discover, follow_control, listen,
-    span,
+    Ask, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool, Postings,
+    discover, follow_control, listen, span,
 };
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Farewell {
+pub(super) struct ShutdownTimeline {
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
@@ -32,7 +32,7 @@
     at_most: Duration,
 }
 
-impl Farewell {
+impl ShutdownTimeline {
     pub(super) fn new(expiry: Option<Tenths>) -> Self {
         let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
         let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
@@ -40,7 +40,7 @@
         // What comes last still has time for a quick answer.
         let stays = expiry.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
         let leaving = span(stays.max(LEAVING.min(answered)));
-        Farewell { leaving, answered, at_most: span(killed - MARGIN) }
+        ShutdownTimeline { leaving, answered, at_most: span(killed - MARGIN) }
     }
 }
 
@@ -66,7 +66,7 @@
     clock: Clock,
     exchange: Exchange<Postings>,
     notes: mpsc::UnboundedReceiver<Note>,
-    crowd: Rc<Crowd>,
+    connections: Rc<ConnectionTable>,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -74,7 +74,7 @@
     given: Given,
     asks: mpsc::UnboundedSender<Ask>,
     told_to_end: Option<Instant>,
-    farewell: Farewell,
+    shutdown: ShutdownTimeline,
 }
 
 impl Service {
@@ -100,9 +100,9 @@
         let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within(&links)));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
-        let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
+        let connections = ConnectionTable::new(setup.budget.clients, links.most_open as usize, memory);
         let front = Front {
-            crowd: crowd.clone(),
+            connections: connections.clone(),
             schemes: setup.deployment.names.schemes.clone(),
             cool_down: terms.cool_down.map(|longest| longest / 2),
             notes: notes_in.clone(),
@@ -112,7 +112,15 @@
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
         if let Some(discovery) = setup.discovery {
-            spawn_local(discover(discovery, setup.known.version, Patience::new(), asks, notes_in.clone()));
+            let limit = ListLimit { longest: setup.budget.longest_list, backoff: Backoff::new(setup.seed) };
+            spawn_local(discover(
+                discovery,
+                setup.known.version,
+                Patience::new(),
+                limit,
+                asks,
+                notes_in.clone(),
+            ));
         }
         if let Some(control) = setup.control.clone() {
             let follower = Follower {
@@ -137,14 +145,14 @@
             clock,
             exchange,
             notes,
-            crowd,
+            connections,
             terminate,
             interrupt,
             hangup,
             given,
             asks: asks_in,
             told_to_end: None,
-            farewell: Farewell::new(links.expiry),
+            shutdown: ShutdownTimeline::new(links.expiry),
         })
     }
 
@@ -153,7 +161,7 @@
         while !self.is_over() {
             self.note_phase();
             let wake = self.exchange.wake_at().map(|at| self.clock.instant(at));
-            let Farewell { leaving, at_most, .. } = self.farewell;
+            let ShutdownTimeline { leaving, at_most, .. } = self.shutdown;
             let turn =
                 self.told_to_end.map(|at| at + if self.is(Phase::Closing) { at_most } else { leaving });
             let next = wake.into_iter().chain(turn.filter(|at| *at > Instant::now())).min();
@@ -164,7 +172,7 @@
                 _ = self.interrupt.recv(), if running => self.leave(),
                 _ = self.hangup.recv() => self.read_anew(),
                 _ = self.notes.recv_many(&mut batch, BATCH) => {}
-                () = self.crowd.changed.notified(), if self.is(Phase::Closing) => {}
+                () = self.connections.changed.notified(), if self.is(Phase::Closing) => {}
                 () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
             self.exchange.step(self.clock.now(), batch.drain(..));
@@ -201,7 +209,7 @@
 
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
-        self.exchange.end_by(self.clock.now() + self.farewell.answered);
+        self.exchange.end_by(self.clock.now() + self.shutdown.answered);
     }
 
     fn is(&self, phase: Phase) -> bool {
@@ -210,7 +218,7 @@
 
     fn note_phase(&mut self) {
         let phase = match self.told_to_end {
-            Some(at) if at.elapsed() >= self.farewell.leaving => Phase::Closing,
+            Some(at) if at.elapsed() >= self.shutdown.leaving => Phase::Closing,
             Some(_) => Phase::Leaving,
             None if self.exchange.knows_upstreams() => Phase::Serving,
             None => Phase::Starting,
@@ -226,8 +234,8 @@
     }
 
     fn is_over(&self) -> bool {
-        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.farewell.at_most);
-        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.is_empty() || late)
+        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.shutdown.at_most);
+        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.connections.is_empty() || late)
     }
 }
 
