A whole state that differs little is put in force by its differences

An epoch change or reset mostly brings the records that are held already. Only the differences are applied then, and removals are looked for only where the counts show that there are some.

--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::repair::{Repair, RepairStep, Repaired};
 use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
 use crate::{
-    BucketAnswer, Call, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
+    BucketAnswer, Call, Change, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
     SnapshotAnswer, Update, Version,
 };
 
@@ -249,6 +249,7 @@
         self.interruptions = 0;
     }
 
+    /// Puts changes in force one by one.
     fn apply(
         &mut self,
         version: Version,
@@ -258,20 +259,28 @@
     ) -> Update {
         changes.iter().for_each(|change| self.held.apply(change));
         self.held.version = version;
-        let changes = changes.into_iter().map(|hashed| hashed.change).collect();
-        Update { version, digest, whole: false, changes, more }
+        Update { version, digest, whole: false, changes: without_hashes(changes), more }
     }
 
+    /// Puts a whole state in force: by its differences where they are few, else as it was staged.
     fn take_whole_state(&mut self, state: WholeState) -> Update {
         let WholeState { version, records, changes } = state;
         self.note_right_digest();
         self.phase = Phase::Following { hurry: false };
+        let digest = Some(records.digest());
+        if changes.len() <= self.len() / 2 {
+            return Update { whole: true, ..self.apply(version, digest, changes, false) };
+        }
+        self.held.records = records.compacted();
         self.held.version = version;
-        self.held.records = records;
-        Update { version, digest: Some(self.digest()), whole: true, changes, more: false }
+        Update { version, digest, whole: true, changes: without_hashes(changes), more: false }
     }
 }
 
+fn without_hashes(changes: Vec<HashedChange>) -> Vec<Change> {
+    changes.into_iter().map(|hashed| hashed.change).collect()
+}
+
 impl Phase {
     fn begin_snapshot() -> Phase {
         Phase::Snapshot(Box::new(StagedSnapshot::new()))
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -17,7 +17,7 @@
     newest: Version,
     records: RecordHashes,
     /// The records that are not in force as they are staged.
-    differences: BTreeMap<Key, Change>,
+    differences: BTreeMap<Key, HashedChange>,
     /// Bytes of the keys and values of the differences.
     bytes: usize,
 }
@@ -47,7 +47,7 @@
     pub(crate) version: Version,
     pub(crate) records: RecordHashes,
     /// The difference to what is in force, in the order of keys.
-    pub(crate) changes: Vec<Change>,
+    pub(crate) changes: Vec<HashedChange>,
 }
 
 impl StagedSnapshot {
@@ -141,18 +141,28 @@
         if told != computed {
             return Err(Rejection::WrongDigest { told, computed });
         }
-        let missing = held.records.keys_missing_in(&self.records);
-        let removals: Vec<HashedChange> = missing.cloned().map(HashedChange::removal).collect();
+        let removals = self.removals(held);
         removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
-        let mut changes: Vec<Change> = std::mem::take(&mut self.differences).into_values().collect();
+        let mut changes: Vec<HashedChange> = std::mem::take(&mut self.differences).into_values().collect();
         if !removals.is_empty() {
-            changes.extend(removals.into_iter().map(|removal| removal.change));
-            changes.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+            changes.extend(removals);
+            changes.sort_unstable_by(|one, other| one.change.key.cmp(&other.change.key));
         }
-        let records = std::mem::replace(&mut self.records, RecordHashes::new()).compacted();
+        let records = std::mem::replace(&mut self.records, RecordHashes::new());
         Ok(SnapshotStep::Complete(Box::new(WholeState { version, records, changes })))
     }
 
+    /// Removals of the records in force that are not staged.
+    fn removals(&self, held: &Held) -> Vec<HashedChange> {
+        let is_new = |key: &&Key| held.records.get(key).is_none();
+        let new = self.differences.keys().filter(is_new).count();
+        if self.records.len() - new == held.records.len() {
+            return Vec::new();
+        }
+        let missing = held.records.keys_missing_in(&self.records);
+        missing.cloned().map(HashedChange::removal).collect()
+    }
+
     /// Whether the limits allow what is staged with these changes.
     fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
         let mut records = self.records.len();
@@ -160,7 +170,7 @@
         for HashedChange { change, hash } in changes {
             records -= usize::from(self.records.get(&change.key).is_some());
             records += usize::from(hash.is_some());
-            bytes -= self.differences.get(&change.key).map_or(0, staged_bytes);
+            bytes -= self.differences.get(&change.key).map_or(0, |before| staged_bytes(&before.change));
             bytes += staged_bytes(change);
         }
         verify_count(records, limits)?;
@@ -177,11 +187,12 @@
         let is_difference = hash.is_some() && held.records.get(&key) != hash;
         let before = if is_difference {
             self.bytes += staged_bytes(&change);
-            self.differences.insert(key.clone(), Change { key, ..change })
+            let change = Change { key: key.clone(), ..change };
+            self.differences.insert(key, HashedChange { change, hash })
         } else {
             self.differences.remove(&key)
         };
-        self.bytes -= before.as_ref().map_or(0, staged_bytes);
+        self.bytes -= before.map_or(0, |before| staged_bytes(&before.change));
     }
 }
 
