Only a store with an epoch of its own commits, also once it has replicated

A replica server's store would have numbered changes after its first update, beside the origin. Limits of pieces are told by one function.

--- a/crates/pondlb-control/src/commit.rs
+++ b/crates/pondlb-control/src/commit.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CommitError {
     /// The store numbers no changes: it has no epoch of its own.
-    #[error("this server has no epoch to number changes in")]
+    #[error("this server has no epoch of its own to number changes in")]
     NoEpoch,
     /// There would be more records than the store takes.
     #[error("{records} records are more than {most}")]
--- a/crates/pondlb-control/src/limits.rs
+++ b/crates/pondlb-control/src/limits.rs
@@ -21,9 +21,12 @@
 }
 
 impl Limits {
-    /// The bounds while more changes follow: until then records may be held that are removed further on, beside those
-    /// that came after them.
-    pub(crate) fn while_partial(&self) -> Limits {
+    /// The bounds that hold while more changes follow, or at the end. Until then records may be held that are removed
+    /// further on, beside those that came after them.
+    pub(crate) fn at_piece(&self, more: bool) -> Limits {
+        if !more {
+            return *self;
+        }
         let records = self.records.saturating_mul(2);
         let total_bytes = self.total_bytes.saturating_mul(2);
         Limits { records, total_bytes, ..*self }
--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -169,8 +169,7 @@
         verify_changes(&answer, self.held.version.revision)?;
         let changes = self.held.checked(answer.changes, check)?;
         let outlook = self.held.outlook(&changes);
-        let limits = self.held.limits;
-        verify_count(outlook.records, &if answer.more { limits.while_partial() } else { limits })?;
+        verify_count(outlook.records, &self.held.limits.at_piece(answer.more))?;
         let told = answer.digest.filter(|_| !answer.more);
         if let Some(told) = told.filter(|told| *told != outlook.digest) {
             self.is_in_sync = false;
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -92,7 +92,7 @@
         }
         let first = first.unwrap_or(answer.version);
         let records = held.checked(answer.records, check)?;
-        self.verify_extent(&records, &held.limits.while_partial())?;
+        self.verify_extent(&records, &held.limits.at_piece(true))?;
         self.newest = answer.version;
         self.stage = match answer.next {
             Some(next) => Stage::Pieces { first: Some(first), after: Some(next) },
@@ -119,8 +119,7 @@
         }
         verify_changes(&answer, from.revision)?;
         let changes = held.checked(answer.changes, check)?;
-        let limits = held.limits;
-        self.verify_extent(&changes, &if answer.more { limits.while_partial() } else { limits })?;
+        self.verify_extent(&changes, &held.limits.at_piece(answer.more))?;
         changes.into_iter().for_each(|change| self.put(change, held));
         self.newest = self.newest.max(answer.version);
         self.stage = Stage::Changes { from: answer.version, hurry: answer.more };
--- a/crates/pondlb-control/src/store.rs
+++ b/crates/pondlb-control/src/store.rs
@@ -25,7 +25,10 @@
 #[derive(Debug)]
 pub struct Store {
     limits: Limits,
+    /// Whether it numbers changes itself.
+    is_origin: bool,
     version: Version,
+    /// Whether no piece of changes is missing up to the version.
     is_complete: bool,
     records: BTreeMap<Key, Record>,
     bytes: usize,
@@ -45,6 +48,7 @@
         Store {
             limits,
             version: Version { epoch, revision: 0 },
+            is_origin: epoch != 0,
             is_complete: true,
             records: BTreeMap::new(),
             bytes: 0,
@@ -84,7 +88,7 @@
     /// # Errors
     /// [`CommitError`] where the limits or the checker don't allow one of them.
     pub fn commit(&mut self, changes: &[NewChange], check: &Check<'_>) -> Result<Version, CommitError> {
-        if self.version.epoch == 0 {
+        if !self.is_origin {
             return Err(CommitError::NoEpoch);
         }
         let values = checked_values(changes, &self.limits, check)?;
--- a/crates/pondlb-control/tests/store.rs
+++ b/crates/pondlb-control/tests/store.rs
@@ -54,8 +54,11 @@
 }
 
 #[test]
-fn a_server_without_epoch_commits_nothing() {
-    assert_eq!(refused(&mut Store::new(0, Limits::default()), &[set(1, "1")]), CommitError::NoEpoch);
+fn a_server_without_epoch_of_its_own_commits_nothing() {
+    let mut store = Store::new(0, Limits::default());
+    assert_eq!(refused(&mut store, &[set(1, "1")]), CommitError::NoEpoch);
+    store.replicate(&update(5, vec![change(5, 1, Some("5"))]));
+    assert_eq!(refused(&mut store, &[set(1, "1")]), CommitError::NoEpoch);
 }
 
 #[test]
