--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -27,6 +27,8 @@
     held: Held,
     phase: Phase,
     is_in_sync: bool,
+    /// Whether the version in force was handed on with its digest.
+    is_verified: bool,
     failed_repairs: u32,
     interruptions: u32,
 }
@@ -72,6 +74,7 @@
             held: Held { limits, names, version: Version::default(), records: RecordHashes::new() },
             phase: Phase::begin_snapshot(),
             is_in_sync: false,
+            is_verified: false,
             failed_repairs: 0,
             interruptions: 0,
         }
@@ -180,7 +183,8 @@
         if told.is_some() {
             self.note_right_digest();
         }
-        if changes.is_empty() && answer.version == self.held.version {
+        let is_news = answer.version > self.held.version || told.is_some() && !self.is_verified;
+        if changes.is_empty() && !is_news {
             return Ok(Progress::Unchanged);
         }
         Ok(Progress::Applied(self.apply(answer.version, told, changes, answer.more)))
@@ -258,6 +262,7 @@
     ) -> Update {
         changes.iter().for_each(|change| self.held.apply(change));
         self.held.version = version;
+        self.is_verified = digest.is_some();
         Update { version, digest, whole: false, changes: without_hashes(changes), more }
     }
 
@@ -272,6 +277,7 @@
         }
         self.held.records = records.compacted();
         self.held.version = version;
+        self.is_verified = true;
         Update { version, digest, whole: true, changes: without_hashes(changes), more: false }
     }
 }
--- a/crates/pondlb-control/src/update.rs
+++ b/crates/pondlb-control/src/update.rs
@@ -6,7 +6,8 @@
 ///
 /// Whole states and repairs come verified by their digest, pieces of changes as they are taken. For a whole state or
 /// a repair the changes are the difference to what was held before; records that it removes have the revision 0, as
-/// nobody has told which change removed them.
+/// nobody has told which change removed them. An update without changes tells a newer version, or the digest of a
+/// version that came without one.
 #[derive(Clone, Debug)]
 pub struct Update {
     /// The version that holds once the changes are in force.
--- a/crates/pondlb-control/tests/following.rs
+++ b/crates/pondlb-control/tests/following.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{Follower, allow_all, filled_store, remove, set};
-use pondlb_control::{Call, Progress};
+use common::{Follower, allow_all, answer, filled_store, remove, set};
+use pondlb_control::{Answer, Call, Progress};
 
 #[test]
 fn takes_a_snapshot_and_follows_changes() {
@@ -49,3 +49,20 @@
     assert_eq!(changed, ["s-00007", "s-00099", "s-00098"]);
     follower.assert_same_as(&newer);
 }
+
+#[test]
+fn a_digest_that_comes_later_completes_the_state_for_those_behind() {
+    let mut origin = filled_store(1, 20);
+    let mut replica_server = Follower::new();
+    replica_server.catch_up(&origin, 1000);
+    origin.commit(&[set(3, "0")], &allow_all).unwrap();
+    let Answer::Changes(mut unproven) = answer(&origin, &replica_server.call(), 1000) else { unreachable!() };
+    unproven.digest = None;
+    assert!(matches!(replica_server.receive(Answer::Changes(unproven)), Ok(Progress::Applied(_))));
+    assert!(replica_server.store.changes(origin.version(), 1000).digest.is_none());
+    let Ok(Progress::Applied(update)) = replica_server.step(&origin, 1000) else { panic!("not applied") };
+    assert!(update.changes.is_empty());
+    assert_eq!(update.digest, Some(origin.digest()));
+    assert_eq!(replica_server.store.changes(origin.version(), 1000).digest, Some(origin.digest()));
+    assert!(matches!(replica_server.step(&origin, 1000), Ok(Progress::Unchanged)));
+}
