--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::repair::{Repair, RepairStep, Repaired};
 use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
 use crate::{
-    BucketAnswer, Call, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
+    BucketAnswer, Call, Change, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
     SnapshotAnswer, Update, Version,
 };
 
@@ -27,6 +27,8 @@
     held: Held,
     phase: Phase,
     is_in_sync: bool,
+    /// Whether the version in force was handed on with its digest.
+    is_verified: bool,
     failed_repairs: u32,
     interruptions: u32,
 }
@@ -72,6 +74,7 @@
             held: Held { limits, names, version: Version::default(), records: RecordHashes::new() },
             phase: Phase::begin_snapshot(),
             is_in_sync: false,
+            is_verified: false,
             failed_repairs: 0,
             interruptions: 0,
         }
@@ -169,8 +172,7 @@
         verify_changes(&answer, self.held.version.revision)?;
         let changes = self.held.checked(answer.changes, check)?;
         let outlook = self.held.outlook(&changes);
-        let limits = self.held.limits;
-        verify_count(outlook.records, &if answer.more { limits.while_partial() } else { limits })?;
+        verify_count(outlook.records, &self.held.limits.at_piece(answer.more))?;
         let told = answer.digest.filter(|_| !answer.more);
         if let Some(told) = told.filter(|told| *told != outlook.digest) {
             self.is_in_sync = false;
@@ -181,7 +183,8 @@
         if told.is_some() {
             self.note_right_digest();
         }
-        if changes.is_empty() && answer.version == self.held.version {
+        let is_news = answer.version > self.held.version || told.is_some() && !self.is_verified;
+        if changes.is_empty() && !is_news {
             return Ok(Progress::Unchanged);
         }
         Ok(Progress::Applied(self.apply(answer.version, told, changes, answer.more)))
@@ -249,6 +252,7 @@
         self.interruptions = 0;
     }
 
+    /// Puts changes in force one by one.
     fn apply(
         &mut self,
         version: Version,
@@ -258,20 +262,30 @@
     ) -> Update {
         changes.iter().for_each(|change| self.held.apply(change));
         self.held.version = version;
-        let changes = changes.into_iter().map(|hashed| hashed.change).collect();
-        Update { version, digest, whole: false, changes, more }
+        self.is_verified = digest.is_some();
+        Update { version, digest, whole: false, changes: without_hashes(changes), more }
     }
 
+    /// Puts a whole state in force: by its differences where they are few, else as it was staged.
     fn take_whole_state(&mut self, state: WholeState) -> Update {
         let WholeState { version, records, changes } = state;
         self.note_right_digest();
         self.phase = Phase::Following { hurry: false };
+        let digest = Some(records.digest());
+        if changes.len() <= self.len() / 2 {
+            return Update { whole: true, ..self.apply(version, digest, changes, false) };
+        }
+        self.held.records = records.compacted();
         self.held.version = version;
-        self.held.records = records;
-        Update { version, digest: Some(self.digest()), whole: true, changes, more: false }
+        self.is_verified = true;
+        Update { version, digest, whole: true, changes: without_hashes(changes), more: false }
     }
 }
 
+fn without_hashes(changes: Vec<HashedChange>) -> Vec<Change> {
+    changes.into_iter().map(|hashed| hashed.change).collect()
+}
+
 impl Phase {
     fn begin_snapshot() -> Phase {
         Phase::Snapshot(Box::new(StagedSnapshot::new()))
