--- a/crates/pondlb-server/src/program/configuration.rs
+++ b/crates/pondlb-server/src/program/configuration.rs
@@ -57,7 +57,7 @@
         self.front.change_classes(applied.classes);
         self.front.cool_down.set(cool_down(self.settings.limits().cool_down));
         let links = self.links();
-        self.front.crowd.set_most_busy(links.most_open as usize);
+        self.front.connections.set_most_busy(links.most_open as usize);
         self.pool.set_limits(span(links.idle / 2), span(connect_within(&links)));
         log::info!("configuration: {} settings put in force", applied.changed);
     }
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -11,7 +11,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::crowd::{Crowd, Place, Standing};
+use super::connection_table::{ConnectionTable, EvictionGuard, Place};
 use super::phase::Phase;
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::protocol::answer::Answer;
@@ -37,7 +37,7 @@
 
 /// What all client connections share.
 pub struct Front {
-    pub crowd: Rc<Crowd>,
+    pub connections: Rc<ConnectionTable>,
     pub classes: RefCell<Classes>,
     pub cool_down: Cell<Option<Tenths>>,
     pub notes: mpsc::UnboundedSender<Note>,
@@ -48,7 +48,7 @@
     Asked(Asked),
     Fault(Fault),
     TooSlow,
-    Crowded,
+    Overloaded,
     /// The balancer ends the connection, on which nothing is owed.
     Ends,
     Over,
@@ -83,7 +83,7 @@
                     (write_fault(fault), true)
                 }
                 Next::TooSlow => (write_too_slow(), true),
-                Next::Crowded => {
+                Next::Overloaded => {
                     (write_answer(&Answer::Declined { cool_down: self.cool_down.get() }, true), true)
                 }
                 Next::Ends => return linger(&stream, place).await,
@@ -110,15 +110,15 @@
         let mut slow = None;
         loop {
             match side.next(&self.classes.borrow()) {
-                Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
-                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
+                Ok(Some(_)) if self.connections.turns_away() => return Next::Overloaded,
+                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Overloaded,
                 Ok(Some(asked)) => return Next::Asked(asked),
                 Ok(None) => {}
                 Err(fault) => return Next::Fault(fault),
             }
             // Before its body is read: hundreds of them let in at once would cost more memory than there is.
-            if !side.is_idle() && (place.is_excess() || self.crowd.turns_away()) {
-                return Next::Crowded;
+            if !side.is_idle() && (place.is_excess() || self.connections.turns_away()) {
+                return Next::Overloaded;
             }
             if side.wants_leave_to_send() && write_all(stream, LEAVE_TO_SEND).await.is_err() {
                 return Next::Over;
@@ -146,7 +146,7 @@
                 tokio::select! {
                     biased;
                     count = feed(stream, side.input()) => count,
-                    () = slow.told_to_close() => return Next::TooSlow,
+                    () = slow.evicted() => return Next::TooSlow,
                     () = sleep_until(*until) => return Next::TooSlow,
                 }
             };
@@ -196,10 +196,10 @@
     }
 }
 
-async fn closing(phase: &mut watch::Receiver<Phase>, idle: &Standing<'_>, most: Duration) {
+async fn closing(phase: &mut watch::Receiver<Phase>, idle: &EvictionGuard<'_>, most: Duration) {
     tokio::select! {
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-        () = idle.told_to_close() => {}
+        () = idle.evicted() => {}
         () = sleep(most) => {}
     }
 }
--- a/crates/pondlb-server/src/transport/crowd.rs
+++ b/crates/pondlb-server/src/transport/connection_table.rs
@@ -1,3 +1,5 @@
+//! Which client connections there are, and which of them may be closed when there is no room for more.
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -10,7 +12,7 @@
 
 /// The client connections: how many there are, and which stand idle, without a byte of a request. The others
 /// are busy.
-pub struct Crowd {
+pub struct ConnectionTable {
     most: usize,
     most_busy: Cell<usize>,
     memory: Memory,
@@ -19,25 +21,25 @@
     lingering: Cell<usize>,
     next: Cell<u64>,
     /// Idle ones that never asked for anything, and those that did.
-    fresh: Row,
-    idle: Row,
+    fresh: EvictionQueue,
+    idle: EvictionQueue,
     /// Those that have sent a part of a request.
-    slow: Row,
+    slow: EvictionQueue,
     pub changed: Notify,
 }
 
-impl Crowd {
+impl ConnectionTable {
     pub fn new(most: usize, most_busy: usize, memory: Memory) -> Rc<Self> {
-        Rc::new(Crowd {
+        Rc::new(ConnectionTable {
             most,
             most_busy: Cell::new(most_busy),
             memory,
             open: Cell::new(0),
             lingering: Cell::new(0),
             next: Cell::new(0),
-            fresh: Row::default(),
-            idle: Row::default(),
-            slow: Row::default(),
+            fresh: EvictionQueue::default(),
+            idle: EvictionQueue::default(),
+            slow: EvictionQueue::default(),
             changed: Notify::new(),
         })
     }
@@ -64,25 +66,25 @@
     /// another's: it has been taken from nobody yet.
     pub fn turns_away(&self) -> bool {
         let busy = self.open.get() - self.idle.borrow().len() - self.fresh.borrow().len();
-        (busy > self.most_busy.get() || self.memory.is_short()) && !close_first(&self.slow, Some(SLOW))
+        (busy > self.most_busy.get() || self.memory.is_short()) && !evict_first(&self.slow, Some(SLOW))
     }
 
     /// Room is made only for one that has come: closing idle ones ahead would cost clients theirs for nothing.
     pub fn enter(self: &Rc<Self>) -> Place {
         self.open.set(self.open.get() + 1);
-        let excess = Cell::new(self.is_over() && !self.close_one_idle());
-        Place { crowd: self.clone(), excess, lingers: false }
+        let excess = Cell::new(self.is_over() && !self.evict_one_idle());
+        Place { table: self.clone(), excess, lingers: false }
     }
 
     /// Tells one to close: of those that said nothing for a while, else of those that stand idle, the one
     /// that does so longest. Clients with a connection for each of their requests need theirs.
-    pub fn close_one_idle(&self) -> bool {
-        close_first(&self.fresh, Some(SILENT)) || close_first(&self.idle, None)
+    pub fn evict_one_idle(&self) -> bool {
+        evict_first(&self.fresh, Some(SILENT)) || evict_first(&self.idle, None)
     }
 }
 
-/// Connections that may be closed, in the order in which they came to be so, with what tells each.
-type Row = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
+/// Connections that may be evicted, in the order in which they came to be so, with what tells each.
+type EvictionQueue = RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>;
 
 /// Taken beyond the most, of the descriptors that are kept for the program's own use: for who asks whether it is ready,
 /// to turn others away, and while those that were told to close are read on.
@@ -91,9 +93,9 @@
 const SILENT: Duration = Duration::from_millis(250);
 
 /// False when there is none, or none that has stood there for so long.
-fn close_first(row: &Row, after: Option<Duration>) -> bool {
-    let mut row = row.borrow_mut();
-    let Some(first) = row.first_entry() else { return false };
+fn evict_first(queue: &EvictionQueue, after: Option<Duration>) -> bool {
+    let mut queue = queue.borrow_mut();
+    let Some(first) = queue.first_entry() else { return false };
     if after.is_some_and(|after| first.get().0.elapsed() < after) {
         return false;
     }
@@ -103,7 +105,7 @@
 
 /// One connection's place; leaving it makes room for another.
 pub struct Place {
-    crowd: Rc<Crowd>,
+    table: Rc<ConnectionTable>,
     /// It came when there was no room, and none could be made.
     excess: Cell<bool>,
     lingers: bool,
@@ -112,63 +114,64 @@
 impl Place {
     /// Whether there is no room for its requests, still.
     pub fn is_excess(&self) -> bool {
-        self.excess.set(self.excess.get() && self.crowd.is_over());
+        self.excess.set(self.excess.get() && self.table.is_over());
         self.excess.get()
     }
 
     /// Its connection has been told that it ends; another may come.
     pub fn linger(mut self) -> Place {
         self.lingers = true;
-        self.crowd.open.set(self.crowd.open.get() - 1);
-        self.crowd.lingering.set(self.crowd.lingering.get() + 1);
-        self.crowd.changed.notify_one();
+        self.table.open.set(self.table.open.get() - 1);
+        self.table.lingering.set(self.table.lingering.get() + 1);
+        self.table.changed.notify_one();
         self
     }
 
-    pub fn idle(&self) -> Standing<'_> {
-        self.stand(&self.crowd.idle)
+    pub fn idle(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.idle)
     }
 
-    pub fn fresh(&self) -> Standing<'_> {
-        self.stand(&self.crowd.fresh)
+    pub fn fresh(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.fresh)
     }
 
-    pub fn slow(&self) -> Standing<'_> {
-        self.stand(&self.crowd.slow)
+    pub fn slow(&self) -> EvictionGuard<'_> {
+        self.make_evictable(&self.table.slow)
     }
 
-    fn stand<'a>(&'a self, row: &'a Row) -> Standing<'a> {
-        let number = self.crowd.next.get();
-        self.crowd.next.set(number + 1);
+    fn make_evictable<'a>(&'a self, queue: &'a EvictionQueue) -> EvictionGuard<'a> {
+        let number = self.table.next.get();
+        self.table.next.set(number + 1);
         let close = Rc::new(Notify::new());
-        row.borrow_mut().insert(number, (Instant::now(), close.clone()));
-        Standing { row, number, close }
+        queue.borrow_mut().insert(number, (Instant::now(), close.clone()));
+        EvictionGuard { queue, number, close }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let count = if self.lingers { &self.crowd.lingering } else { &self.crowd.open };
+        let count = if self.lingers { &self.table.lingering } else { &self.table.open };
         count.set(count.get() - 1);
-        self.crowd.changed.notify_one();
+        self.table.changed.notify_one();
     }
 }
 
-/// Stands in a row until it is dropped.
-pub struct Standing<'a> {
-    row: &'a Row,
+/// Keeps a connection in an eviction queue until it is dropped.
+pub struct EvictionGuard<'a> {
+    queue: &'a EvictionQueue,
     number: u64,
     close: Rc<Notify>,
 }
 
-impl Standing<'_> {
-    pub async fn told_to_close(&self) {
+impl EvictionGuard<'_> {
+    /// Returns when the connection is to be closed for another.
+    pub async fn evicted(&self) {
         self.close.notified().await;
     }
 }
 
-impl Drop for Standing<'_> {
+impl Drop for EvictionGuard<'_> {
     fn drop(&mut self) {
-        self.row.borrow_mut().remove(&self.number);
+        self.queue.borrow_mut().remove(&self.number);
     }
 }
