--- /dev/null
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -0,0 +1,191 @@
+//! A whole state on its way: staged until its digest is right.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
+use crate::record_hashes::RecordHashes;
+use crate::{
+    Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Limits, Rejection, SnapshotAnswer, Version,
+};
+
+/// A snapshot being read: its pieces first, then the changes since the first piece.
+#[derive(Debug)]
+pub(crate) struct StagedSnapshot {
+    stage: Stage,
+    /// The newest version that a piece was read at.
+    newest: Version,
+    records: RecordHashes,
+    /// The records that are not in force as they are staged.
+    differences: BTreeMap<Key, Change>,
+    /// Bytes of the keys and values of the differences.
+    bytes: usize,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// Pieces follow behind a key.
+    Pieces { first: Option<Version>, after: Option<Key> },
+    /// The changes since a version follow.
+    Changes { from: Version, hurry: bool },
+}
+
+/// How a snapshot goes on.
+#[derive(Debug)]
+pub(crate) enum SnapshotStep {
+    /// More is to be asked for.
+    Pending,
+    /// A newer epoch or a reset: it has to begin again.
+    StartOver,
+    /// All is there and verified.
+    Complete(Box<WholeState>),
+}
+
+/// A verified whole state.
+#[derive(Debug)]
+pub(crate) struct WholeState {
+    pub(crate) version: Version,
+    pub(crate) records: RecordHashes,
+    /// The difference to what is in force, in the order of keys.
+    pub(crate) changes: Vec<Change>,
+}
+
+impl StagedSnapshot {
+    pub(crate) fn new() -> StagedSnapshot {
+        StagedSnapshot {
+            stage: Stage::Pieces { first: None, after: None },
+            newest: Version::default(),
+            records: RecordHashes::new(),
+            differences: BTreeMap::new(),
+            bytes: 0,
+        }
+    }
+
+    /// What to ask next. The digest told is that of what is in force, so that no server takes a staged state for it.
+    pub(crate) fn next_call(&self, hold: Duration, in_force: Digest) -> Call {
+        match &self.stage {
+            Stage::Pieces { after, .. } => Call::Snapshot { after: after.clone() },
+            Stage::Changes { from, hurry } => {
+                let hold = if *hurry { Hold::No } else { Hold::UpTo(hold) };
+                Call::Changes { from: *from, digest: in_force, hold }
+            }
+        }
+    }
+
+    /// Takes a piece.
+    pub(crate) fn receive_piece(
+        &mut self,
+        answer: SnapshotAnswer,
+        held: &Held,
+        check: &Check<'_>,
+    ) -> Result<SnapshotStep, Rejection> {
+        let Stage::Pieces { first, after } = &self.stage else { return Err(Rejection::WrongKind) };
+        verify_not_older(answer.version, held.version)?;
+        if first.is_some_and(|first| answer.version.epoch > first.epoch) {
+            return Ok(SnapshotStep::StartOver);
+        }
+        verify_not_older(answer.version, self.newest)?;
+        verify_records(&answer.records, answer.version, after.as_ref())?;
+        let last = answer.records.last().map(|record| &record.key);
+        if let Some(next) = answer.next.as_ref().filter(|next| Some(*next) != last) {
+            return Err(Rejection::WrongNext(next.clone()));
+        }
+        let first = first.unwrap_or(answer.version);
+        let records = held.checked(answer.records, check)?;
+        self.verify_extent(&records, &held.limits.while_partial())?;
+        self.newest = answer.version;
+        self.stage = match answer.next {
+            Some(next) => Stage::Pieces { first: Some(first), after: Some(next) },
+            None => Stage::Changes { from: first, hurry: true },
+        };
+        records.into_iter().for_each(|record| self.put(record, held));
+        Ok(SnapshotStep::Pending)
+    }
+
+    /// Takes changes since the first piece.
+    pub(crate) fn receive_changes(
+        &mut self,
+        answer: ChangesAnswer,
+        held: &Held,
+        check: &Check<'_>,
+    ) -> Result<SnapshotStep, Rejection> {
+        let Stage::Changes { from, .. } = self.stage else { return Err(Rejection::WrongKind) };
+        verify_not_older(answer.version, from)?;
+        if answer.version.epoch > from.epoch || answer.reset {
+            return Ok(SnapshotStep::StartOver);
+        }
+        if !answer.more {
+            verify_not_older(answer.version, self.newest)?;
+        }
+        verify_changes(&answer, from.revision)?;
+        let changes = held.checked(answer.changes, check)?;
+        let limits = held.limits;
+        self.verify_extent(&changes, &if answer.more { limits.while_partial() } else { limits })?;
+        changes.into_iter().for_each(|change| self.put(change, held));
+        self.newest = self.newest.max(answer.version);
+        self.stage = Stage::Changes { from: answer.version, hurry: answer.more };
+        match answer.digest.filter(|_| !answer.more) {
+            None => Ok(SnapshotStep::Pending),
+            Some(told) => self.complete(answer.version, told, held, check),
+        }
+    }
+
+    fn complete(
+        &mut self,
+        version: Version,
+        told: Digest,
+        held: &Held,
+        check: &Check<'_>,
+    ) -> Result<SnapshotStep, Rejection> {
+        let computed = self.records.digest();
+        if told != computed {
+            return Err(Rejection::WrongDigest { told, computed });
+        }
+        let missing = held.records.keys_missing_in(&self.records);
+        let removals: Vec<HashedChange> = missing.cloned().map(HashedChange::removal).collect();
+        removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
+        let mut changes: Vec<Change> = std::mem::take(&mut self.differences).into_values().collect();
+        if !removals.is_empty() {
+            changes.extend(removals.into_iter().map(|removal| removal.change));
+            changes.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+        }
+        let records = std::mem::replace(&mut self.records, RecordHashes::new()).compacted();
+        Ok(SnapshotStep::Complete(Box::new(WholeState { version, records, changes })))
+    }
+
+    /// Whether the limits allow what is staged with these changes.
+    fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
+        let mut records = self.records.len();
+        let mut bytes = self.bytes;
+        for HashedChange { change, hash } in changes {
+            records -= usize::from(self.records.get(&change.key).is_some());
+            records += usize::from(hash.is_some());
+            bytes -= self.differences.get(&change.key).map_or(0, staged_bytes);
+            bytes += staged_bytes(change);
+        }
+        verify_count(records, limits)?;
+        let most = limits.total_bytes;
+        if bytes > most { Err(Rejection::TooManyBytes { bytes, most }) } else { Ok(()) }
+    }
+
+    fn put(&mut self, HashedChange { change, hash }: HashedChange, held: &Held) {
+        let key = held.names.share(change.key.clone());
+        match hash {
+            Some(hash) => self.records.set(&key, hash, Key::clone),
+            None => self.records.remove(&key),
+        }
+        let is_difference = hash.is_some() && held.records.get(&key) != hash;
+        let before = if is_difference {
+            self.bytes += staged_bytes(&change);
+            self.differences.insert(key.clone(), Change { key, ..change })
+        } else {
+            self.differences.remove(&key)
+        };
+        self.bytes -= before.as_ref().map_or(0, staged_bytes);
+    }
+}
+
+/// What a change takes of the bytes that may be staged.
+fn staged_bytes(change: &Change) -> usize {
+    change.value.as_deref().map_or(0, |value| change.key.as_str().len() + value.get().len())
+}
--- a/crates/pondlb-server/src/protocol/answer.rs
+++ b/crates/pondlb-server/src/protocol/answer.rs
@@ -2,7 +2,7 @@
 
 use pondlb::Tenths;
 
-use super::reader::Message;
+use pondlb_http::Message;
 
 /// The final answer of a txn.
 #[derive(Debug, PartialEq)]
