--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -720,3 +720,144 @@
     assert_eq!(balancer.ask("late", "order").status(), "503");
     assert_eq!((upstream.requests().len(), other.requests().len()), (0, 0));
 }
+
+/// A class as the file of a plan would have it.
+fn class(name: &str, effect: &str, sla_ms: u64) -> String {
+    format!(
+        r#"{{"Name":"{name}","Effect":"{effect}","SlaTimeNs":{sla_ms}000000,"ExpiryNs":2000000000,"Value":1.0}}"#
+    )
+}
+
+/// The configuration of a plan with other classes.
+fn with_classes(plan: &Plan, classes: &[String]) -> String {
+    let text = plan.configuration();
+    let (before, _) = text.split_once("\"Schemes\":").expect("the plan has classes");
+    format!("{before}\"Schemes\":[{}]}}}}", classes.join(","))
+}
+
+/// Whether requests may name the class. What asks it is refused all the same, and goes nowhere.
+fn is_known(balancer: &Balancer, class: &str) -> bool {
+    let mut client = balancer.client();
+    client.send(&Client::request("asks", class, 2000).replace("2000m", "soon"));
+    let answer = client.read().expect("a refusal");
+    assert_eq!(answer.status(), "400");
+    answer.body != "Req-Kind is unknown"
+}
+
+/// Reads the configuration anew, which has a class that the one before has not.
+fn reconfigure(balancer: &Balancer, configuration: &str, class: &str) {
+    assert!(!is_known(balancer, class));
+    balancer.reconfigure(configuration);
+    wait_until("the new class is known", || is_known(balancer, class));
+}
+
+#[test]
+fn a_class_changed_in_the_file_has_its_new_effect_without_a_restart() {
+    let upstreams = [Upstream::start(Habit::Reset), Upstream::start(Habit::Reset)];
+    let plan = Plan::with(&[&upstreams[0], &upstreams[1]]);
+    let balancer = plan.start();
+    let requests = || upstreams.iter().map(|upstream| upstream.requests().len()).sum::<usize>();
+    assert_eq!(balancer.ask("a1", "order").status(), "502");
+    assert_eq!(requests(), 1);
+    let changed =
+        with_classes(&plan, &[class("order", "idempotent", 1500), class("new", "idempotent", 1500)]);
+    reconfigure(&balancer, &changed, "new");
+    // Sent again where it may have run, and declined where it can't be settled.
+    assert_eq!(balancer.ask("a2", "order").status(), "503");
+    assert!(requests() > 1);
+    balancer.ends_having_said(&["configuration: 3 settings put in force"]);
+}
+
+#[test]
+fn a_deadline_changed_in_the_file_holds_for_requests_that_come_later() {
+    let upstream = Upstream::start(Habit::Silent);
+    let plan = Plan::with(&[&upstream]);
+    let balancer = plan.start();
+    let send = |id: &str| {
+        let mut client = balancer.client();
+        client.send(&Client::request(id, "order", 4000));
+        client
+    };
+    // The upstream is sent as many as it may work on at once; the next one is held until its time is over.
+    let _silent: Vec<Client> = (0..4).map(|n| send(&format!("silent{n}"))).collect();
+    let started = Instant::now();
+    let mut before = send("before");
+    sleep(50 * MS);
+    let changed =
+        with_classes(&plan, &[class("order", "at_most_once", 300), class("new", "idempotent", 1500)]);
+    reconfigure(&balancer, &changed, "new");
+    let changed_at = Instant::now();
+    let mut after = send("after");
+    assert_eq!(after.read().expect("a decline").status(), "503");
+    assert!((200 * MS..900 * MS).contains(&changed_at.elapsed()), "{:?}", changed_at.elapsed());
+    assert_eq!(before.read().expect("a decline").status(), "503");
+    assert!((1300 * MS..2100 * MS).contains(&started.elapsed()), "{:?}", started.elapsed());
+    assert_eq!(upstream.requests().len(), 4);
+}
+
+#[test]
+fn requests_of_a_removed_class_are_refused_and_open_ones_end_normally() {
+    let upstream = Upstream::start(Habit::Told);
+    let plan = Plan::with(&[&upstream]);
+    let balancer = plan.start();
+    let mut open = balancer.client();
+    open.send(&Client::request("open", "browse", 2000));
+    wait_until("it is sent", || !upstream.requests().is_empty());
+    let changed =
+        with_classes(&plan, &[class("order", "at_most_once", 1500), class("new", "at_most_once", 1500)]);
+    reconfigure(&balancer, &changed, "new");
+    assert!(!is_known(&balancer, "browse"));
+    let refused = balancer.ask("a1", "browse");
+    assert_eq!((refused.status(), &*refused.body), ("400", "Req-Kind is unknown"));
+    for (client, id, class) in [(&mut open, "", ""), (&mut balancer.client(), "a2", "new")] {
+        if !id.is_empty() {
+            client.send(&Client::request(id, class, 2000));
+        }
+        upstream.tell.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").unwrap();
+        assert_eq!(client.read().expect("an answer").status(), "200");
+    }
+}
+
+#[test]
+fn settings_read_anew_that_are_faulty_or_the_same_change_nothing() {
+    let upstream = Upstream::start(HELLO);
+    let plan = Plan::with(&[&upstream]);
+    let balancer = plan.start();
+    let changed = |value: &str| {
+        let text = plan.configuration().replacen("\"browse\"", "\"other\"", 1);
+        text.replacen("\"Value\":1.0", &format!("\"Value\":{value}"), 1)
+    };
+    assert_ne!(changed("1.0"), plan.configuration());
+    let restart = plan.configuration().replace("\"SelfIndex\":0", "\"SelfIndex\":1");
+    for text in [changed("-1.0"), plan.configuration(), restart.replace("\"Balancers\":1", "\"Balancers\":2")]
+    {
+        balancer.reconfigure(&text);
+        sleep(150 * MS);
+    }
+    assert!(is_known(&balancer, "browse") && !is_known(&balancer, "other"));
+    assert_eq!(balancer.ask("a1", "browse").status(), "200");
+    balancer.signal("TERM");
+    let (status, log) = balancer.ended();
+    assert!(status.success());
+    assert!(!log.contains("put in force"), "{log}");
+    for words in ["Schemes[0].Value: -1: 0 to", "settings.SelfIndex: the change takes a restart"] {
+        assert!(log.contains(words), "{words}: {log}");
+    }
+}
+
+#[test]
+fn limits_of_connections_changed_in_the_file_hold_for_those_that_stand_idle() {
+    let upstream = Upstream::start(HELLO);
+    let plan = Plan::with(&[&upstream]);
+    let balancer = plan.start();
+    assert_eq!(balancer.ask("a1", "order").status(), "200");
+    assert!(matches!(upstream.next(), Seen::Connected));
+    assert!(matches!(upstream.next(), Seen::Request(_)));
+    let idle = format!("\"ConnIdleNs\":{}000000", plan.idle_ms);
+    assert!(plan.idle_ms >= 10_000 && plan.configuration().contains(&idle));
+    balancer.reconfigure(&plan.configuration().replace(&idle, "\"ConnIdleNs\":1000000000"));
+    let changed_at = Instant::now();
+    assert!(matches!(upstream.next(), Seen::Closed));
+    assert!(changed_at.elapsed() < 1500 * MS, "{:?}", changed_at.elapsed());
+    balancer.ends_having_said(&["configuration: 1 settings put in force"]);
+}
--- a/crates/pondlb-terms/src/table.rs
+++ b/crates/pondlb-terms/src/table.rs
@@ -1,10 +1,10 @@
 //! Values by name, each under a number that others index by.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 pub struct Table<T> {
     values: Vec<Option<Row<T>>>,
-    numbers: HashMap<String, u32>,
+    numbers: BTreeMap<String, u32>,
     /// Numbers of names that were removed, to be used again.
     free: Vec<u32>,
 }
@@ -17,7 +17,7 @@
 impl<T: PartialEq> Table<T> {
     /// The entries of the file in their order. Where a name stands twice, the first entry has it.
     pub fn of_file(entries: impl IntoIterator<Item = (String, T)>) -> Table<T> {
-        let (mut values, mut numbers) = (Vec::new(), HashMap::new());
+        let (mut values, mut numbers) = (Vec::new(), BTreeMap::new());
         for (number, (name, value)) in (0..).zip(entries) {
             values.push(Some(Row { value, in_file: true }));
             numbers.entry(name).or_insert(number);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -1,5 +1,8 @@
 //! Plays events to one balancer and prints its decisions, one line each, behind the time in milliseconds.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::fmt::Write;
 
 use pondlb::*;
@@ -74,6 +77,10 @@
         Play { balancer: Balancer::new(terms, seed), trace: String::new() }
     }
 
+    pub fn change(&mut self, changes: &[TermsChange]) {
+        self.balancer.change(changes);
+    }
+
     /// Also what the balancer asked to be woken for is left to the test: it says when time passes.
     pub fn at(&mut self, ms: Tenths, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
         let mut actions = Vec::new();
