Laboratory excuses what a kill takes with it by the connection that it went out on

The ledger has it sent at the moment of kill-balancer, never at an upstream, and not excused. The count of kills was read when the request's task first ran, which is after the count had gone up: a request written to a connection of the process that was just killed passed for lost. Ruled out: the program (the process was dead).

The count is kept with each connection and goes up when a kill begins and when the process is gone. An unanswered request on a connection of a living process is judged as before (each_planted_fault: loses).

--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -25,14 +25,26 @@
 /// One balancer as clients see it: its address, the connections they keep to it, how often it was killed.
 pub struct Door {
     pub address: SocketAddr,
-    pub kills: Cell<u32>,
-    idle: RefCell<Vec<Wire>>,
+    kills: Cell<u32>,
+    idle: RefCell<Vec<Connection>>,
+}
+
+/// A connection to a balancer.
+struct Connection {
+    wire: Wire,
+    /// How often the balancer had been killed when it was made: another count means that its process is gone.
+    kills: u32,
 }
 
 impl Door {
     pub fn new(address: SocketAddr) -> Rc<Door> {
         Rc::new(Door { address, kills: Cell::new(0), idle: RefCell::default() })
     }
+
+    /// A request during which the count changes may have been lost with the process.
+    pub fn count_kill(&self) {
+        self.kills.set(self.kills.get() + 1);
+    }
 }
 
 /// Sends all that is planned, counted from `from`, and returns once the last txn has had its time.
@@ -82,27 +94,28 @@
         intended,
         ..Asked::default()
     };
-    let kills = door.kills.get();
     let text = request(planned, scheme.effect, &scheme.name, scheme.expiry_ms);
     let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
     // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
     for kept in [true, false] {
-        let Some(mut wire) = connection(door, book, kept).await else { continue };
-        if wire.write(&text).await.is_err() {
+        let Some(mut connection) = connection(door, book, kept).await else { continue };
+        if connection.wire.write(&text).await.is_err() {
             continue;
         }
         asked.sent = Some(book.now());
-        match timeout(most, wire.answer()).await {
+        let answer = timeout(most, connection.wire.answer()).await;
+        asked.killed = door.kills.get() != connection.kills;
+        match answer {
             Ok(Ok(Some(answer))) => {
                 note(&mut asked, answer, book.now());
                 // A second answer may come right behind the first.
                 tokio::task::yield_now().await;
-                asked.answers = 1 + u32::from(wire.has_more());
-                door.idle.borrow_mut().push(wire);
+                asked.answers = 1 + u32::from(connection.wire.has_more());
+                door.idle.borrow_mut().push(connection);
             }
             // Not where it was killed: it may have taken the request, and another would be the client's own
             // repeat of an order.
-            Ok(Ok(None)) if kept && door.kills.get() == kills => {
+            Ok(Ok(None)) if kept && !asked.killed => {
                 asked.sent = None;
                 continue;
             }
@@ -110,7 +123,6 @@
         }
         break;
     }
-    asked.killed = door.kills.get() != kills;
     asked
 }
 
@@ -119,21 +131,22 @@
 }
 
 /// One kept that nothing has come on, or a new one.
-async fn connection(door: &Door, book: &Book, kept: bool) -> Option<Wire> {
+async fn connection(door: &Door, book: &Book, kept: bool) -> Option<Connection> {
     if kept {
         loop {
-            let mut wire = door.idle.borrow_mut().pop()?;
-            if !wire.has_more() {
-                return Some(wire);
+            let mut connection = door.idle.borrow_mut().pop()?;
+            if !connection.wire.has_more() {
+                return Some(connection);
             }
         }
     }
+    let kills = door.kills.get();
     let stream = timeout(CONNECT, TcpStream::connect(door.address)).await.ok()?;
     if stream.as_ref().is_err_and(|e| e.raw_os_error() == Some(NO_DESCRIPTOR)) {
         book.ledgers.borrow_mut().short += 1;
     }
     let stream = stream.ok()?;
-    Some(Wire::new(stream))
+    Some(Connection { wire: Wire::new(stream), kills })
 }
 
 fn request(planned: &Planned, effect: Effect, scheme: &str, expiry_ms: u64) -> String {
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -73,8 +73,10 @@
             () = &mut load => break,
             () = sleep_until(next.unwrap_or_else(tokio::time::Instant::now)), if next.is_some() => {
                 let Some((_, which)) = kills.next() else { continue };
-                doors[which].kills.set(doors[which].kills.get() + 1);
+                // Counted before and after: the process dies some time in between, with what was sent to it meanwhile.
+                doors[which].count_kill();
                 balancers.kill_and_start(which).await?;
+                doors[which].count_kill();
             }
             () = sleep(Duration::from_millis(100)) => {
                 for (balancer, status) in balancers.ended() {
--- a/crates/pondlb-lab/tests/judged.rs
+++ b/crates/pondlb-lab/tests/judged.rs
@@ -123,6 +123,18 @@
     assert!(comes(|| faults.iter().all(|(fault, _)| planted(fault) == 0)), "a balancer lives on");
 }
 
+/// The danger is a verdict on a request that was sent to a balancer while it was being killed.
+#[test]
+fn what_a_kill_takes_with_it_is_held_against_nobody() {
+    let folder = &tempfile::tempdir().unwrap();
+    let kill =
+        |n: u32| format!("[[faults]]\nat = {:.1}\nkind = \"kill-balancer\"\nwhich = 0\n", 0.2 * f64::from(n));
+    let kills: String = (1..=10).map(kill).collect();
+    let crowd = "[[schemes]]\nname = \"crowd\"\neffect = \"repeatable\"\nsla_ms = 300\nexpiry_ms = 900\nvalue = 1.0\n\
+        rate = 1500.0\nwork_ms = 0.5\n";
+    expect!["honest: exit 0, \n"].assert_eq(&found(folder.path(), "honest", &format!("{crowd}{kills}")));
+}
+
 /// The danger is a machine full of balancers that nobody ends.
 #[test]
 fn a_laboratory_killed_outright_leaves_no_balancer_behind() {
