Lab: scale scenario, time line, proxy and tap; held programs die with the laboratory

A stopped process never sees its standard input close, so a guard that waits for that can't end it. Programs are held by the parent death signal in place of a guard process each: also a stopped one ends with the laboratory.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -1,21 +1,18 @@
 //! Balancers as real processes, started, killed and ended by their own ids.
 
-use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsFd;
-use std::path::{Path, PathBuf};
-use std::process::{ExitStatus, Stdio};
+use std::path::PathBuf;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::fleet::Fleet;
+use crate::holding::held;
 use crate::http::Wire;
 use crate::scenario::{Effect, Scenario};
 
@@ -31,30 +28,29 @@
 
 pub struct Balancers {
     program: Program,
-    guard: PathBuf,
     folder: TempDir,
     pub addresses: Vec<SocketAddr>,
     children: Vec<Child>,
 }
 
 impl Balancers {
-    /// Started, and each answering that it is ready.
-    pub async fn start(program: &Program, scenario: &Scenario, fleet: &Fleet) -> io::Result<Balancers> {
-        let (folder, guard) = (tempfile::tempdir()?, std::env::current_exe()?);
-        let mut balancers = Balancers {
-            program: program.clone(),
-            guard,
-            folder,
-            addresses: Vec::new(),
-            children: Vec::new(),
-        };
+    /// Started, and each answering that it is ready. `adjust` changes what each of them is told.
+    pub async fn start(
+        program: &Program,
+        scenario: &Scenario,
+        fleet: &Fleet,
+        adjust: impl Fn(u32, &mut Value),
+    ) -> io::Result<Balancers> {
+        let (folder, program) = (tempfile::tempdir()?, program.clone());
+        let mut balancers = Balancers { program, folder, addresses: Vec::new(), children: Vec::new() };
         // All are held at once, or one could be given twice.
-        let held: Vec<TcpListener> =
+        let listeners: Vec<TcpListener> =
             (0..scenario.balancers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-        balancers.addresses = held.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
-        drop(held);
+        balancers.addresses = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
+        drop(listeners);
         for number in 0..scenario.balancers {
-            let config = config(scenario, fleet, number, balancers.addresses[number as usize]);
+            let mut config = config(scenario, fleet, number, balancers.addresses[number as usize]);
+            adjust(number, &mut config);
             std::fs::write(balancers.file(number, "json"), config.to_string())?;
             let child = balancers.spawn(number)?;
             balancers.children.push(child);
@@ -71,15 +67,11 @@
 
     fn spawn(&self, number: u32) -> io::Result<Child> {
         let log = std::fs::File::options().create(true).append(true).open(self.file(number, "log"))?;
-        Command::new(&self.guard)
-            .arg("guard")
-            .arg(&self.program.path)
+        held(&self.program.path)?
             .args(&self.program.arguments)
             .env("RELAY_CONFIG", self.file(number, "json"))
-            .stdin(Stdio::piped())
             .stdout(log.try_clone()?)
             .stderr(log)
-            // Not killed when dropped: its standard input closes then, and it still has its balancer to end.
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
     }
@@ -104,12 +96,16 @@
 
     /// Killed outright, and started again with what it was given first.
     pub async fn kill_and_start(&mut self, number: usize) -> io::Result<()> {
-        drop(self.children[number].stdin.take());
-        self.children[number].wait().await?;
+        self.children[number].kill().await?;
         self.children[number] = self.spawn(number as u32)?;
         Ok(())
     }
 
+    /// Ids of their processes, of those that run.
+    pub fn processes(&self) -> Vec<u32> {
+        self.children.iter().filter_map(Child::id).collect()
+    }
+
     /// Which have ended by themselves, and how.
     pub fn ended(&mut self) -> Vec<(usize, String)> {
         let ended = self.children.iter_mut().enumerate();
@@ -117,24 +113,6 @@
     }
 }
 
-/// Starts the program and kills it as soon as nobody holds this process's standard input any more: a laboratory
-/// that is killed outright can end nothing itself, and its balancers would stay for good.
-pub async fn guard(path: &Path, arguments: &[String]) -> io::Result<ExitStatus> {
-    let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
-    let start = Command::new(path).args(arguments).stdin(Stdio::null()).kill_on_drop(true).spawn();
-    let mut child = start.map_err(named)?;
-    let mut held =
-        tokio::net::unix::pipe::Receiver::from_file(File::from(io::stdin().as_fd().try_clone_to_owned()?))?;
-    let mut none = [0];
-    tokio::select! {
-        ended = child.wait() => ended,
-        _ = held.read(&mut none) => {
-            child.kill().await?;
-            child.wait().await
-        }
-    }
-}
-
 async fn is_ready(address: SocketAddr) -> io::Result<bool> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
     wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
@@ -142,7 +120,7 @@
 }
 
 /// What one balancer is told, in the platform's form.
-fn config(scenario: &Scenario, fleet: &Fleet, number: u32, listen: SocketAddr) -> serde_json::Value {
+fn config(scenario: &Scenario, fleet: &Fleet, number: u32, listen: SocketAddr) -> Value {
     let rules = &scenario.rules;
     let mut zones: Vec<String> = scenario.upstreams.iter().map(|m| m.zone.clone()).collect();
     zones.sort();
--- a/crates/pondlb-lab/src/lib.rs
+++ b/crates/pondlb-lab/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod balancers;
 pub mod compare;
 pub mod fleet;
+pub mod holding;
 pub mod http;
 pub mod judge;
 pub mod ledger;
 pub mod load;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod scenario;
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -5,8 +5,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use pondlb_lab::balancers::{Program, guard};
+use pondlb_lab::balancers::Program;
 use pondlb_lab::compare::{Pair, a_is_first, differences, table, value_in_time};
+use pondlb_lab::holding::become_held;
 use pondlb_lab::ledger::Ledgers;
 use pondlb_lab::report;
 use pondlb_lab::run::{Report, play};
@@ -64,9 +65,10 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
-    /// Holds one balancer for a run, and ends it with the run
+    /// Becomes a program that ends with the process that started it
     #[command(hide = true)]
-    Guard {
+    Hold {
+        parent: u32,
         program: PathBuf,
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         arguments: Vec<String>,
@@ -83,8 +85,6 @@
 const BROKEN: u8 = 1;
 const BAD_INPUT: u8 = 2;
 const VOID: u8 = 3;
-/// What a shell says of a program that a signal ended.
-const KILLED: u8 = 137;
 
 fn main() -> ExitCode {
     match told(Line::parse().command) {
@@ -98,10 +98,8 @@
 
 fn told(command: Command) -> Result<u8, String> {
     match command {
-        Command::Guard { program, arguments } => {
-            let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-            let ended = runtime.block_on(guard(&program, &arguments)).map_err(|e| e.to_string())?;
-            Ok(ended.code().and_then(|code| u8::try_from(code).ok()).unwrap_or(KILLED))
+        Command::Hold { parent, program, arguments } => {
+            Err(become_held(parent, &program, &arguments).to_string())
         }
         Command::Check { scenario, plan } => {
             let scenario = read(&scenario)?;
--- /dev/null
+++ b/crates/pondlb-lab/src/scale/clock.rs
@@ -0,0 +1,11 @@
+//! One clock for all processes of a run.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Microseconds of the machine's monotonic clock, which all of its processes read alike.
+pub fn now_us() -> u64 {
+    let now = clock_gettime(ClockId::Monotonic);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let microseconds = u64::try_from(now.tv_nsec / 1000).unwrap_or_default();
+    seconds * 1_000_000 + microseconds
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -0,0 +1,164 @@
+//! A proxy between a real balancer and a control server that reads what the balancer says is in force.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+
+use pondlb_control::Version;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+
+use super::clock;
+
+const BUFFER_BYTES: usize = 16 * 1024;
+/// The longest request that a balancer sends.
+const MOST_REQUEST_BYTES: usize = 8 * 1024;
+const END_OF_REQUEST: &[u8] = b"\r\n\r\n";
+const CHANGES_CALL: &str = "GET /control/changes?";
+
+/// What a balancer tells with a call for changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// When the call was read.
+    pub at_us: u64,
+    /// What is in force.
+    pub version: Version,
+    /// The digest of what it holds, in its text.
+    pub digest: String,
+}
+
+/// What one balancer told and moved, over all of its connections.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// Each version, when it was told first after another one.
+    pub told: RefCell<Vec<Told>>,
+    /// Bytes from control servers to the balancer.
+    pub received: Cell<u64>,
+    /// Bytes from the balancer to control servers.
+    pub sent: Cell<u64>,
+}
+
+impl Heard {
+    fn note(&self, told: Told) {
+        let mut all = self.told.borrow_mut();
+        let is_news = |last: &Told| (last.version, &last.digest) != (told.version, &told.digest);
+        if all.last().is_none_or(is_news) {
+            all.push(told);
+        }
+    }
+}
+
+/// A tap before one server, for as long as it is kept.
+pub struct Tap {
+    /// Where it listens.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Tap {
+    /// Listens on a free port, and forwards to the server what it reads.
+    ///
+    /// # Errors
+    /// Where no port can be listened on.
+    pub async fn start(listen: IpAddr, server: SocketAddr, heard: Rc<Heard>) -> io::Result<Tap> {
+        let listener = TcpListener::bind((listen, 0)).await?;
+        let address = listener.local_addr()?;
+        let task = spawn_local(async move {
+            while let Ok((balancer, _)) = listener.accept().await {
+                let heard = heard.clone();
+                spawn_local(async move {
+                    // A connection that fails is closed on both sides, which is all that there is to tell.
+                    let _closed = forward(balancer, server, &heard).await;
+                });
+            }
+        });
+        Ok(Tap { address, task })
+    }
+}
+
+impl Drop for Tap {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn forward(balancer: TcpStream, server: SocketAddr, heard: &Heard) -> io::Result<()> {
+    let server = TcpStream::connect(server).await?;
+    balancer.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (balancer_read, balancer_write) = balancer.into_split();
+    let (server_read, server_write) = server.into_split();
+    tokio::select! {
+        ended = requests(balancer_read, server_write, heard) => ended,
+        ended = answers(server_read, balancer_write, heard) => ended,
+    }
+}
+
+async fn requests(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, heard: &Heard) -> io::Result<()> {
+    let (mut buffer, mut pending) = (vec![0; BUFFER_BYTES], Vec::new());
+    loop {
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let at_us = clock::now_us();
+        heard.sent.set(heard.sent.get() + count as u64);
+        pending.extend_from_slice(&buffer[..count]);
+        while let Some(head) = next_request(&mut pending) {
+            if let Some(told) = told(&head, at_us) {
+                heard.note(told);
+            }
+        }
+        pending.truncate(MOST_REQUEST_BYTES);
+        to.write_all(&buffer[..count]).await?;
+    }
+}
+
+async fn answers(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, heard: &Heard) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        heard.received.set(heard.received.get() + count as u64);
+        to.write_all(&buffer[..count]).await?;
+    }
+}
+
+/// The calls have no bodies: a request ends with its head.
+fn next_request(pending: &mut Vec<u8>) -> Option<String> {
+    let end = pending.windows(END_OF_REQUEST.len()).position(|window| window == END_OF_REQUEST)?;
+    let head: Vec<u8> = pending.drain(..end + END_OF_REQUEST.len()).collect();
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+fn told(head: &str, at_us: u64) -> Option<Told> {
+    let query = head.strip_prefix(CHANGES_CALL)?.split(' ').next()?;
+    let value = |name: &str| {
+        query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name)).map(|pair| pair.1)
+    };
+    let version = Version { epoch: value("epoch")?.parse().ok()?, revision: value("from")?.parse().ok()? };
+    Some(Told { at_us, version, digest: value("digest")?.into() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_in_force_is_read_from_calls_for_changes_only() {
+        let text = "GET /control/changes?name=b&epoch=2&from=7&digest=00000000000000ff&hold_ms=0 HTTP/1.1\r\n\r\n\
+            GET /control/digests HTTP/1.1\r\n\r\nGET /control/changes?name=b&ep";
+        let mut pending = text.as_bytes().to_vec();
+        let first = next_request(&mut pending).and_then(|head| told(&head, 3));
+        let version = Version { epoch: 2, revision: 7 };
+        assert_eq!(first, Some(Told { at_us: 3, version, digest: "00000000000000ff".into() }));
+        let second = next_request(&mut pending);
+        assert_eq!(second.map(|head| told(&head, 4)), Some(None));
+        assert_eq!(next_request(&mut pending), None);
+    }
+}
