--- a/crates/pondlb-lab/src/scale/tap.rs
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -17,6 +17,8 @@
 /// The longest request that a balancer sends.
 const MOST_REQUEST_BYTES: usize = 8 * 1024;
 const END_OF_REQUEST: &[u8] = b"\r\n\r\n";
+/// The digest of no records.
+const NOTHING_IN_FORCE: &str = "0000000000000000";
 const CHANGES_CALL: &str = "GET /control/changes?";
 
 /// What a balancer tells with a call for changes.
@@ -33,7 +35,7 @@
 /// What one balancer told and moved, over all of its connections.
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Each version, when it was told first after another one.
+    /// Each state, when it was told first after another one.
     pub told: RefCell<Vec<Told>>,
     /// Bytes from control servers to the balancer.
     pub received: Cell<u64>,
@@ -44,8 +46,9 @@
 impl Heard {
     fn note(&self, told: Told) {
         let mut all = self.told.borrow_mut();
-        let is_news = |last: &Told| (last.version, &last.digest) != (told.version, &told.digest);
-        if all.last().is_none_or(is_news) {
+        // While a snapshot is taken the version is the snapshot's, but the digest is that of what is in force.
+        let in_force = all.last().map_or(NOTHING_IN_FORCE, |last| &last.digest);
+        if told.digest != in_force {
             all.push(told);
         }
     }
