--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -140,9 +140,7 @@
             Err(become_held(parent, &program, &arguments).to_string())
         }
         Command::Scale(line) => scale(line),
-        Command::Hollow { assignment, planted } => {
-            in_runtime(hollow::play(&assignment, planted)).map(|()| 0)
-        }
+        Command::Hollow { assignment, planted } => in_runtime(hollow::play(&assignment, planted)).map(|()| 0),
         Command::Check { scenario, plan } => {
             let scenario = read(&scenario)?;
             let arrivals = scenario.plan();
--- a/crates/pondlb-lab/src/scale/hollow.rs
+++ b/crates/pondlb-lab/src/scale/hollow.rs
@@ -217,8 +217,11 @@
                 let report = Report::Misorder { balancer: balancer.number, what: misorder.to_string() };
                 self.news.borrow_mut().push(report);
             }
-            let news =
-                InForce { balancer: balancer.number, revision: update.version.revision, at_us: clock::now_us() };
+            let news = InForce {
+                balancer: balancer.number,
+                revision: update.version.revision,
+                at_us: clock::now_us(),
+            };
             self.in_force.borrow_mut().push(news);
             balancer.updates.set(balancer.updates.get() + 1);
             // The driver that does not wait for it has ended.
--- a/crates/pondlb-lab/src/scale/proxy.rs
+++ b/crates/pondlb-lab/src/scale/proxy.rs
@@ -78,7 +78,11 @@
     Ok(())
 }
 
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut cut: watch::Receiver<bool>) -> io::Result<()> {
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut cut: watch::Receiver<bool>,
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await?;
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -81,7 +81,8 @@
             let balancer = number as u32;
             let told = heard.told.borrow();
             let news = told.iter();
-            news.map(|told| InForce { balancer, revision: told.version.revision, at_us: told.at_us }).collect()
+            news.map(|told| InForce { balancer, revision: told.version.revision, at_us: told.at_us })
+                .collect()
         };
         self.heard.iter().enumerate().map(series).collect()
     }
@@ -161,8 +162,7 @@
     let (direct, asked) = ledgers.asked.drain(..).partition(|asked| direct_ids.contains(&asked.id));
     ledgers.asked = asked;
     ledgers.runs.retain(|run| !direct_ids.contains(&run.id));
-    let askers: HashMap<&str, u32> =
-        ledgers.asked.iter().map(|asked| (&*asked.id, asked.balancer)).collect();
+    let askers: HashMap<&str, u32> = ledgers.asked.iter().map(|asked| (&*asked.id, asked.balancer)).collect();
     for run in &mut ledgers.runs {
         run.balancer = askers.get(&*run.id).copied().unwrap_or(run.balancer);
     }
@@ -170,10 +170,20 @@
 }
 
 /// When each balancer had a drain in force: its later versions hold it too.
-pub fn drains_told(series: &[Vec<InForce>], upstream: u32, revision: u64, to_book: impl Fn(u64) -> u64) -> Vec<Told> {
+pub fn drains_told(
+    series: &[Vec<InForce>],
+    upstream: u32,
+    revision: u64,
+    to_book: impl Fn(u64) -> u64,
+) -> Vec<Told> {
     let told = |(balancer, news): (usize, &Vec<InForce>)| {
         let first = news.iter().find(|news| news.revision >= revision)?;
-        Some(Told { balancer: balancer as u32, upstream: upstream as usize, life: 0, at: to_book(first.at_us) })
+        Some(Told {
+            balancer: balancer as u32,
+            upstream: upstream as usize,
+            life: 0,
+            at: to_book(first.at_us),
+        })
     };
     series.iter().enumerate().filter_map(told).collect()
 }
--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -186,7 +186,14 @@
             writeln!(
                 to,
                 "{:<22}{:>9}{:>10.0}{:>10.0}{:>10.0}{:>9}{:>11.0}{:>11.0}",
-                phase.name, phase.changes, all.p50_ms, all.p99_ms, all.most_ms, all.never, real.p99_ms, real.most_ms
+                phase.name,
+                phase.changes,
+                all.p50_ms,
+                all.p99_ms,
+                all.most_ms,
+                all.never,
+                real.p99_ms,
+                real.most_ms
             )?;
         }
         Ok(())
@@ -211,7 +218,9 @@
 
     fn fmt_costs(&self, to: &mut fmt::Formatter) -> fmt::Result {
         writeln!(to, "\nbytes a second of a balancer")?;
-        for (name, rates) in [("hollow", &self.hollow_bytes_per_second), ("real", &self.real_bytes_per_second)] {
+        for (name, rates) in
+            [("hollow", &self.hollow_bytes_per_second), ("real", &self.real_bytes_per_second)]
+        {
             let minute = rates.worst_minute.map_or("run too short".into(), |rate| format!("{rate:.0}"));
             writeln!(
                 to,
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -216,7 +216,8 @@
 
     fn sample(&mut self) {
         let servers = self.servers.processes().into_iter().enumerate();
-        let servers = servers.map(|(number, id)| (if number == 0 { Role::Origin } else { Role::ReplicaServer }, id));
+        let servers =
+            servers.map(|(number, id)| (if number == 0 { Role::Origin } else { Role::ReplicaServer }, id));
         let real = self.real.balancers.processes().into_iter().map(|id| (Role::RealBalancer, id));
         let hollow = self.hollow.processes().into_iter().map(|id| (Role::HollowProcess, id));
         let own = std::iter::once((Role::Laboratory, std::process::id()));
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -195,7 +195,7 @@
 /// The longest time of all phases: with start and end the run takes five minutes at most.
 const MOST_SECONDS: f64 = 200.0;
 const MOST_BALANCERS: u32 = 3000;
-const MOST_RECORDS: u64 = 500_000;
+const MOST_RECORDS: u32 = 500_000;
 const MOST_SERVERS: u32 = 64;
 const MOST_PROCESSES: u32 = 300;
 const MOST_CHANGES: f64 = 200_000.0;
@@ -306,9 +306,9 @@
             ("real_balancers", self.real_balancers, 64),
             ("followers_each", self.followers_each, 1000),
             ("starts_at_once", self.starts_at_once, 1000),
-            ("upstreams", self.upstreams, u32::MAX),
-            ("classes", self.classes, u32::MAX),
-            ("tenants", self.tenants, u32::MAX),
+            ("upstreams", self.upstreams, MOST_RECORDS),
+            ("classes", self.classes, MOST_RECORDS),
+            ("tenants", self.tenants, MOST_RECORDS),
             ("regions", self.regions, 8),
             ("zones_per_region", self.zones_per_region, 32),
             ("replica_servers", self.replica_servers, MOST_SERVERS),
@@ -322,7 +322,10 @@
         let settle = self.settle_seconds;
         check(within(settle, 1.0, 40.0), format!("settle_seconds: {settle}: 1 to 40"));
         let records = self.records();
-        check(records <= MOST_RECORDS, format!("upstreams: {records} records in all: {MOST_RECORDS} at most"));
+        check(
+            records <= MOST_RECORDS,
+            format!("upstreams: {records} records in all: {MOST_RECORDS} at most"),
+        );
         check(
             self.balancers >= self.real_balancers.saturating_add(2),
             format!("balancers: {}: two more than real_balancers at least", self.balancers),
@@ -369,8 +372,8 @@
         );
         let rate = phase.changes_per_second;
         check(within(rate, 0.0, 2000.0), format!("{}: {rate}: 0 to 2000", key("changes_per_second")));
-        let lasting =
-            [PhaseKind::Zone, PhaseKind::KillServer, PhaseKind::Partition, PhaseKind::Stop].contains(&phase.kind);
+        let lasting = [PhaseKind::Zone, PhaseKind::KillServer, PhaseKind::Partition, PhaseKind::Stop]
+            .contains(&phase.kind);
         let event = phase.event_seconds;
         check(
             !lasting || (event > 0.0 && event < seconds),
@@ -383,7 +386,11 @@
             }
             PhaseKind::Rack => check(
                 phase.rack_upstreams >= 1 && phase.rack_upstreams < self.upstreams,
-                format!("{}: {}: 1 at least, less than upstreams", key("rack_upstreams"), phase.rack_upstreams),
+                format!(
+                    "{}: {}: 1 at least, less than upstreams",
+                    key("rack_upstreams"),
+                    phase.rack_upstreams
+                ),
             ),
             PhaseKind::Zone => {
                 check(
--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -181,8 +181,10 @@
     /// Where the origin refuses them, or gives no answer.
     pub async fn commit(&mut self, changes: Vec<NewChange>) -> io::Result<Version> {
         let body = serde_json::to_string(&Commit { changes })?;
-        let request =
-            format!("POST /control/commit HTTP/1.1\r\nHost: lab\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let request = format!(
+            "POST /control/commit HTTP/1.1\r\nHost: lab\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
         let mut wire = match self.commit_wire.take() {
             Some(wire) => wire,
             None => Wire::new(TcpStream::connect(self.commit).await?),
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -70,7 +70,8 @@
     failures.extend(never_in_force(evidence, &phases));
     failures.extend(evidence.reported.misorders.iter().cloned());
     if evidence.reported.unreadable > 0 {
-        failures.push(format!("{} reports of hollow processes could not be read", evidence.reported.unreadable));
+        failures
+            .push(format!("{} reports of hollow processes could not be read", evidence.reported.unreadable));
     }
     failures.extend(backwards(evidence.real_series));
     let end = end(evidence, &mut failures);
@@ -129,7 +130,8 @@
                 remarks.push(format!("{name}: {seconds} s in place of an hour"));
             }
             PhaseKind::Release if phase.tenths < 10 => {
-                remarks.push(format!("{name}: {} tenths of the hollow balancers in place of ten", phase.tenths));
+                remarks
+                    .push(format!("{name}: {} tenths of the hollow balancers in place of ten", phase.tenths));
             }
             _ => {}
         }
@@ -221,7 +223,10 @@
     let first = balancers.first();
     let first = first.map(|first| format!(", first balancer {first}")).unwrap_or_default();
     (pairs > 0 || !balancers.is_empty()).then(|| {
-        format!("{} balancers never converged{first}: {pairs} pairs of a change and a balancer never in force", balancers.len())
+        format!(
+            "{} balancers never converged{first}: {pairs} pairs of a change and a balancer never in force",
+            balancers.len()
+        )
     })
 }
 
@@ -278,9 +283,8 @@
 fn hollow_has(evidence: &Evidence, balancer: u32, origin: &ServerState) -> bool {
     let Some(state) = evidence.reported.finals.get(&balancer) else { return false };
     let follower = evidence.followers.get(&format!("hollow-{balancer}"));
-    let confirmed = |version: Version| {
-        follower.is_some_and(|follower| follower.in_sync && follower.version == version)
-    };
+    let confirmed =
+        |version: Version| follower.is_some_and(|follower| follower.in_sync && follower.version == version);
     state.version == origin.version
         && state.digest.map_or_else(|| confirmed(state.version), |digest| digest == origin.digest)
 }
--- a/crates/pondlb-lab/src/scale/tap.rs
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -142,7 +142,10 @@
 fn told(head: &str, at_us: u64) -> Option<Told> {
     let query = head.strip_prefix(CHANGES_CALL)?.split(' ').next()?;
     let value = |name: &str| {
-        query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name)).map(|pair| pair.1)
+        query
+            .split('&')
+            .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+            .map(|pair| pair.1)
     };
     let version = Version { epoch: value("epoch")?.parse().ok()?, revision: value("from")?.parse().ok()? };
     Some(Told { at_us, version, digest: value("digest")?.into() })
