--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -6,10 +6,10 @@
 use nanorand::{Rng, WyRand};
 use pondlb_http::{MOST_BODY, MOST_HEAD, Message, Reader};
 
+use super::answer::Answer;
 use super::client::{ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, Roster, write_call};
 use super::upstream::{UpstreamSide, write_posting};
-use crate::routing::Answer;
 
 /// The three sides alike: something that is fed bytes and tells what it made of them.
 trait Side {
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -10,7 +10,8 @@
 use pondlb_terms::Names;
 use tokio::sync::oneshot::{self, Receiver};
 
-use super::{Answer, Carrier, Directory, End, Exchange, Hold, Note, Order};
+use super::{Carrier, Directory, End, Exchange, Hold, Note, Order};
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
 
 type Trace = Rc<RefCell<String>>;
