--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -323,7 +323,7 @@
         check(within(settle, 1.0, 40.0), format!("settle_seconds: {settle}: 1 to 40"));
         let records = self.records();
         check(
-            records <= MOST_RECORDS,
+            records <= u64::from(MOST_RECORDS),
             format!("upstreams: {records} records in all: {MOST_RECORDS} at most"),
         );
         check(
--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -187,7 +187,10 @@
         ("upstreams = 480", "upstreams = 0\nlisten = \"10.0.0.1\""),
         ("tenants = 1260", "tenants = 0\ngather_ms = 0"),
         ("seed = 17", "sead = 17"),
-        ("starts_at_once = 3\nupstreams = 480", "starts_at_once = 1000\nfollowers_each = 1\nupstreams = 400000"),
+        (
+            "starts_at_once = 3\nupstreams = 480",
+            "starts_at_once = 1000\nfollowers_each = 1\nupstreams = 400000",
+        ),
         ("rate_each = 25.0", "rate_each = nan"),
         ("zone = 9", "zone = 10"),
         ("kind = \"steady\"", "kind = \"often\""),
@@ -208,10 +211,10 @@
     trace += String::from_utf8(out.stderr).unwrap().split_once(".toml: ").unwrap().1;
     expect![[r#"
         /s.toml: balancers: 0: 1 to 3000; /s.toml: balancers: 0: two more than real_balancers at least
-        /s.toml: upstreams: 0: 1 to 4294967295; /s.toml: listen: 10.0.0.1: no loopback address; /s.toml: upstreams: 0: the served ones and two for each zone at least; /s.toml: phases[1].rack_upstreams: 10: 1 at least, less than upstreams
-        /s.toml: tenants: 0: 1 to 4294967295; /s.toml: gather_ms: 0: 1 to 10000
+        /s.toml: upstreams: 0: 1 to 500000; /s.toml: listen: 10.0.0.1: no loopback address; /s.toml: upstreams: 0: the served ones and two for each zone at least; /s.toml: phases[1].rack_upstreams: 10: 1 at least, less than upstreams
+        /s.toml: tenants: 0: 1 to 500000; /s.toml: gather_ms: 0: 1 to 10000
         /s.toml: TOML parse error at line 2, column 1; unknown field `sead`, expected one of `seed`, `balancers`, `real_balancers`, `followers_each`, `starts_at_once`, `upstreams`, `classes`, `tenants`, `regions`, `zones_per_region`, `replica_servers`, `listen`, `gather_ms`, `hold_ms`, `settle_seconds`, `traffic`, `phases`
-        /s.toml: TOML parse error at line 6, column 1; duplicate key
+        /s.toml: balancers: too many
         /s.toml: traffic.rate_each: NaN: 0.1 to 1000
         /s.toml: phases[2].zone: 10: there are 10
         /s.toml: TOML parse error at line 19, column 8; unknown variant `often`, expected one of `steady`, `rack`, `zone`, `release`, `kill-server`, `partition`, `stop`
