--- a/crates/pondlb-control/src/limits.rs
+++ b/crates/pondlb-control/src/limits.rs
@@ -7,7 +7,8 @@
     pub records: usize,
     /// The longest value, in bytes.
     pub value_bytes: usize,
-    /// The most bytes of all keys and values. A replica holds no values and bounds only a staged snapshot by it.
+    /// The most bytes of all keys and values. A replica, which holds no values, bounds by it what a
+    /// staged snapshot holds of them.
     pub total_bytes: usize,
     /// How many removed records a store remembers; a caller that needs an older one takes a snapshot.
     pub tombstones: usize,
@@ -20,9 +21,12 @@
 }
 
 impl Limits {
-    /// The bounds while more changes follow: until then records may be held that are removed further on, beside those
-    /// that came after them.
-    pub(crate) fn while_partial(&self) -> Limits {
+    /// The bounds that hold while more changes follow, or at the end. Until then records may be held that are removed
+    /// further on, beside those that came after them.
+    pub(crate) fn at_piece(&self, more: bool) -> Limits {
+        if !more {
+            return *self;
+        }
         let records = self.records.saturating_mul(2);
         let total_bytes = self.total_bytes.saturating_mul(2);
         Limits { records, total_bytes, ..*self }
