--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::process::{Command, Output};
+use std::sync::OnceLock;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,7 +21,20 @@
     Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).args(line).output().unwrap()
 }
 
-/// Where cargo puts the other packages' programs, built on demand: a test of this package alone does not build them.
+/// Programs of other packages, where cargo puts them. A test of this package alone does not build them.
+struct Programs {
+    server: String,
+    balancer: String,
+}
+
+fn programs() -> &'static Programs {
+    static BUILT: OnceLock<Programs> = OnceLock::new();
+    BUILT.get_or_init(|| Programs {
+        server: program("pondlb-control-net", "pondlb-control-server"),
+        balancer: program("pondlb-server", "pondlb-server"),
+    })
+}
+
 fn program(package: &str, name: &str) -> String {
     let lab = Path::new(env!("CARGO_BIN_EXE_pondlb-lab"));
     let mut build = Command::new(env!("CARGO"));
@@ -43,11 +57,10 @@
 fn played(folder: &Path, name: &str, arguments: &[&str]) -> Played {
     let json = folder.join(format!("{name}.json"));
     let json_text = json.to_str().unwrap();
-    let (server, balancer) =
-        (program("pondlb-control-net", "pondlb-control-server"), program("pondlb-server", "pondlb-server"));
-    let mut line = vec!["scale", SMALL, "--json", json_text, "--balancer", &balancer];
+    let Programs { server, balancer } = programs();
+    let mut line = vec!["scale", SMALL, "--json", json_text, "--balancer", balancer];
     if !arguments.contains(&"--server") {
-        line.extend(["--server", &server]);
+        line.extend(["--server", server]);
     }
     line.extend(arguments);
     let mut tries = 0;
@@ -132,9 +145,8 @@
     let (head, _) = text.split_once("[[phases]]").unwrap();
     let scenario = folder.path().join("stopped.toml");
     std::fs::write(&scenario, format!("{head}[[phases]]\n{stop}")).unwrap();
-    let (server, balancer) =
-        (program("pondlb-control-net", "pondlb-control-server"), program("pondlb-server", "pondlb-server"));
-    let line = ["scale", scenario.to_str().unwrap(), "--server", &server, "--balancer", &balancer];
+    let Programs { server, balancer } = programs();
+    let line = ["scale", scenario.to_str().unwrap(), "--server", server, "--balancer", balancer];
     let mut run = Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).args(line).spawn().unwrap();
     let expected = 5 + 4 + 2;
     assert!(comes(|| children_of(run.id()).len() == expected), "the processes never came up");
