--- a/crates/pondlb-control-net/src/server/state.rs
+++ b/crates/pondlb-control-net/src/server/state.rs
@@ -13,7 +13,6 @@
 
 use super::followers::{FollowerTable, FollowersAnswer};
 use super::token_bucket::TokenBucket;
-use crate::check::check_shape;
 use crate::client;
 use crate::options::ServerOptions;
 
@@ -79,7 +78,7 @@
 
     /// Commits changes, all or none.
     pub fn commit(&self, changes: &[NewChange]) -> Result<Version, CommitError> {
-        let version = self.store.borrow_mut().commit(changes, &check_shape)?;
+        let version = self.store.borrow_mut().commit(changes, &self.options.check)?;
         self.version.send_replace(version);
         Ok(version)
     }
--- a/crates/pondlb-control-net/tests/program.rs
+++ b/crates/pondlb-control-net/tests/program.rs
@@ -79,6 +79,42 @@
     .assert_eq(&faults(&output));
 }
 
+/// The danger is a record that stops all balancers from taking what comes after it.
+#[test]
+fn an_origin_takes_only_what_balancers_can_use() {
+    let good =
+        r#"{"uid":"a","endpoint":"127.0.0.1:1","az":"z","model":"m","state":"active","capacity_hint":1}"#;
+    let mut made = String::new();
+    for (key, value) in [
+        ("upstream/a", "{}".to_string()),
+        ("upstream/b", good.to_string()),
+        ("upstream/a", good.replace("hint\":1", "hint\":-1")),
+        ("upstream/a", good.replace("active", "asleep")),
+        ("class/a", "{}".into()),
+        ("tenant/a", r#"{"QuotaRps":-1}"#.into()),
+        ("limit/Limits.MaxOpen", "\"many\"".into()),
+        ("limit/Nothing", "1".into()),
+    ] {
+        let records = format!(
+            r#"{{"changes":[{{"key":"upstream/a","value":{good}}},{{"key":"{key}","value":{value}}}]}}"#
+        );
+        options_file("strict.json", &records);
+        let output = run("strict.toml", "listen = \"127.0.0.1:0\"\ninitial = \"strict.json\"\n");
+        assert_eq!(output.status.code(), Some(2));
+        made += &faults(&output);
+    }
+    expect![[r#"
+        strict.toml: initial: upstream/a: missing field `uid` at line 1 column 2
+        strict.toml: initial: upstream/b: uid: "a": the record's name is accepted
+        strict.toml: initial: upstream/a: capacity_hint is no size
+        strict.toml: initial: upstream/a: state: unknown variant `asleep`, expected one of `active`, `leaving`, `left` at line 1 column 73
+        strict.toml: initial: class/a: class/a: missing field `SlaTimeNs` at line 1 column 2
+        strict.toml: initial: tenant/a: tenant/a.QuotaRps: -1: 0 to 179769313486231570000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000 are accepted
+        strict.toml: initial: limit/Limits.MaxOpen: Limits.MaxOpen: invalid type: string "many", expected u32
+        strict.toml: initial: limit/Nothing: Nothing: the change takes a restart
+    "#]].assert_eq(&made);
+}
+
 #[test]
 fn a_taken_address_ends_it_with_1() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pondlb_http::{MOST_BODY, MOST_HEAD, MOST_HELD};
-use pondlb_terms::Deployment;
+use pondlb_terms::{Deployment, Settings};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
@@ -27,7 +27,7 @@
     pub known: Roster,
     pub deployment: Deployment,
     pub probing: Option<Probing>,
-    settings: Box<RawValue>,
+    pub settings: Settings,
 }
 
 /// What a configuration read anew is compared with.
@@ -38,11 +38,10 @@
     listen: SocketAddr,
     budget: Budget,
     probing: Option<Probing>,
-    settings: Box<RawValue>,
 }
 
 impl Given {
-    /// The keys, discovery apart, whose values are not those that the program was started with.
+    /// The keys, discovery and settings apart, whose values are not those that the program was started with.
     pub fn changed_since(&self, before: &Given) -> impl Iterator<Item = &'static str> {
         let changes = [
             ("name", self.name != before.name),
@@ -50,18 +49,20 @@
             ("control", self.control != before.control),
             ("limits", self.budget != before.budget),
             ("probe", self.probing != before.probing),
-            ("settings", self.settings.get() != before.settings.get()),
         ];
         changes.into_iter().filter_map(|(key, changed)| changed.then_some(key))
     }
 }
 
-/// How many connections each side may hold, so that all together keep within descriptors and memory.
+/// How many connections each side may hold and how long a list may be, so that all together keep within descriptors
+/// and memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     pub clients: usize,
     pub upstreams: usize,
     pub memory: Memory,
+    /// In bytes, as discovery sends them.
+    pub longest_list: usize,
 }
 
 #[derive(Deserialize)]
@@ -145,6 +146,12 @@
 /// A txn's memory at its worst: what its client's connection holds, its request as kept and as written for
 /// one posting, and its answer as read, kept and written.
 const TXN_MEMORY: u64 = (2 * MOST_HELD + 4 * (MOST_BODY + MOST_HEAD)) as u64;
+/// A list may be as long as one of so many parts of the memory. As it was sent, as its upstreams and as what is known
+/// of each it holds fourteen times its length, and with more than half of the memory held nothing new is served.
+const LIST_SHARE: u64 = 40;
+/// A list may be as long as this however little memory there is; a fleet of a thousand takes a quarter of it, or
+/// with the longest names and indented two thirds.
+const LEAST_LIST: u64 = 1 << 20;
 const FEWEST: usize = 8;
 const FEW_TXNS: u64 = 4;
 
@@ -173,18 +180,18 @@
         let budget = noted(&mut faults, Budget::of(&file.limits));
         let known = file.known.map(|known| Roster::decode(known.get().as_bytes())).transpose();
         let known = noted(&mut faults, known.map_err(|e| format!("known: {e}")));
-        let terms = pondlb_terms::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
-        let deployment = noted(&mut faults, terms);
+        let settings = Settings::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
+        let settings = noted(&mut faults, settings);
         let probing = noted(&mut faults, file.probe.map(Probe::read).transpose());
         let (Some(listen), Some(discovery), Some(control), Some(seed)) = (listen, discovery, control, seed)
         else {
             return Err(faults);
         };
-        let (Some(budget), Some(known), Some(mut deployment), Some(probing)) =
-            (budget, known, deployment, probing)
+        let (Some(budget), Some(known), Some(settings), Some(probing)) = (budget, known, settings, probing)
         else {
             return Err(faults);
         };
+        let mut deployment = settings.deployment();
         if probing.is_some() && !deployment.terms.probing {
             return Err(vec!["settings: Limits.Probing: false: true is accepted beside probe".into()]);
         }
@@ -195,25 +202,13 @@
         known.whole = true;
         log::debug!("settings {}", file.settings.get());
         let name = file.name.or_else(|| env("RELAY_NAME")).unwrap_or_else(|| "pondlb".into());
-        Ok(Setup {
-            name,
-            listen,
-            discovery,
-            control,
-            seed,
-            budget,
-            known,
-            deployment,
-            probing,
-            settings: file.settings,
-        })
+        Ok(Setup { name, listen, discovery, control, seed, budget, known, deployment, probing, settings })
     }
 
     pub fn given(&self) -> Given {
-        let Setup { name, listen, discovery, control, budget, probing, settings, .. } = self;
-        let (name, control) = (name.clone(), control.clone());
-        let (probing, settings) = (probing.clone(), settings.clone());
-        Given { discovery: *discovery, control, name, listen: *listen, budget: *budget, probing, settings }
+        let Setup { name, listen, discovery, control, budget, probing, .. } = self;
+        let (name, control, probing) = (name.clone(), control.clone(), probing.clone());
+        Given { discovery: *discovery, control, name, listen: *listen, budget: *budget, probing }
     }
 }
 
@@ -231,7 +226,8 @@
             return Err(format!("limits.memory_mb: {} are too few to serve", limits.memory_mb));
         }
         let clients = sockets - upstreams;
-        Ok(Budget { clients, upstreams, memory: Memory { most: most as usize } })
+        let longest_list = (most / LIST_SHARE).max(LEAST_LIST) as usize;
+        Ok(Budget { clients, upstreams, memory: Memory { most: most as usize }, longest_list })
     }
 }
 
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
-use pondlb_control::Change;
+use pondlb::{
+    Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TermsChange, TxnId, UpstreamId,
+};
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use super::{Directory, End, Note, Order, PostingId};
 use crate::protocol::answer::Answer;
-use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 /// Does the work that the decisions ask for.
@@ -121,6 +121,12 @@
         self.awaits_state = true;
     }
 
+    /// Puts checked changes of the terms in force; txns that are open end under what they came with.
+    pub fn change(&mut self, now: Tenths, changes: &[TermsChange]) {
+        self.balancer.change(changes);
+        self.decide(now);
+    }
+
     /// The list as it was before the start.
     pub fn remember(&mut self, now: Tenths, known: Roster) {
         let entries = self.directory.read(known);
@@ -210,11 +216,10 @@
                 self.events.push(Event::Probed { upstream, outcome, took, load });
             }
             Note::Listed(roster) => self.listed(now, roster),
-            Note::Changed { changes: RecordChanges { upstreams, settings }, completes, applied } => {
+            Note::Changed { upstreams, completes, applied } => {
                 if !(upstreams.targets.is_empty() && upstreams.removed.is_empty()) {
                     self.listed(now, upstreams);
                 }
-                self.change_settings(&settings);
                 self.awaits_state &= !completes;
                 let _ended = applied.send(());
             }
@@ -240,13 +245,6 @@
         );
     }
 
-    /// Classes, tenants and limits from control servers.
-    fn change_settings(&mut self, changes: &[Change]) {
-        for change in changes {
-            log::warn!("control: {}: can't be changed yet while the program runs", change.key);
-        }
-    }
-
     /// A posting given up may have ended at the same moment: only the first of the two ends counts.
     fn ended(&mut self, now: Tenths, (id, posting): PostingId, end: End) {
         let Some(out) = self.outs.remove(&(id.clone(), posting)) else { return };
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -12,7 +12,6 @@
 
 use super::{Carrier, Directory, End, Exchange, Hold, Note, Order};
 use crate::protocol::answer::Answer;
-use crate::protocol::control::RecordChanges;
 use crate::protocol::discovery::Roster;
 
 type Trace = Rc<RefCell<String>>;
@@ -135,10 +134,9 @@
             }
             Some(Note::Probed { upstream, outcome, .. }) => format!("{upstream} is asked: {outcome:?}"),
             Some(Note::Listed(_)) => "listed".into(),
-            Some(Note::Changed { changes, completes, .. }) => {
-                let (upstreams, settings) = (&changes.upstreams, changes.settings.len());
-                let counts = [upstreams.targets.len(), upstreams.removed.len(), settings];
-                format!("changed, removed, settings: {counts:?}, completes: {completes}")
+            Some(Note::Changed { upstreams, completes, .. }) => {
+                let counts = [upstreams.targets.len(), upstreams.removed.len()];
+                format!("changed, removed: {counts:?}, completes: {completes}")
             }
             Some(Note::ListLost) => "list lost".into(),
             Some(Note::ListUnreached) => "list unreached".into(),
@@ -510,8 +508,7 @@
         let mut upstreams = roster(false, targets);
         upstreams.removed = removed.iter().map(ToString::to_string).collect();
         let (applied, mut is_applied) = oneshot::channel();
-        let changes = RecordChanges { upstreams, settings: Vec::new() };
-        play.step(now, Some(Note::Changed { changes, completes, applied }));
+        play.step(now, Some(Note::Changed { upstreams, completes, applied }));
         assert!(is_applied.try_recv().is_ok());
         play.exchange.knows_upstreams()
     };
@@ -524,14 +521,14 @@
     ready.push(change(&mut play, 50, &[], &["u2"], false));
     assert_eq!(ready, [false, false, true, false]);
     play.ends_with(expect![[r#"
-        10: changed, removed, settings: [1, 1, 0], completes: false
-        20: changed, removed, settings: [0, 1, 0], completes: true
+        10: changed, removed: [1, 1], completes: false
+        20: changed, removed: [0, 1], completes: true
         30: a comes
           post a 0 to u2 at 127.0.0.1:2 until 980
         40: a 0 ends: Ok
           a 0 is let go
           answer to a: settled of a 0
-        50: changed, removed, settings: [0, 1, 0], completes: false
+        50: changed, removed: [0, 1], completes: false
         owed: 0
     "#]]);
 }
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -1,4 +1,4 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,12 +11,12 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::crowd::{Crowd, Place, Standing};
+use super::connection_table::{ConnectionTable, EvictionGuard, Place};
 use super::phase::Phase;
 use super::stream::{Waiting, closed, feed, read, waiting, write_all};
 use crate::protocol::answer::Answer;
 use crate::protocol::client::{
-    Asked, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
+    Asked, Classes, ClientSide, LEAVE_TO_SEND, Wish, write_answer, write_fault, write_health, write_too_slow,
 };
 use crate::routing::Note;
 
@@ -37,9 +37,9 @@
 
 /// What all client connections share.
 pub struct Front {
-    pub crowd: Rc<Crowd>,
-    pub schemes: Vec<String>,
-    pub cool_down: Option<Tenths>,
+    pub connections: Rc<ConnectionTable>,
+    pub classes: RefCell<Classes>,
+    pub cool_down: Cell<Option<Tenths>>,
     pub notes: mpsc::UnboundedSender<Note>,
     pub phase: watch::Receiver<Phase>,
 }
@@ -48,13 +48,24 @@
     Asked(Asked),
     Fault(Fault),
     TooSlow,
-    Crowded,
+    Overloaded,
     /// The balancer ends the connection, on which nothing is owed.
     Ends,
     Over,
 }
 
 impl Front {
+    /// Requests that are read from now on may name these classes, or no longer.
+    pub fn change_classes(&self, changes: Vec<(String, Option<u32>)>) {
+        let mut classes = self.classes.borrow_mut();
+        for (name, number) in changes {
+            match number {
+                Some(number) => classes.insert(name, number),
+                None => classes.remove(&name),
+            };
+        }
+    }
+
     pub async fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _unset = stream.set_nodelay(true);
         let mut side = ClientSide::new();
@@ -72,7 +83,9 @@
                     (write_fault(fault), true)
                 }
                 Next::TooSlow => (write_too_slow(), true),
-                Next::Crowded => (write_answer(&Answer::Declined { cool_down: self.cool_down }, true), true),
+                Next::Overloaded => {
+                    (write_answer(&Answer::Declined { cool_down: self.cool_down.get() }, true), true)
+                }
                 Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
             };
@@ -96,16 +109,16 @@
         let mut phase = self.phase.clone();
         let mut slow = None;
         loop {
-            match side.next(&self.schemes) {
-                Ok(Some(_)) if self.crowd.turns_away() => return Next::Crowded,
-                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Crowded,
+            match side.next(&self.classes.borrow()) {
+                Ok(Some(_)) if self.connections.turns_away() => return Next::Overloaded,
+                Ok(Some(asked)) if !asked.is_health() && place.is_excess() => return Next::Overloaded,
                 Ok(Some(asked)) => return Next::Asked(asked),
                 Ok(None) => {}
                 Err(fault) => return Next::Fault(fault),
             }
             // Before its body is read: hundreds of them let in at once would cost more memory than there is.
-            if !side.is_idle() && (place.is_excess() || self.crowd.turns_away()) {
-                return Next::Crowded;
+            if !side.is_idle() && (place.is_excess() || self.connections.turns_away()) {
+                return Next::Overloaded;
             }
             if side.wants_leave_to_send() && write_all(stream, LEAVE_TO_SEND).await.is_err() {
                 return Next::Over;
@@ -133,7 +146,7 @@
                 tokio::select! {
                     biased;
                     count = feed(stream, side.input()) => count,
-                    () = slow.told_to_close() => return Next::TooSlow,
+                    () = slow.evicted() => return Next::TooSlow,
                     () = sleep_until(*until) => return Next::TooSlow,
                 }
             };
@@ -183,10 +196,10 @@
     }
 }
 
-async fn closing(phase: &mut watch::Receiver<Phase>, idle: &Standing<'_>, most: Duration) {
+async fn closing(phase: &mut watch::Receiver<Phase>, idle: &EvictionGuard<'_>, most: Duration) {
     tokio::select! {
         _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-        () = idle.told_to_close() => {}
+        () = idle.evicted() => {}
         () = sleep(most) => {}
     }
 }
--- a/crates/pondlb-server/src/transport/control.rs
+++ b/crates/pondlb-server/src/transport/control.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pondlb_control::{Kind, Limits, Update, Version};
-use pondlb_control_net::{Delivered, Following, Status, follow};
+use pondlb_control::{Change, Limits, Update, Version};
+use pondlb_control_net::{Delivered, Following, Status, check_record, follow};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::protocol::control::{RecordChanges, check_record};
+use crate::protocol::control::{SettingRecords, take_settings, upstreams_of};
+use crate::protocol::discovery::Roster;
 use crate::routing::Note;
 
 /// So many records change in one turn of the loop: requests are served between.
@@ -33,18 +34,28 @@
     pub seed: u64,
     /// Most bytes of a whole state that is taken.
     pub state_bytes: usize,
+    /// Where changes of the settings go.
+    pub settings: mpsc::UnboundedSender<SettingsUpdate>,
     /// Upstreams known before the first whole state: what that does not name has been removed.
     pub remembered: BTreeSet<String>,
 }
 
+/// Classes, tenants and limits to put in force.
+#[derive(Debug)]
+pub struct SettingsUpdate {
+    pub changes: Vec<Change>,
+    /// To be told once they are in force.
+    pub applied: oneshot::Sender<()>,
+}
+
 /// Follows the control servers for as long as the program runs.
 pub async fn follow_control(control: Control, follower: Follower, notes: mpsc::UnboundedSender<Note>) {
-    let Follower { name, number, seed, state_bytes, remembered } = follower;
+    let Follower { name, number, seed, state_bytes, settings, remembered } = follower;
     let limits = Limits { total_bytes: state_bytes, ..Limits::default() };
     let mut following = Following::new(control.servers, &name, number);
     (following.seed, following.hold, following.limits) = (seed, control.hold, limits);
     let (deliver, delivered) = mpsc::unbounded_channel();
-    let consumer = Consumer { notes, remembered, logged: None };
+    let consumer = Consumer { notes, settings, remembered, logged: None };
     tokio::select! {
         () = follow(following, check_record, deliver, Rc::new(Status::default())) => {}
         () = consumer.run(delivered) => {}
@@ -53,6 +64,7 @@
 
 struct Consumer {
     notes: mpsc::UnboundedSender<Note>,
+    settings: mpsc::UnboundedSender<SettingsUpdate>,
     remembered: BTreeSet<String>,
     logged: Option<Instant>,
 }
@@ -70,17 +82,28 @@
     }
 
     /// None where the program ends.
-    async fn put_in_force(&mut self, update: Update) -> Option<()> {
+    async fn put_in_force(&mut self, mut update: Update) -> Option<()> {
+        self.put_settings_in_force(take_settings(&mut update)).await?;
         let unlisted = self.unlisted(&update);
         for names in unlisted.chunks(SLICE) {
-            let mut changes = RecordChanges::default();
-            changes.upstreams.removed = names.to_vec();
-            self.hand_over(changes, false).await?;
+            let removed = Roster { removed: names.to_vec(), ..Roster::default() };
+            self.put_upstreams_in_force(removed, false).await?;
         }
         let is_whole = update.whole;
         for slice in update.slices(SLICE) {
             let completes = is_whole && !slice.more;
-            self.hand_over(RecordChanges::read(slice), completes).await?;
+            self.put_upstreams_in_force(upstreams_of(slice), completes).await?;
+        }
+        Some(())
+    }
+
+    async fn put_settings_in_force(&self, settings: SettingRecords) -> Option<()> {
+        let SettingRecords { classes_and_limits, tenants } = settings;
+        let slices = std::iter::once(classes_and_limits).chain(tenants.chunks(SLICE).map(<[Change]>::to_vec));
+        for changes in slices.filter(|changes| !changes.is_empty()) {
+            let (applied, is_applied) = oneshot::channel();
+            self.settings.send(SettingsUpdate { changes, applied }).ok()?;
+            is_applied.await.ok()?;
         }
         Some(())
     }
@@ -91,16 +114,15 @@
             return Vec::new();
         }
         let mut unlisted = std::mem::take(&mut self.remembered);
-        let upstreams = update.changes.iter().filter(|change| change.key.kind() == Kind::Upstream);
-        for change in upstreams {
+        for change in &update.changes {
             unlisted.remove(change.key.name());
         }
         unlisted.into_iter().collect()
     }
 
-    async fn hand_over(&self, changes: RecordChanges, completes: bool) -> Option<()> {
+    async fn put_upstreams_in_force(&self, upstreams: Roster, completes: bool) -> Option<()> {
         let (applied, is_applied) = oneshot::channel();
-        self.notes.send(Note::Changed { changes, completes, applied }).ok()?;
+        self.notes.send(Note::Changed { upstreams, completes, applied }).ok()?;
         is_applied.await.ok()
     }
 
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -1,9 +1,10 @@
 //! Sockets and timers: thin drivers that read and write for the protocols' state machines.
 
+mod backoff;
 mod client;
 mod clock;
+mod connection_table;
 mod control;
-mod crowd;
 mod discovery;
 mod listener;
 mod memory;
@@ -14,11 +15,12 @@
 #[cfg(test)]
 mod tests;
 
+pub use backoff::Backoff;
 pub use client::Front;
 pub use clock::{Clock, span};
-pub use control::{Control, Follower, follow_control};
-pub use crowd::Crowd;
-pub use discovery::{Ask, Patience, discover};
+pub use connection_table::ConnectionTable;
+pub use control::{Control, Follower, SettingsUpdate, follow_control};
+pub use discovery::{Ask, ListLimit, Patience, discover};
 pub use listener::listen;
 pub use memory::Memory;
 pub use phase::Phase;
--- a/crates/pondlb-server/tests/control/mod.rs
+++ b/crates/pondlb-server/tests/control/mod.rs
@@ -221,3 +221,41 @@
     assert_eq!(log.matches("fresh again at version 8.").count(), 1, "{log}");
     assert!(log.matches("control: ").count() < 20, "{log}");
 }
+
+/// The danger is a class that is served at one balancer and unknown at the next.
+#[test]
+fn classes_tenants_and_limits_are_put_in_force_while_it_serves() {
+    let one = Upstream::start(HELLO);
+    let origin = ControlServer::origin();
+    assert_eq!(origin.commit(&[listed(one.address)]), "200");
+    let balancer = followed(&[&origin], &[]).start();
+    wait_until("it is ready", || balancer.health() == "200");
+    assert_eq!(balancer.ask("a1", "query").status(), "400");
+    let class = |name: &str| {
+        format!(
+            r#"{{"key":"class/{name}","value":{{"Name":"{name}","Effect":"idempotent","SlaTimeNs":1500000000,
+            "ExpiryNs":2000000000,"Value":1.0}}}}"#
+        )
+    };
+    let tenant = r#"{"key":"tenant/t1","value":{"QuotaRps":5.0}}"#.to_string();
+    let limit = r#"{"key":"limit/Limits.MaxOpen","value":1000}"#.to_string();
+    assert_eq!(origin.commit(&[class("query"), tenant, limit]), "200");
+    let number = Cell::new(0);
+    let status = |class: &str| {
+        number.set(number.get() + 1);
+        balancer.ask(&format!("b{}", number.get()), class).status().to_string()
+    };
+    wait_until("the new class is served", || status("query") == "200");
+    // The file's classes give way to another.
+    let gone = |name: &str| format!(r#"{{"key":"class/{name}","value":null}}"#);
+    assert_eq!(origin.commit(&[gone("browse"), gone("order"), gone("query"), class("write")]), "200");
+    wait_until("the last class is served", || status("write") == "200");
+    assert_eq!(status("query"), "400");
+    // Without any class nothing could be served: those records stay as they were, and the rest comes on.
+    assert_eq!(origin.commit(&[gone("write"), class("read")]), "200");
+    wait_until("another class is served", || status("read") == "200");
+    assert_eq!(origin.commit(&[gone("read")]), "200");
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(status("read"), "200");
+    balancer.ends_having_said(&["settings put in force", "class/read: ", "it stays as it was"]);
+}
