--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -16,7 +16,8 @@
 use crate::http::Wire;
 use crate::scenario::{Effect, Scenario};
 
-const READY_WITHIN: Duration = Duration::from_secs(5);
+/// How long a balancer with a short list may take until it serves.
+pub const READY_WITHIN: Duration = Duration::from_secs(5);
 const NS: u64 = 1_000_000;
 
 /// What is started for each balancer.
@@ -34,11 +35,12 @@
 }
 
 impl Balancers {
-    /// Started, and each answering that it is ready. `adjust` changes what each of them is told.
+    /// Started, and each answering that it is ready within that time after the one before. `adjust` changes what each of them is told.
     pub async fn start(
         program: &Program,
         scenario: &Scenario,
         fleet: &Fleet,
+        ready_within: Duration,
         adjust: impl Fn(u32, &mut Value),
     ) -> io::Result<Balancers> {
         let (folder, program) = (tempfile::tempdir()?, program.clone());
@@ -56,7 +58,7 @@
             balancers.children.push(child);
         }
         for (number, address) in balancers.addresses.clone().into_iter().enumerate() {
-            balancers.ready(number, address).await?;
+            balancers.ready(number, address, ready_within).await?;
         }
         Ok(balancers)
     }
@@ -76,8 +78,8 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
     }
 
-    async fn ready(&mut self, number: usize, address: SocketAddr) -> io::Result<()> {
-        let until = Instant::now() + READY_WITHIN;
+    async fn ready(&mut self, number: usize, address: SocketAddr, within: Duration) -> io::Result<()> {
+        let until = Instant::now() + within;
         while Instant::now() < until {
             if let Some(status) = self.children[number].try_wait()? {
                 let log = std::fs::read_to_string(self.file(number as u32, "log")).unwrap_or_default();
@@ -91,7 +93,7 @@
             }
             sleep(Duration::from_millis(20)).await;
         }
-        Err(io::Error::other(format!("balancer {number} was not ready within {READY_WITHIN:?}")))
+        Err(io::Error::other(format!("balancer {number} was not ready within {within:?}")))
     }
 
     /// Killed outright, and started again with what it was given first.
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
 
-use crate::balancers::{Balancers, Program};
+use crate::balancers::{Balancers, Program, READY_WITHIN};
 use crate::fleet::{Book, Fleet};
 use crate::judge::{self, Broken};
 use crate::ledger::{Crash, Ledgers};
@@ -50,7 +50,7 @@
 pub async fn play(program: &Program, scenario: Scenario) -> io::Result<(Report, Ledgers)> {
     let (scenario, book) = (Rc::new(scenario), Book::open());
     let fleet = Rc::new(Fleet::start(book.clone(), scenario.fleet(), &scenario.rules, scenario.balancers)?);
-    let mut balancers = Balancers::start(program, &scenario, &fleet, |_, _| ()).await?;
+    let mut balancers = Balancers::start(program, &scenario, &fleet, READY_WITHIN, |_, _| ()).await?;
     let doors: Vec<Rc<Door>> = balancers.addresses.iter().map(|at| Door::new(*at)).collect();
     let from = book.now() + LEAD.as_micros() as u64;
     let mut kills = Vec::new();
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -19,6 +20,8 @@
 
 /// Memory that a real balancer may use: the list is longer than that of a common deployment.
 const MEMORY_MB: u32 = 1024;
+/// A real balancer serves once it has the whole list.
+const READY_WITHIN: Duration = Duration::from_secs(30);
 const SOCKETS: u32 = 2048;
 /// The part of the requests that may run once only.
 const ORDER_SHARE: f64 = 0.25;
@@ -71,7 +74,8 @@
             let zone = region * scenario.zones_per_region + (number / regions) % scenario.zones_per_region;
             config["settings"]["MyZone"] = zone.into();
         };
-        let balancers = Balancers::start(program, &through_balancers(scenario), fleet, adjust).await?;
+        let balancers =
+            Balancers::start(program, &through_balancers(scenario), fleet, READY_WITHIN, adjust).await?;
         Ok(RealBalancers { balancers, heard, _taps: taps })
     }
 
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -91,8 +91,9 @@
         let servers = ControlServers::start(&programs.server, &scenario, records.initial()).await?;
         let first_revision = servers.state(0).await?.version.revision;
         let by_region = servers.by_region();
-        let hollow = HollowProcesses::start(&scenario, &by_region, &programs.hollow_arguments)?;
+        // Before the others: the snapshots of many make the machine busy.
         let real = RealBalancers::start(&programs.balancer, &scenario, &fleet, &by_region).await?;
+        let hollow = HollowProcesses::start(&scenario, &by_region, &programs.hollow_arguments)?;
         let real_bytes = Rc::new(RefCell::new(ByteLedger::default()));
         let heard = real.heard.clone();
         let ledger = real_bytes.clone();
