--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -140,11 +140,6 @@
             Verdict::Held
         }
     }
-
-    /// How many pairs of a change and a balancer never came in force.
-    pub fn never(&self) -> u64 {
-        self.phases.iter().map(|phase| phase.in_force.never).sum()
-    }
 }
 
 impl Display for Report {
--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -65,7 +65,6 @@
 pub struct ControlServers {
     program: Program,
     folder: TempDir,
-    listen: IpAddr,
     regions: usize,
     /// The origin first.
     servers: Vec<Server>,
@@ -91,7 +90,6 @@
         let mut servers = ControlServers {
             program: program.clone(),
             folder,
-            listen: scenario.listen,
             regions: scenario.regions as usize,
             servers: Vec::new(),
             commit,
@@ -271,11 +269,6 @@
         let answer: Followers = get(self.servers[number].address, "/control/followers").await?;
         Ok(answer.followers)
     }
-
-    /// The address that balancers' taps listen on.
-    pub fn listen(&self) -> IpAddr {
-        self.listen
-    }
 }
 
 fn options(name: &str, number: usize, listen: SocketAddr, scenario: &Scenario, role: &str) -> String {
