Slopes: what one balancer needs, against one dimension of its size at a time

The capacity page needs processor time, memory, calls and bytes by size, and nothing measured them. `pondlb-lab slopes` starts the real program under its guard between stand-ins for discovery (which tells a changed entry alone, or the whole list) and upstreams, measures four sizes of one dimension, fits a line and compares a fifth point with what the line predicts there. Processor time comes from schedstat; times of answers stand beside the direct way in the same run, from an open load. Exit codes as `run`.

Tests: 11 passed in tests/slopes.rs (the line, /proc, the stand-in, a small run, bad input).

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -70,18 +70,8 @@
     }
 
     fn spawn(&self, number: u32) -> io::Result<Child> {
-        let log = std::fs::File::options().create(true).append(true).open(self.file(number, "log"))?;
-        Command::new(&self.guard)
-            .arg("guard")
-            .arg(&self.program.path)
-            .args(&self.program.arguments)
-            .env("RELAY_CONFIG", self.file(number, "json"))
-            .stdin(Stdio::piped())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            // Not killed when dropped: its standard input closes then, and it still has its balancer to end.
-            .spawn()
-            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
+        let log = File::options().create(true).append(true).open(self.file(number, "log"))?;
+        spawn_guarded(&self.guard, &self.program, &self.file(number, "json"), log)
     }
 
     async fn ready(&mut self, number: usize, address: SocketAddr) -> io::Result<()> {
@@ -117,6 +107,21 @@
     }
 }
 
+/// Starts the program under a guard of its own, which is this program once more.
+pub(crate) fn spawn_guarded(guard: &Path, program: &Program, config: &Path, log: File) -> io::Result<Child> {
+    Command::new(guard)
+        .arg("guard")
+        .arg(&program.path)
+        .args(&program.arguments)
+        .env("RELAY_CONFIG", config)
+        .stdin(Stdio::piped())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        // Not killed when dropped: its standard input closes then, and it still has its balancer to end.
+        .spawn()
+        .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.path.display())))
+}
+
 /// Starts the program and kills it as soon as nobody holds this process's standard input any more: a laboratory
 /// that is killed outright can end nothing itself, and its balancers would stay for good.
 pub async fn guard(path: &Path, arguments: &[String]) -> io::Result<ExitStatus> {
@@ -135,7 +140,7 @@
     }
 }
 
-async fn is_ready(address: SocketAddr) -> io::Result<bool> {
+pub(crate) async fn is_ready(address: SocketAddr) -> io::Result<bool> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
     wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
     Ok(wire.answer().await?.is_some_and(|answer| answer.status == 200))
--- a/crates/pondlb-lab/src/http.rs
+++ b/crates/pondlb-lab/src/http.rs
@@ -28,6 +28,8 @@
 /// One connection, and what has come on it beyond the last message.
 pub struct Wire {
     pub stream: TcpStream,
+    /// Bytes that have come, since the connection was made.
+    pub received: u64,
     bytes: Vec<u8>,
 }
 
@@ -38,7 +40,7 @@
 impl Wire {
     pub fn new(stream: TcpStream) -> Self {
         let _unset = stream.set_nodelay(true);
-        Wire { stream, bytes: Vec::new() }
+        Wire { stream, received: 0, bytes: Vec::new() }
     }
 
     /// More has come than was asked for.
@@ -46,6 +48,7 @@
         let mut some = [0; 64];
         if let Ok(count) = self.stream.try_read(&mut some) {
             self.bytes.extend_from_slice(&some[..count]);
+            self.received += count as u64;
         }
         !self.bytes.is_empty()
     }
@@ -110,7 +113,9 @@
         if self.bytes.len() >= MOST {
             return Err(bad("a message without an end"));
         }
-        Ok(self.stream.read_buf(&mut self.bytes).await? > 0)
+        let count = self.stream.read_buf(&mut self.bytes).await?;
+        self.received += count as u64;
+        Ok(count > 0)
     }
 }
 
--- a/crates/pondlb-lab/src/lib.rs
+++ b/crates/pondlb-lab/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -62,7 +62,7 @@
     ticks.abort();
 }
 
-async fn tick(book: Rc<Book>) {
+pub(crate) async fn tick(book: Rc<Book>) {
     let mut next = book.now();
     loop {
         next += TICK;
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -11,6 +11,7 @@
 use pondlb_lab::report;
 use pondlb_lab::run::{Report, play};
 use pondlb_lab::scenario::Scenario;
+use pondlb_lab::slopes::{self, Dimension};
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -64,6 +65,26 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
+    /// Measures what one balancer needs against one dimension of its size at a time
+    Slopes {
+        /// All of them where none is named
+        dimension: Vec<Dimension>,
+        /// The balancer's program
+        #[arg(long, default_value = "target/release/pondlb-server")]
+        program: PathBuf,
+        /// An argument for it
+        #[arg(long)]
+        argument: Vec<String>,
+        /// A file for the result as JSON, beside the table
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// How long each point is measured
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Plays this part of all sizes
+        #[arg(long, default_value_t = 1.0)]
+        share: f64,
+    },
     /// Holds one balancer for a run, and ends it with the run
     #[command(hide = true)]
     Guard {
@@ -119,6 +140,10 @@
             }
             Ok(0)
         }
+        Command::Slopes { dimension, program, argument, json, seconds, share } => {
+            let program = Program { path: program, arguments: argument };
+            slopes(&slopes::Options { program, dimensions: dimension, seconds, share }, json.as_deref())
+        }
         Command::Run { scenario, program, argument, seed, json, ledgers, html } => {
             let mut scenario = read(&scenario)?;
             scenario.seed = seed.unwrap_or(scenario.seed);
@@ -179,6 +204,27 @@
     }
 }
 
+/// Prints each dimension as it is done.
+fn slopes(options: &slopes::Options, json: Option<&Path>) -> Result<u8, String> {
+    options.check()?;
+    if let Some(path) = json {
+        written(path, "")?;
+    }
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let run = async {
+        tokio::select! {
+            measured = slopes::measure(options, |measured| println!("{}", measured.table())) => measured,
+            _ = tokio::signal::ctrl_c() => Err(std::io::Error::other("interrupted")),
+        }
+    };
+    let measured = LocalSet::new().block_on(&runtime, run).map_err(|e| e.to_string())?;
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&measured).map_err(|e| e.to_string())?;
+        written(path, &(text + "\n"))?;
+    }
+    Ok(if measured.iter().any(|one| one.void.is_some()) { VOID } else { 0 })
+}
+
 fn played(program: &Program, scenario: Scenario) -> Result<(Report, Ledgers), String> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     let run = async {
--- /dev/null
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -0,0 +1,136 @@
+//! What one balancer needs of state, messages, processor time and memory, measured against one dimension of its size at
+//! a time: points, the line through them, and one point beyond. docs/CAPACITY.md is worked out from these slopes.
+
+mod bench;
+mod callers;
+mod changes;
+pub mod fit;
+pub mod listing;
+mod load;
+pub mod probe;
+mod requests;
+mod restarts;
+pub mod series;
+mod settings;
+pub mod stand_in;
+mod upstreams;
+
+use std::io;
+use std::time::Duration;
+
+use clap::ValueEnum;
+use serde::Serialize;
+use tokio::task::spawn_local;
+
+use crate::balancers::Program;
+use crate::judge;
+use crate::load::tick;
+use bench::Bench;
+use series::Series;
+
+/// What a series goes along.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, ValueEnum)]
+#[serde(rename_all = "lowercase")]
+pub enum Dimension {
+    /// Length of the list
+    Upstreams,
+    /// Changes a second, and entries changed at once
+    Changes,
+    /// Classes in the settings
+    Classes,
+    /// Tenants in the settings
+    Tenants,
+    /// Requests a second
+    Requests,
+    /// Starts, against the length of the list
+    Restarts,
+    /// Balancers that follow one discovery
+    Balancers,
+}
+
+/// What is measured, and how.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The balancer.
+    pub program: Program,
+    /// All of them where none is named.
+    pub dimensions: Vec<Dimension>,
+    /// How long each point is measured.
+    pub seconds: f64,
+    /// All sizes times this.
+    pub share: f64,
+}
+
+/// What was measured along one dimension.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Measured {
+    /// Which.
+    pub dimension: Dimension,
+    /// Why its times say nothing, if they do not.
+    pub void: Option<String>,
+    /// Each quantity.
+    pub series: Vec<Series>,
+}
+
+/// The shortest and longest time for one point.
+const SECONDS: std::ops::RangeInclusive<f64> = 0.1..=60.0;
+const SHARES: std::ops::RangeInclusive<f64> = 0.001..=1.0;
+
+impl Options {
+    /// What of it can't be used, in plain words.
+    ///
+    /// # Errors
+    /// The name of the option at fault, with what is accepted.
+    pub fn check(&self) -> Result<(), String> {
+        if !SECONDS.contains(&self.seconds) {
+            return Err(format!("--seconds {}: 0.1 to 60 are accepted", self.seconds));
+        }
+        if !SHARES.contains(&self.share) {
+            return Err(format!("--share {}: 0.001 to 1 are accepted", self.share));
+        }
+        Ok(())
+    }
+}
+
+/// Measures one dimension after the other, and tells of each as it is done.
+///
+/// # Errors
+/// A balancer can't be started, or ends by itself.
+pub async fn measure(options: &Options, mut done: impl FnMut(&Measured)) -> io::Result<Vec<Measured>> {
+    let span = Duration::from_secs_f64(options.seconds);
+    let bench = Bench::open(options.program.clone(), span, options.share).await?;
+    let ticks = spawn_local(tick(bench.book.clone()));
+    let all = Dimension::value_variants();
+    let dimensions = if options.dimensions.is_empty() { all } else { &options.dimensions };
+    let mut results = Vec::new();
+    for dimension in dimensions {
+        let series = along(&bench, *dimension).await?;
+        let void = judge::void(&bench.book.ledgers.take());
+        let measured = Measured { dimension: *dimension, void, series };
+        done(&measured);
+        results.push(measured);
+    }
+    ticks.abort();
+    Ok(results)
+}
+
+async fn along(bench: &Bench, dimension: Dimension) -> io::Result<Vec<Series>> {
+    match dimension {
+        Dimension::Upstreams => upstreams::measure(bench).await,
+        Dimension::Changes => changes::measure(bench).await,
+        Dimension::Classes => settings::classes(bench).await,
+        Dimension::Tenants => settings::tenants(bench).await,
+        Dimension::Requests => requests::measure(bench).await,
+        Dimension::Restarts => restarts::measure(bench).await,
+        Dimension::Balancers => callers::measure(bench).await,
+    }
+}
+
+impl Measured {
+    /// As people read it.
+    pub fn table(&self) -> String {
+        let tables: String = self.series.iter().map(|series| series.table() + "\n").collect();
+        let void = self.void.as_ref().map_or_else(String::new, |why| format!("void: {why}\n"));
+        format!("== {:?}\n{tables}{void}", self.dimension)
+    }
+}
--- /dev/null
+++ b/crates/pondlb-lab/src/slopes/probe.rs
@@ -0,0 +1,86 @@
+//! What the system says of a process: processor time, resident memory, open descriptors.
+
+use std::fs;
+use std::io;
+use std::time::Duration;
+
+/// A process that is watched, by its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Process(pub u32);
+
+/// Resident memory, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Memory {
+    /// At present.
+    pub resident: u64,
+    /// The most so far.
+    pub peak: u64,
+}
+
+impl Process {
+    /// Processor time of all threads that the process has, to the nanosecond.
+    ///
+    /// # Errors
+    /// The process has ended, or the system keeps no such statistics.
+    pub fn processor_time(self) -> io::Result<Duration> {
+        let mut sum = Duration::ZERO;
+        for thread in fs::read_dir(format!("/proc/{}/task", self.0))? {
+            let text = fs::read_to_string(thread?.path().join("schedstat"))?;
+            sum += parse_schedstat(&text).ok_or_else(|| unreadable("schedstat", &text))?;
+        }
+        Ok(sum)
+    }
+
+    /// Resident memory.
+    ///
+    /// # Errors
+    /// The process has ended.
+    pub fn memory(self) -> io::Result<Memory> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.0))?;
+        parse_status(&text).ok_or_else(|| unreadable("status", &text))
+    }
+
+    /// How many descriptors are open.
+    ///
+    /// # Errors
+    /// The process has ended.
+    pub fn descriptors(self) -> io::Result<usize> {
+        Ok(fs::read_dir(format!("/proc/{}/fd", self.0))?.count())
+    }
+
+    /// The first child of the process; none while there is none.
+    ///
+    /// # Errors
+    /// The process has ended, or the system keeps no list of children.
+    pub fn child(self) -> io::Result<Option<Process>> {
+        let text = fs::read_to_string(format!("/proc/{0}/task/{0}/children", self.0))?;
+        Ok(parse_children(&text))
+    }
+}
+
+fn unreadable(file: &str, text: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{file} can't be read: {text:?}"))
+}
+
+/// The time on a processor, which `schedstat` names first, in nanoseconds.
+pub fn parse_schedstat(text: &str) -> Option<Duration> {
+    let mut numbers = text.split_ascii_whitespace().map(str::parse::<u64>);
+    let time = numbers.next()?.ok()?;
+    // Time spent waiting and the count of turns: without them this is another file.
+    let rest = [numbers.next()?, numbers.next()?];
+    rest.iter().all(Result::is_ok).then(|| Duration::from_nanos(time))
+}
+
+/// `VmRSS` and `VmHWM` of `status`, which are in kibibytes.
+pub fn parse_status(text: &str) -> Option<Memory> {
+    let kibibytes = |name: &str| {
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'))?;
+        line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok()
+    };
+    Some(Memory { resident: kibibytes("VmRSS")? * 1024, peak: kibibytes("VmHWM")? * 1024 })
+}
+
+/// The first id in a list of children.
+pub fn parse_children(text: &str) -> Option<Process> {
+    text.split_ascii_whitespace().next()?.parse().ok().map(Process)
+}
--- /dev/null
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -0,0 +1,219 @@
+//! Slopes: the line, what is read of a process, and a small run from the command line.
+
+use std::path::Path;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use pondlb_lab::http::Wire;
+use pondlb_lab::slopes::fit::Line;
+use pondlb_lab::slopes::listing::Listing;
+use pondlb_lab::slopes::probe::{Memory, Process, parse_children, parse_schedstat, parse_status};
+use pondlb_lab::slopes::series::{Point, Series};
+use pondlb_lab::slopes::stand_in::Discovery;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+const VOID: i32 = 3;
+
+fn slopes(line: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).arg("slopes").args(line).output().unwrap()
+}
+
+#[test]
+fn a_line_goes_through_exact_points_and_between_others() {
+    let exact = Line::through(&[(0.0, 3.0), (10.0, 5.0), (20.0, 7.0)]).unwrap();
+    assert!((exact.intercept - 3.0).abs() < 1e-9 && (exact.slope - 0.2).abs() < 1e-9);
+    assert!(exact.residual < 1e-9);
+    assert!((exact.at(100.0) - 23.0).abs() < 1e-9);
+    // Two points off by one each, up and down: the line is the same, and the residual tells them.
+    let between = Line::through(&[(0.0, 4.0), (0.0, 2.0), (10.0, 6.0), (10.0, 4.0)]).unwrap();
+    assert!((between.intercept - 3.0).abs() < 1e-9 && (between.slope - 0.2).abs() < 1e-9);
+    assert!((between.residual - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn no_line_goes_through_points_of_one_size() {
+    assert_eq!(Line::through(&[]), None);
+    assert_eq!(Line::through(&[(1.0, 2.0)]), None);
+    assert_eq!(Line::through(&[(1.0, 2.0), (1.0, 3.0)]), None);
+}
+
+fn point(size: f64, value: Option<f64>) -> Point {
+    Point { size, value, note: None }
+}
+
+#[test]
+fn the_last_point_is_compared_with_the_line_through_the_others() {
+    let points = [(1.0, Some(1.0)), (2.0, Some(2.0)), (3.0, None), (4.0, Some(4.0)), (10.0, Some(15.0))];
+    let points = points.map(|(size, value)| point(size, value));
+    let series = Series::new("memory", "MB", "upstreams", points.to_vec());
+    let beyond = series.beyond.unwrap();
+    assert_eq!((series.points.len(), beyond.point.size), (4, 10.0));
+    assert!((beyond.predicted.unwrap() - 10.0).abs() < 1e-9);
+    assert!((beyond.ratio.unwrap() - 1.5).abs() < 1e-9);
+}
+
+#[test]
+fn a_point_that_was_not_measured_has_no_ratio() {
+    let points = vec![point(1.0, Some(0.0)), point(2.0, Some(0.0)), point(3.0, None)];
+    let beyond = Series::new("calls", "calls/s", "balancers", points).beyond.unwrap();
+    assert_eq!((beyond.predicted, beyond.ratio), (Some(0.0), None));
+    let points = vec![point(1.0, Some(0.0)), point(2.0, Some(0.0)), point(3.0, Some(1.0))];
+    // Nothing is so many times nothing.
+    assert_eq!(Series::new("calls", "calls/s", "balancers", points).beyond.unwrap().ratio, None);
+}
+
+#[test]
+fn processor_time_memory_and_children_are_read_as_the_system_writes_them() {
+    assert_eq!(parse_schedstat("45595251 4451743 117\n"), Some(Duration::from_nanos(45_595_251)));
+    assert_eq!(parse_schedstat("45595251\n"), None);
+    assert_eq!(parse_schedstat("-1 0 0\n"), None);
+    assert_eq!(parse_schedstat(""), None);
+    let status = "Name:\tx\nVmPeak:\t    9000 kB\nVmHWM:\t    2048 kB\nVmRSS:\t    1024 kB\nThreads:\t1\n";
+    assert_eq!(parse_status(status), Some(Memory { resident: 1 << 20, peak: 2 << 20 }));
+    assert_eq!(parse_status("VmHWM:\t 2048 kB\n"), None);
+    assert_eq!(parse_status("VmRSS:\t 1024 MB\nVmHWM:\t 2048 kB\n"), None);
+    assert_eq!(parse_children("24690 24691 \n"), Some(Process(24690)));
+    assert_eq!(parse_children("\n"), None);
+}
+
+#[test]
+fn the_own_process_can_be_probed() {
+    let own = Process(std::process::id());
+    let memory = own.memory().unwrap();
+    assert!(memory.resident > 0 && memory.peak >= memory.resident);
+    assert!(own.descriptors().unwrap() >= 3);
+    assert!(own.processor_time().unwrap() > Duration::ZERO);
+    assert!(Process(u32::MAX).memory().is_err());
+}
+
+/// What discovery answers to one call, as JSON.
+async fn call(discovery: &Discovery, query: &str) -> Value {
+    let mut wire = Wire::new(TcpStream::connect(discovery.address).await.unwrap());
+    wire.write(&format!("GET /catalog/members{query} HTTP/1.1\r\nHost: d\r\n\r\n")).await.unwrap();
+    serde_json::from_str(&wire.answer().await.unwrap().unwrap().body).unwrap()
+}
+
+#[test]
+fn discovery_pushes_a_changed_entry_alone_and_whole_lists() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listing = Listing::new(vec!["127.0.0.1:9".parse().unwrap()], 5);
+        let discovery = Discovery::start(listing).await.unwrap();
+        let whole = call(&discovery, "").await;
+        assert_eq!((&whole["rev"], &whole["all"]), (&1.into(), &true.into()));
+        assert_eq!(whole["targets"].as_array().unwrap().len(), 5);
+        let nothing = call(&discovery, "?from=1&hold_ms=10").await;
+        assert_eq!((&nothing["rev"], &nothing["all"]), (&1.into(), &false.into()));
+        assert!(nothing["targets"].as_array().unwrap().is_empty());
+
+        discovery.push_changes(3..4);
+        let changed = call(&discovery, "?from=1&hold_ms=10").await;
+        assert_eq!((&changed["rev"], &changed["all"]), (&2.into(), &false.into()));
+        let targets = changed["targets"].as_array().unwrap();
+        assert_eq!(
+            (targets.len(), &targets[0]["uid"], &targets[0]["state"]),
+            (1, &"u00003".into(), &"leaving".into())
+        );
+
+        discovery.push_whole();
+        let anew = call(&discovery, "?from=2&hold_ms=10").await;
+        assert_eq!((&anew["rev"], &anew["all"]), (&3.into(), &true.into()));
+        assert_eq!(anew["targets"][3]["state"], "leaving");
+        assert_eq!((discovery.version(), discovery.heard(), discovery.traffic().calls), (3, 2, 4));
+    });
+}
+
+/// The result of a small run before a test double, which holds the list that it is given.
+fn small_run(folder: &Path, dimensions: &[&str]) -> Vec<Value> {
+    let json = folder.join("slopes.json");
+    let planted = env!("CARGO_BIN_EXE_pondlb-planted");
+    let mut line = dimensions.to_vec();
+    line.extend(["--program", planted, "--argument", "honest", "--seconds", "0.2", "--share", "0.02"]);
+    line.extend(["--json", json.to_str().unwrap()]);
+    let run = slopes(&line);
+    // Void says that times mean nothing, which are not looked at here.
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert!(matches!(run.status.code(), Some(0 | VOID)), "{:?} {said}", run.status);
+    serde_json::from_str(&std::fs::read_to_string(json).unwrap()).unwrap()
+}
+
+fn series<'a>(result: &'a Value, quantity: &str) -> &'a Value {
+    let all = result["series"].as_array().unwrap();
+    all.iter().find(|series| series["quantity"] == quantity).unwrap_or_else(|| panic!("no {quantity}"))
+}
+
+fn sizes(series: &Value) -> Vec<f64> {
+    let points = series["points"].as_array().unwrap();
+    let all = points.iter().chain([&series["beyond"]["point"]]);
+    all.map(|point| point["size"].as_f64().unwrap()).collect()
+}
+
+fn values(series: &Value) -> Vec<f64> {
+    let points = series["points"].as_array().unwrap();
+    let all = points.iter().chain([&series["beyond"]["point"]]);
+    all.map(|point| point["value"].as_f64().unwrap_or_else(|| panic!("not measured: {series}"))).collect()
+}
+
+#[test]
+fn a_small_run_takes_all_sizes_and_measures_every_point() {
+    let folder = tempfile::tempdir().unwrap();
+    let results = small_run(folder.path(), &["upstreams", "tenants"]);
+    let named: Vec<&Value> = results.iter().map(|result| &result["dimension"]).collect();
+    assert_eq!(named, ["upstreams", "tenants"]);
+    let memory = series(&results[0], "resident memory");
+    assert_eq!(sizes(memory), [4.0, 20.0, 80.0, 160.0, 480.0]);
+    assert!(values(memory).iter().all(|value| *value > 0.0));
+    let wire = values(series(&results[0], "whole list on the wire"));
+    // Entries have one length, so the line through four sizes tells the fifth.
+    assert!(wire.is_sorted() && wire[4] > 20.0 * wire[0]);
+    let ratio = series(&results[0], "whole list on the wire")["beyond"]["ratio"].as_f64().unwrap();
+    assert!((0.95..1.05).contains(&ratio), "{ratio}");
+    for quantity in ["resident memory", "processor time until ready", "configuration file"] {
+        let tenants = series(&results[1], quantity);
+        assert_eq!(sizes(tenants), [20.0, 160.0, 480.0, 800.0, 1260.0]);
+        assert!(values(tenants).iter().all(|value| *value > 0.0), "{quantity}");
+    }
+    let file = values(series(&results[1], "configuration file"));
+    assert!(file.is_sorted() && file[4] > file[0]);
+}
+
+#[test]
+fn more_upstreams_need_more_memory() {
+    let folder = tempfile::tempdir().unwrap();
+    let results = small_run(folder.path(), &["upstreams"]);
+    let values = values(series(&results[0], "resident memory"));
+    // 160 and 480 entries, from 4: a double that holds them as JSON needs half a kilobyte and more for each.
+    assert!(values[4] > values[0], "{values:?}");
+}
+
+#[test]
+fn bad_input_ends_with_2_before_anything_starts() {
+    let planted = env!("CARGO_BIN_EXE_pondlb-planted");
+    let cases: [(&[&str], &str); 7] = [
+        (&["upstreems"], "upstreems"),
+        (&["--seconds", "0"], "--seconds 0: 0.1 to 60 are accepted"),
+        (&["--seconds", "nan"], "--seconds NaN: 0.1 to 60 are accepted"),
+        (&["--share", "2"], "--share 2: 0.001 to 1 are accepted"),
+        (&["--share", "0"], "--share 0: 0.001 to 1 are accepted"),
+        (&["--program", "no/such/program"], "no/such/program"),
+        (&["--program", planted, "--json", "no/such/folder/x.json"], "no/such/folder/x.json"),
+    ];
+    for (line, told) in cases {
+        let run = slopes(line);
+        assert_eq!(run.status.code(), Some(2), "{line:?}");
+        let said = String::from_utf8(run.stderr).unwrap();
+        assert!(said.contains(told), "{line:?}: {said}");
+        assert!(run.stdout.is_empty(), "{line:?}");
+    }
+}
+
+#[test]
+fn a_program_that_ends_at_once_is_told_with_2() {
+    let run = slopes(&["upstreams", "--program", "/bin/false", "--seconds", "0.2", "--share", "0.001"]);
+    assert_eq!(run.status.code(), Some(2));
+    let said = String::from_utf8(run.stderr).unwrap();
+    assert!(said.contains("the balancer ended"), "{said}");
+}
