--- a/crates/pondlb-lab/src/slopes/series.rs
+++ b/crates/pondlb-lab/src/slopes/series.rs
@@ -109,7 +109,7 @@
         }
         if let Some(line) = &self.fit {
             text += &format!(
-                "{:>12} {:>12} + {:.4} for each, residual {:.4}\n",
+                "{:>12} {:>12} + {:.6} for each, residual {:.4}\n",
                 "line",
                 shown(Some(line.intercept)),
                 line.slope,
