Slopes: times are void where the balancer waited for a processor

On a machine with 30 ready processes on 8 cores a balancer's p99 was 158 ms at 113 requests a second, and the laboratory itself was in time: the run was not told as void. The scheduler counts how long a process waited; where that is more than half of the time that it ran, while it served, times are void (exit 3). Each point of a time tells the part.

--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -15,10 +15,11 @@
 
 use super::listing::Listing;
 use super::load::{Latency, Load, Way};
-use super::probe::Process;
+use super::probe::{Process, Scheduled};
 use super::stand_in::{Discovery, Traffic, Upstreams};
 use crate::balancers::{Program, is_ready, spawn_guarded};
 use crate::fleet::Book;
+use crate::judge;
 
 const NS: u64 = 1_000_000;
 /// Addresses that all listed upstreams share.
@@ -37,6 +38,9 @@
 /// A little longer than a call to discovery waits for news.
 const SETTLE: Duration = Duration::from_millis(1500);
 
+/// Times say nothing of a balancer that waited for a processor for more than this part of the time that it ran.
+const MOST_WAITED: f64 = 0.5;
+
 /// Where a balancer has its first list from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum First {
@@ -78,6 +82,8 @@
     share: f64,
     started: Cell<u32>,
     loads: Cell<u32>,
+    /// What all balancers were given while they served.
+    serving: Cell<Scheduled>,
 }
 
 /// A balancer and its discovery.
@@ -110,7 +116,7 @@
     /// How long it was.
     pub span: Duration,
     /// The balancer's processor time.
-    pub processor: Duration,
+    pub scheduled: Scheduled,
     /// Calls to discovery and their bytes.
     pub traffic: Traffic,
 }
@@ -118,7 +124,7 @@
 impl Spent {
     /// Processor time in milliseconds for each second.
     pub fn processor_ms_per_second(&self) -> f64 {
-        self.processor.as_secs_f64() * 1000.0 / self.span.as_secs_f64()
+        self.scheduled.ran.as_secs_f64() * 1000.0 / self.span.as_secs_f64()
     }
 }
 
@@ -155,9 +161,23 @@
             share,
             started: Cell::new(0),
             loads: Cell::new(0),
+            serving: Cell::default(),
         })
     }
 
+    /// Why the times measured since the last call say nothing, if they do not.
+    pub fn void(&self) -> Option<String> {
+        let Scheduled { ran, waited } = self.serving.take();
+        let busy = || {
+            let (ran, waited) = (ran.as_millis(), waited.as_millis());
+            format!(
+                "while they served, balancers ran for {ran} ms and waited for a processor for {waited} ms"
+            )
+        };
+        let late = judge::void(&self.book.ledgers.take());
+        late.or_else(|| (waited.as_secs_f64() > MOST_WAITED * ran.as_secs_f64()).then(busy))
+    }
+
     /// A size as it is played: the asked share of it.
     pub fn scaled(&self, size: usize) -> usize {
         ((size as f64 * self.share).round() as usize).max(1)
@@ -208,11 +228,11 @@
         discovery: &Discovery,
         other: impl Future<Output = ()>,
     ) -> io::Result<Spent> {
-        let (begun, before) = (Instant::now(), running.process.processor_time()?);
+        let (begun, before) = (Instant::now(), running.process.scheduled()?);
         let traffic = discovery.traffic();
         tokio::join!(sleep(self.span), other);
-        let processor = running.process.processor_time()?.saturating_sub(before);
-        Ok(Spent { span: begun.elapsed(), processor, traffic: discovery.traffic().since(&traffic) })
+        let scheduled = running.process.scheduled()?.since(&before);
+        Ok(Spent { span: begun.elapsed(), scheduled, traffic: discovery.traffic().since(&traffic) })
     }
 
     /// Nothing to do until what came with the start is over.
@@ -256,6 +276,7 @@
         through.reset();
         direct.reset();
         let spent = self.spend_beside(running, discovery, other).await?;
+        self.serving.set(self.serving.get().and(&spent.scheduled));
         let connections = self.upstreams.open().saturating_sub(direct.connections());
         let descriptors = running.process.descriptors()?;
         drop(load);
@@ -295,7 +316,7 @@
                 )));
             }
             if matches!(timeout(HEALTH_WITHIN, is_ready(self.address)).await, Ok(Ok(true))) {
-                self.start = Some(Start { took: begun.elapsed(), processor: self.process.processor_time()? });
+                self.start = Some(Start { took: begun.elapsed(), processor: self.process.scheduled()?.ran });
                 return Ok(());
             }
             sleep(READY_STEP).await;
--- a/crates/pondlb-lab/src/slopes/changes.rs
+++ b/crates/pondlb-lab/src/slopes/changes.rs
@@ -6,6 +6,8 @@
 use tokio::time::sleep;
 
 use super::bench::{Bench, First, Served, Size, class_name};
+use super::load::Latency;
+use super::probe::Scheduled;
 use super::series::Series;
 
 const LISTS: [usize; 2] = [200, 24_000];
@@ -71,7 +73,7 @@
         };
         let served = bench.serve(&running, &discovery, &class, REQUESTS_PER_SECOND, changes).await?;
         let quiet_ms = quiet.spent.processor_ms_per_second() * served.spent.span.as_secs_f64();
-        let message_ms = (served.spent.processor.as_secs_f64() * 1000.0 - quiet_ms) / messages;
+        let message_ms = (served.spent.scheduled.ran.as_secs_f64() * 1000.0 - quiet_ms) / messages;
         measured.push((entries, (message_ms, served)));
     }
     running.end().await?;
@@ -102,7 +104,7 @@
             along,
             measured,
             |at| (at.through.answered > 0).then(|| value(at)),
-            |at| Some(format!("{} answered, {} failed", at.through.answered, at.through.failed)),
+            |at| Some(seen(at)),
         )
         .without_fit()
     };
@@ -116,3 +118,10 @@
         column("most direct", |at| at.direct.most),
     ]
 }
+
+fn seen(served: &Served) -> String {
+    let Latency { answered, failed, .. } = served.through;
+    let Scheduled { ran, waited } = served.spent.scheduled;
+    let part = 100.0 * waited.as_secs_f64() / ran.as_secs_f64();
+    format!("{answered} answered, {failed} failed; waited for a processor for {part:.0} % of the time on one")
+}
--- a/crates/pondlb-lab/src/slopes/mod.rs
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -23,7 +23,6 @@
 use tokio::task::spawn_local;
 
 use crate::balancers::Program;
-use crate::judge;
 use crate::load::tick;
 use bench::Bench;
 use series::Series;
@@ -105,7 +104,7 @@
     let mut results = Vec::new();
     for dimension in dimensions {
         let series = along(&bench, *dimension).await?;
-        let void = judge::void(&bench.book.ledgers.take());
+        let void = bench.void();
         let measured = Measured { dimension: *dimension, void, series };
         done(&measured);
         results.push(measured);
--- a/crates/pondlb-lab/src/slopes/probe.rs
+++ b/crates/pondlb-lab/src/slopes/probe.rs
@@ -17,16 +17,40 @@
     pub peak: u64,
 }
 
+/// What the scheduler gave to a process, to the nanosecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduled {
+    /// On a processor.
+    pub ran: Duration,
+    /// Ready to run, while others had the processors.
+    pub waited: Duration,
+}
+
+impl Scheduled {
+    /// What has come since then.
+    pub fn since(&self, before: &Scheduled) -> Scheduled {
+        Scheduled {
+            ran: self.ran.saturating_sub(before.ran),
+            waited: self.waited.saturating_sub(before.waited),
+        }
+    }
+
+    /// Both together.
+    pub fn and(&self, other: &Scheduled) -> Scheduled {
+        Scheduled { ran: self.ran + other.ran, waited: self.waited + other.waited }
+    }
+}
+
 impl Process {
-    /// Processor time of all threads that the process has, to the nanosecond.
+    /// Processor time of all threads that the process has.
     ///
     /// # Errors
     /// The process has ended, or the system keeps no such statistics.
-    pub fn processor_time(self) -> io::Result<Duration> {
-        let mut sum = Duration::ZERO;
+    pub fn scheduled(self) -> io::Result<Scheduled> {
+        let mut sum = Scheduled::default();
         for thread in fs::read_dir(format!("/proc/{}/task", self.0))? {
             let text = fs::read_to_string(thread?.path().join("schedstat"))?;
-            sum += parse_schedstat(&text).ok_or_else(|| unreadable("schedstat", &text))?;
+            sum = sum.and(&parse_schedstat(&text).ok_or_else(|| unreadable("schedstat", &text))?);
         }
         Ok(sum)
     }
@@ -62,13 +86,12 @@
     io::Error::new(io::ErrorKind::InvalidData, format!("{file} can't be read: {text:?}"))
 }
 
-/// The time on a processor, which `schedstat` names first, in nanoseconds.
-pub fn parse_schedstat(text: &str) -> Option<Duration> {
+/// Time on a processor, time spent waiting for one, both in nanoseconds, and the count of turns.
+pub fn parse_schedstat(text: &str) -> Option<Scheduled> {
     let mut numbers = text.split_ascii_whitespace().map(str::parse::<u64>);
-    let time = numbers.next()?.ok()?;
-    // Time spent waiting and the count of turns: without them this is another file.
-    let rest = [numbers.next()?, numbers.next()?];
-    rest.iter().all(Result::is_ok).then(|| Duration::from_nanos(time))
+    let mut next = || numbers.next()?.ok();
+    let (ran, waited, _turns) = (next()?, next()?, next()?);
+    Some(Scheduled { ran: Duration::from_nanos(ran), waited: Duration::from_nanos(waited) })
 }
 
 /// `VmRSS` and `VmHWM` of `status`, which are in kibibytes.
--- a/crates/pondlb-lab/src/slopes/upstreams.rs
+++ b/crates/pondlb-lab/src/slopes/upstreams.rs
@@ -65,7 +65,7 @@
     let over_idle = changing.processor_ms_per_second() - idle.processor_ms_per_second();
     let within = TAKEN_WITHIN.min(TAKEN_WITHIN_SPANS * bench.span);
     let _last_change = bench.is_heard(&discovery, within).await;
-    let (before, traffic) = (running.process.processor_time()?, discovery.traffic());
+    let (before, traffic) = (running.process.scheduled()?, discovery.traffic());
     let mut taken = 0;
     while taken < WHOLE_LISTS {
         discovery.push_whole();
@@ -74,7 +74,7 @@
         }
         taken += 1;
     }
-    let processor = running.process.processor_time()?.saturating_sub(before);
+    let processor = running.process.scheduled()?.since(&before).ran;
     let calls = discovery.traffic().since(&traffic).calls;
     let is_taken = taken == WHOLE_LISTS;
     let refused = || {
--- a/crates/pondlb-lab/tests/slopes.rs
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -7,7 +7,7 @@
 use pondlb_lab::http::Wire;
 use pondlb_lab::slopes::fit::Line;
 use pondlb_lab::slopes::listing::Listing;
-use pondlb_lab::slopes::probe::{Memory, Process, parse_children, parse_schedstat, parse_status};
+use pondlb_lab::slopes::probe::{Memory, Process, Scheduled, parse_children, parse_schedstat, parse_status};
 use pondlb_lab::slopes::series::{Point, Series};
 use pondlb_lab::slopes::stand_in::Discovery;
 use serde_json::Value;
@@ -67,7 +67,9 @@
 
 #[test]
 fn processor_time_memory_and_children_are_read_as_the_system_writes_them() {
-    assert_eq!(parse_schedstat("45595251 4451743 117\n"), Some(Duration::from_nanos(45_595_251)));
+    let (ran, waited) = (Duration::from_nanos(45_595_251), Duration::from_nanos(4_451_743));
+    assert_eq!(parse_schedstat("45595251 4451743 117\n"), Some(Scheduled { ran, waited }));
+    assert_eq!(parse_schedstat("45595251 4451743\n"), None);
     assert_eq!(parse_schedstat("45595251\n"), None);
     assert_eq!(parse_schedstat("-1 0 0\n"), None);
     assert_eq!(parse_schedstat(""), None);
@@ -85,7 +87,7 @@
     let memory = own.memory().unwrap();
     assert!(memory.resident > 0 && memory.peak >= memory.resident);
     assert!(own.descriptors().unwrap() >= 3);
-    assert!(own.processor_time().unwrap() > Duration::ZERO);
+    assert!(own.scheduled().unwrap().ran > Duration::ZERO);
     assert!(Process(u32::MAX).memory().is_err());
 }
 
