--- /dev/null
+++ b/crates/pondlb-control-net/src/check.rs
@@ -0,0 +1,42 @@
+//! Which values of records are taken.
+
+use std::borrow::Cow;
+
+use pondlb_control::{Key, Kind};
+use pondlb_terms::{SettingChange, Target};
+
+/// Says whether a value may be taken for a record, or the record be removed, and why not.
+pub type CheckRecord = fn(&Key, Option<&str>) -> Result<(), String>;
+
+/// Takes any JSON object for an upstream, a class or a tenant, and any scalar for a limit: for a server that hands
+/// records on, also to balancers that know more of them than it does.
+///
+/// # Errors
+/// Says what is accepted, where the value is of another shape.
+pub fn check_shape(key: &Key, value: Option<&str>) -> Result<(), String> {
+    let Some(value) = value else { return Ok(()) };
+    let first = value.trim_start().bytes().next();
+    let is_object = first == Some(b'{');
+    let is_scalar = !matches!(first, None | Some(b'{' | b'['));
+    match key.kind() {
+        Kind::Upstream | Kind::Class | Kind::Tenant if !is_object => Err("a JSON object is accepted".into()),
+        Kind::Limit if !is_scalar => Err("a JSON scalar is accepted".into()),
+        _ => Ok(()),
+    }
+}
+
+/// Takes what a balancer can put in force, as far as that shows from the record alone.
+///
+/// # Errors
+/// Says what is wrong with the value.
+pub fn check_record(key: &Key, value: Option<&str>) -> Result<(), String> {
+    check_shape(key, value)?;
+    match (key.kind(), value) {
+        (Kind::Upstream, Some(value)) => Target::read(key.name(), value).map(drop),
+        (Kind::Upstream, None) => Ok(()),
+        _ => pondlb_terms::check(&SettingChange {
+            key: Cow::Borrowed(key.as_str()),
+            value: value.map(Cow::Borrowed),
+        }),
+    }
+}
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -1,25 +1,31 @@
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pondlb::{Balancer, Lists, Tenths};
-use pondlb_terms::Links;
+use pondlb_terms::{Fault, Links, SettingChange};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
-use super::Phase;
+use super::configuration::{Configuration, cool_down};
 use super::setup::{Given, Setup};
+use crate::protocol::client::Classes;
+use crate::protocol::control::setting_change;
 use crate::routing::{Directory, Exchange, Note};
-use crate::transport::{Ask, Clock, Crowd, Front, Patience, Pool, Postings, discover, listen, span};
+use crate::transport::{
+    Ask, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool, Postings,
+    SettingsUpdate, discover, follow_control, listen, span,
+};
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
 /// expiry, 3 s at most, and 0.7 s more until it kills.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Farewell {
+pub(super) struct ShutdownTimeline {
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
@@ -30,7 +36,7 @@
     at_most: Duration,
 }
 
-impl Farewell {
+impl ShutdownTimeline {
     pub(super) fn new(expiry: Option<Tenths>) -> Self {
         let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
         let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
@@ -38,7 +44,7 @@
         // What comes last still has time for a quick answer.
         let stays = expiry.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
         let leaving = span(stays.max(LEAVING.min(answered)));
-        Farewell { leaving, answered, at_most: span(killed - MARGIN) }
+        ShutdownTimeline { leaving, answered, at_most: span(killed - MARGIN) }
     }
 }
 
@@ -55,6 +61,8 @@
 /// For a late loop and the way to the client.
 const SLACK: Tenths = 50;
 const BATCH: usize = 256;
+/// A whole state from control servers may take this part of the memory, beside what is served.
+const STATE_SHARE: usize = 4;
 
 /// The running program: its phase, and the loop that hands what happens to the exchange.
 pub struct Service {
@@ -62,7 +70,10 @@
     clock: Clock,
     exchange: Exchange<Postings>,
     notes: mpsc::UnboundedReceiver<Note>,
-    crowd: Rc<Crowd>,
+    /// From control servers; closed where none are followed.
+    settings: mpsc::UnboundedReceiver<SettingsUpdate>,
+    connections: Rc<ConnectionTable>,
+    configuration: Configuration,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -70,7 +81,7 @@
     given: Given,
     asks: mpsc::UnboundedSender<Ask>,
     told_to_end: Option<Instant>,
-    farewell: Farewell,
+    shutdown: ShutdownTimeline,
 }
 
 impl Service {
@@ -82,32 +93,61 @@
             .map_err(|e| io::Error::new(e.kind(), format!("listen: {}: {e}", setup.listen)))?;
         let address = listener.local_addr()?;
         let (mut terms, links) = (setup.deployment.terms, setup.deployment.links);
-        // Where the settings have the list come unasked, it does so on the simulator's wire only.
-        if terms.lists == Lists::Unasked {
-            terms.lists = Lists::Agent;
-        }
+        let own_number = terms.own_number;
+        // Control servers bring the list unasked; discovery does so on the simulator's wire only.
+        terms.lists = match terms.lists {
+            _ if setup.control.is_some() => Lists::Unasked,
+            Lists::Unasked => Lists::Agent,
+            asked => asked,
+        };
         let clock = Clock::start();
         let (phase, phase_seen) = watch::channel(Phase::Starting);
         let (notes_in, notes) = mpsc::unbounded_channel();
         let (asks_in, asks) = mpsc::unbounded_channel();
+        let (settings_in, settings) = mpsc::unbounded_channel();
         let pool = Pool::new(setup.budget.upstreams, span(links.idle / 2), span(connect_within(&links)));
         spawn_local(pool.clone().sweep());
         let memory = setup.budget.memory;
-        let crowd = Crowd::new(setup.budget.clients, links.most_open as usize, memory);
-        let front = Front {
-            crowd: crowd.clone(),
-            schemes: setup.deployment.names.schemes.clone(),
-            cool_down: terms.cool_down.map(|longest| longest / 2),
+        let connections = ConnectionTable::new(setup.budget.clients, links.most_open as usize, memory);
+        let front = Rc::new(Front {
+            connections: connections.clone(),
+            classes: RefCell::new(numbered(&setup.deployment.names.schemes)),
+            cool_down: Cell::new(cool_down(terms.cool_down)),
             notes: notes_in.clone(),
             phase: phase_seen,
-        };
-        spawn_local(listen(listener, Rc::new(front)));
+        });
+        spawn_local(listen(listener, front.clone()));
+        let configuration = Configuration { settings: setup.settings, front, pool: pool.clone() };
         let directory = Directory::new(setup.deployment.names, clock.unix_start());
         let balancer = Balancer::new(terms, setup.seed);
-        spawn_local(discover(setup.discovery, setup.known.version, Patience::new(), asks, notes_in.clone()));
+        if let Some(discovery) = setup.discovery {
+            let limit = ListLimit { longest: setup.budget.longest_list, backoff: Backoff::new(setup.seed) };
+            spawn_local(discover(
+                discovery,
+                setup.known.version,
+                Patience::new(),
+                limit,
+                asks,
+                notes_in.clone(),
+            ));
+        }
+        if let Some(control) = setup.control.clone() {
+            let follower = Follower {
+                name: setup.name.clone(),
+                number: own_number.into(),
+                seed: setup.seed,
+                state_bytes: memory.most / STATE_SHARE,
+                settings: settings_in,
+                remembered: setup.known.targets.iter().map(|target| target.upstream.clone()).collect(),
+            };
+            spawn_local(follow_control(control, follower, notes_in.clone()));
+        }
         let carrier =
             Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
+        if setup.control.is_some() {
+            exchange.await_state();
+        }
         exchange.remember(clock.now(), setup.known);
         log::info!("{} listens on {address}: {:?}", setup.name, setup.budget);
         Ok(Service {
@@ -115,14 +155,16 @@
             clock,
             exchange,
             notes,
-            crowd,
+            settings,
+            connections,
+            configuration,
             terminate,
             interrupt,
             hangup,
             given,
             asks: asks_in,
             told_to_end: None,
-            farewell: Farewell::new(links.expiry),
+            shutdown: ShutdownTimeline::new(links.expiry),
         })
     }
 
@@ -131,7 +173,7 @@
         while !self.is_over() {
             self.note_phase();
             let wake = self.exchange.wake_at().map(|at| self.clock.instant(at));
-            let Farewell { leaving, at_most, .. } = self.farewell;
+            let ShutdownTimeline { leaving, at_most, .. } = self.shutdown;
             let turn =
                 self.told_to_end.map(|at| at + if self.is(Phase::Closing) { at_most } else { leaving });
             let next = wake.into_iter().chain(turn.filter(|at| *at > Instant::now())).min();
@@ -141,8 +183,9 @@
                 _ = self.terminate.recv(), if running => self.leave(),
                 _ = self.interrupt.recv(), if running => self.leave(),
                 _ = self.hangup.recv() => self.read_anew(),
+                Some(update) = self.settings.recv() => self.put_settings_in_force(update),
                 _ = self.notes.recv_many(&mut batch, BATCH) => {}
-                () = self.crowd.changed.notified(), if self.is(Phase::Closing) => {}
+                () = self.connections.changed.notified(), if self.is(Phase::Closing) => {}
                 () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
             }
             self.exchange.step(self.clock.now(), batch.drain(..));
@@ -151,8 +194,8 @@
         Ok(())
     }
 
-    /// Only discovery can move while txns are open. A file that can't be used must not end a program that
-    /// serves, so everything stays as it was.
+    /// Discovery and most of the settings can change while txns are open. A file that can't be used must not end a
+    /// program that serves, so everything stays as it was.
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
             Ok(setup) => setup,
@@ -164,16 +207,66 @@
         for key in given.changed_since(&self.given) {
             log::warn!("configuration: {key}: the change takes a restart");
         }
-        log::info!("configuration read anew: discovery is at {}", given.discovery);
-        if given.discovery != self.given.discovery {
-            let _ended = self.asks.send(Ask::Move(given.discovery));
-            self.given.discovery = given.discovery;
+        self.take_what_came();
+        let (now, file) = (self.clock.now(), &setup.settings);
+        if let Err(fault) = self.configuration.change_to(now, file, &mut self.exchange) {
+            return log::error!("configuration: settings: {fault}; the one before stays in force");
+        }
+        self.note_links();
+        match given.discovery {
+            Some(discovery) => log::info!("configuration read anew: discovery is at {discovery}"),
+            None => log::info!("configuration read anew: control servers are followed"),
+        }
+        // From control servers to discovery and back takes a restart, as has been logged.
+        if let (Some(now), Some(before)) = (given.discovery, self.given.discovery)
+            && now != before
+        {
+            let _ended = self.asks.send(Ask::Move(now));
+            self.given.discovery = Some(now);
+        }
+    }
+
+    /// Puts changes of the settings by records in force: all of them or none.
+    fn change_settings(&mut self, changes: &[SettingChange]) -> Result<(), Fault> {
+        self.take_what_came();
+        self.configuration.change(self.clock.now(), changes, &mut self.exchange)?;
+        self.note_links();
+        Ok(())
+    }
+
+    /// The records of a settings update together. Where the settings don't allow all of them, each that they do.
+    fn put_settings_in_force(&mut self, SettingsUpdate { changes, applied }: SettingsUpdate) {
+        let changes: Vec<SettingChange> = changes.iter().map(setting_change).collect();
+        if let Err(fault) = self.change_settings(&changes) {
+            log::error!("control: settings: {fault}; {} changes are tried one by one", changes.len());
+            for change in &changes {
+                if let Err(fault) = self.change_settings(std::slice::from_ref(change)) {
+                    log::error!("control: {}: {fault}; it stays as it was", change.key);
+                }
+            }
+        }
+        let _ended = applied.send(());
+    }
+
+    /// Requests that have come already were read with the classes as they were, whose numbers may be used again.
+    fn take_what_came(&mut self) {
+        let mut come = Vec::new();
+        while let Ok(note) = self.notes.try_recv() {
+            come.push(note);
+        }
+        self.exchange.step(self.clock.now(), come);
+    }
+
+    /// An end that has begun keeps its times.
+    fn note_links(&mut self) {
+        if self.told_to_end.is_none() {
+            self.shutdown = ShutdownTimeline::new(self.configuration.links().expiry);
         }
     }
 
     fn leave(&mut self) {
         self.told_to_end = Some(Instant::now());
-        self.exchange.end_by(self.clock.now() + self.farewell.answered);
+        self.exchange.end_by(self.clock.now() + self.shutdown.answered);
     }
 
     fn is(&self, phase: Phase) -> bool {
@@ -182,7 +275,7 @@
 
     fn note_phase(&mut self) {
         let phase = match self.told_to_end {
-            Some(at) if at.elapsed() >= self.farewell.leaving => Phase::Closing,
+            Some(at) if at.elapsed() >= self.shutdown.leaving => Phase::Closing,
             Some(_) => Phase::Leaving,
             None if self.exchange.knows_upstreams() => Phase::Serving,
             None => Phase::Starting,
@@ -198,8 +291,8 @@
     }
 
     fn is_over(&self) -> bool {
-        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.farewell.at_most);
-        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.crowd.is_empty() || late)
+        let late = self.told_to_end.is_some_and(|at| at.elapsed() >= self.shutdown.at_most);
+        self.is(Phase::Closing) && self.exchange.owed() == 0 && (self.connections.is_empty() || late)
     }
 }
 
@@ -219,3 +312,12 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// The classes that requests may name; where a name stands twice, the first has it.
+fn numbered(names: &[String]) -> Classes {
+    let mut classes = Classes::new();
+    for (number, name) in (0..).zip(names) {
+        classes.entry(name.clone()).or_insert(number);
+    }
+    classes
+}
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -1,16 +1,19 @@
 //! The side that clients speak to: bytes to txns, answers to bytes.
 
+use std::collections::HashMap;
+
 use pondlb::{Arrival, Tenths, ceil_from_ns, floor_from_ns};
+use pondlb_http::{Fault, Message, Reader, request_framing};
 
-use super::framing::{Framing, framing};
-use super::head::{Fault, Head};
-use super::reader::{Message, Reader};
-use crate::routing::Answer;
+use super::answer::Answer;
 
 pub struct ClientSide {
     reader: Reader,
 }
 
+/// The numbers of the classes that requests may name.
+pub type Classes = HashMap<String, u32>;
+
 /// What a client wants.
 #[derive(Debug)]
 pub enum Wish {
@@ -40,15 +43,6 @@
 /// No wait or cost is longer, so that sums of times can't overflow.
 const MOST_NS: u64 = 3_600_000_000_000;
 
-fn request_framing(head: &Head) -> Result<Framing, Fault> {
-    let framing = framing(head, Framing::Length(0))?;
-    // The older version has no chunks: who takes them for a body may be led past its end.
-    if framing == Framing::Chunked && head.first.ends_with("/1.0") {
-        return Err(Fault::Malformed("a chunked body in HTTP/1.0"));
-    }
-    Ok(framing)
-}
-
 impl ClientSide {
     pub fn new() -> Self {
         ClientSide { reader: Reader::new(request_framing) }
@@ -72,13 +66,13 @@
         })
     }
 
-    /// The next request; `schemes` are the names that a txn may give for its scheme.
-    pub fn next(&mut self, schemes: &[String]) -> Result<Option<Asked>, Fault> {
-        self.reader.next()?.map(|message| asked(message, schemes)).transpose()
+    /// The next request, which must be of one of these classes.
+    pub fn next(&mut self, classes: &Classes) -> Result<Option<Asked>, Fault> {
+        self.reader.next_message()?.map(|message| asked(message, classes)).transpose()
     }
 }
 
-fn asked(message: Message, schemes: &[String]) -> Result<Asked, Fault> {
+fn asked(message: Message, classes: &Classes) -> Result<Asked, Fault> {
     let head = &message.head;
     let mut parts = head.first.split(' ');
     let (Some(method), Some(target), Some(version), None) =
@@ -107,8 +101,7 @@
         return Err(Fault::Malformed("Req-Id is no id"));
     }
     let kind = head.one("Req-Kind")?.ok_or(Fault::Malformed("no Req-Kind"))?;
-    let scheme =
-        schemes.iter().position(|name| name == kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
+    let scheme = *classes.get(kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
     let left = head.one("Req-Deadline")?.ok_or(Fault::Malformed("no Req-Deadline"))?;
     let left = span_ns(left).ok_or(Fault::Malformed("Req-Deadline is no time"))?;
     let cost = match head.one("Req-Cost")? {
@@ -117,7 +110,7 @@
     };
     let arrival = Arrival {
         txn: id.into(),
-        scheme: scheme as u32,
+        scheme,
         tenant: 0,
         key: None,
         left: floor_from_ns(left),
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TxnId, UpstreamId};
+use pondlb::{
+    Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TermsChange, TxnId, UpstreamId,
+};
+use pondlb_http::Message;
 use tokio::sync::oneshot;
 
-use super::{Answer, Directory, End, Note, Order, PostingId};
+use super::{Directory, End, Note, Order, PostingId};
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
-use crate::protocol::reader::Message;
 
 /// Does the work that the decisions ask for.
 pub trait Carrier {
@@ -90,6 +93,8 @@
     end: Option<Tenths>,
     /// How much before its expiry a txn must have its answer, for a loop that runs late.
     slack: Tenths,
+    /// The list of upstreams is not whole before control servers have told it.
+    awaits_state: bool,
 }
 
 impl<C: Carrier> Exchange<C> {
@@ -107,9 +112,21 @@
             wake: None,
             end: None,
             slack,
+            awaits_state: false,
         }
     }
 
+    /// Control servers are followed: nothing is known until their first whole state is in force.
+    pub fn await_state(&mut self) {
+        self.awaits_state = true;
+    }
+
+    /// Puts checked changes of the terms in force; txns that are open end under what they came with.
+    pub fn change(&mut self, now: Tenths, changes: &[TermsChange]) {
+        self.balancer.change(changes);
+        self.decide(now);
+    }
+
     /// The list as it was before the start.
     pub fn remember(&mut self, now: Tenths, known: Roster) {
         let entries = self.directory.read(known);
@@ -161,7 +178,7 @@
 
     /// Without any, whatever came would have to be declined.
     pub fn knows_upstreams(&self) -> bool {
-        !self.directory.is_empty()
+        !self.directory.is_empty() && !self.awaits_state
     }
 
     /// Txns that are owed an answer.
@@ -198,20 +215,13 @@
                 log::debug!("{upstream} is asked: {outcome:?} after {took}{load}");
                 self.events.push(Event::Probed { upstream, outcome, took, load });
             }
-            Note::Listed(roster) => {
-                let whole = roster.whole;
-                let entries = self.directory.read(roster);
-                // Nothing is begun at who is announced as leaving, or is not named any more.
-                self.take_back(now, |_, up| {
-                    let named = entries.iter().find(|entry| entry.upstream == *up);
-                    named.map_or(whole, |entry| entry.stage != Stage::Live)
-                });
-                let listing = if whole { Listing::Whole } else { Listing::Changes };
-                self.events.push(Event::Listed(listing(entries)));
-                let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
-                log::debug!(
-                    "listed upstreams, other zones, kinds: {listed:?}; upstreams, zones, kinds, txns: {known:?}"
-                );
+            Note::Listed(roster) => self.listed(now, roster),
+            Note::Changed { upstreams, completes, applied } => {
+                if !(upstreams.targets.is_empty() && upstreams.removed.is_empty()) {
+                    self.listed(now, upstreams);
+                }
+                self.awaits_state &= !completes;
+                let _ended = applied.send(());
             }
             Note::ListLost => self.events.push(Event::Listed(Listing::Lost)),
             Note::ListUnreached => self.events.push(Event::Listed(Listing::Unreached)),
@@ -219,6 +229,22 @@
         }
     }
 
+    fn listed(&mut self, now: Tenths, roster: Roster) {
+        let whole = roster.whole;
+        let entries = self.directory.read(roster);
+        // Nothing is begun at who is announced as leaving, or is not named any more.
+        self.take_back(now, |_, up| {
+            let named = entries.iter().find(|entry| entry.upstream == *up);
+            named.map_or(whole, |entry| entry.stage != Stage::Live)
+        });
+        let listing = if whole { Listing::Whole } else { Listing::Changes };
+        self.events.push(Event::Listed(listing(entries)));
+        let (listed, known) = (self.directory.sizes(), self.balancer.sizes());
+        log::debug!(
+            "listed upstreams, other zones, kinds: {listed:?}; upstreams, zones, kinds, txns: {known:?}"
+        );
+    }
+
     /// A posting given up may have ended at the same moment: only the first of the two ends counts.
     fn ended(&mut self, now: Tenths, (id, posting): PostingId, end: End) {
         let Some(out) = self.outs.remove(&(id.clone(), posting)) else { return };
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -2,37 +2,11 @@
 use std::rc::Rc;
 
 use pondlb::{Arrival, Load, Outcome, Tenths, TxnId, UpstreamId};
+use pondlb_http::Message;
 use tokio::sync::oneshot;
 
+use crate::protocol::answer::Answer;
 use crate::protocol::discovery::Roster;
-use crate::protocol::reader::Message;
-
-/// The final answer of a txn.
-#[derive(Debug, PartialEq)]
-pub enum Answer {
-    Settled(Message),
-    Declined {
-        cool_down: Option<Tenths>,
-    },
-    Reversed,
-    /// Upstreams turn it away for what the client sent.
-    Unfit,
-    /// Its id is that of a txn that is being served or was just now, so it never became one.
-    Duplicate,
-}
-
-impl Answer {
-    /// For the log.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Answer::Settled(_) => "settled",
-            Answer::Declined { .. } => "declined",
-            Answer::Reversed => "reversed",
-            Answer::Unfit => "unfit",
-            Answer::Duplicate => "its id is taken",
-        }
-    }
-}
 
 /// The postings of a txn are numbered as they leave.
 pub type PostingId = (TxnId, u32);
@@ -86,6 +60,14 @@
         load: Load,
     },
     Listed(Roster),
+    /// Control servers have changed upstreams.
+    Changed {
+        upstreams: Roster,
+        /// The first whole state is in force with it.
+        completes: bool,
+        /// To be told once they are in force.
+        applied: oneshot::Sender<()>,
+    },
     /// Discovery turned a call away, or what came is no list.
     ListLost,
     /// Nobody answered a call to discovery, or its connection broke.
