--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -115,7 +115,7 @@
     }
 }
 
-async fn is_ready(address: SocketAddr) -> io::Result<bool> {
+pub(crate) async fn is_ready(address: SocketAddr) -> io::Result<bool> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
     wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
     Ok(wire.answer().await?.is_some_and(|answer| answer.status == 200))
--- a/crates/pondlb-lab/src/lib.rs
+++ b/crates/pondlb-lab/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod run;
 pub mod scale;
 pub mod scenario;
+pub mod slopes;
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -17,6 +17,7 @@
 use pondlb_lab::scale::run::{Programs, play as play_scale};
 use pondlb_lab::scale::scenario::Scenario as ScaleScenario;
 use pondlb_lab::scenario::Scenario;
+use pondlb_lab::slopes::{self, Dimension};
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -70,6 +71,26 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
+    /// Measures what one balancer needs against one dimension of its size at a time
+    Slopes {
+        /// All of them where none is named
+        dimension: Vec<Dimension>,
+        /// The balancer's program
+        #[arg(long, default_value = "target/release/pondlb-server")]
+        program: PathBuf,
+        /// An argument for it
+        #[arg(long)]
+        argument: Vec<String>,
+        /// A file for the result as JSON, beside the table
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// How long each point is measured
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Plays this part of all sizes
+        #[arg(long, default_value_t = 1.0)]
+        share: f64,
+    },
     /// Plays a fleet of many balancers that follow control servers, most of them without traffic
     Scale(ScaleLine),
     /// Many balancers that follow control servers, in one process
@@ -157,6 +178,10 @@
             }
             Ok(0)
         }
+        Command::Slopes { dimension, program, argument, json, seconds, share } => {
+            let program = Program { path: program, arguments: argument };
+            slopes(&slopes::Options { program, dimensions: dimension, seconds, share }, json.as_deref())
+        }
         Command::Run { scenario, program, argument, seed, json, ledgers, html } => {
             let mut scenario = read(&scenario)?;
             scenario.seed = seed.unwrap_or(scenario.seed);
@@ -217,6 +242,20 @@
     }
 }
 
+/// Prints each dimension as it is done.
+fn slopes(options: &slopes::Options, json: Option<&Path>) -> Result<u8, String> {
+    options.check()?;
+    if let Some(path) = json {
+        written(path, "")?;
+    }
+    let measured = in_runtime(slopes::measure(options, |measured| println!("{}", measured.table())))?;
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&measured).map_err(|e| e.to_string())?;
+        written(path, &(text + "\n"))?;
+    }
+    Ok(if measured.iter().any(|one| one.void.is_some()) { VOID } else { 0 })
+}
+
 /// Plays a scale run, and tells it as a table and as JSON.
 fn scale(line: ScaleLine) -> Result<u8, String> {
     let named = |fault: &dyn std::fmt::Display| format!("{}: {fault}", line.scenario.display());
