--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 use crate::transport::{Control, Memory, Probing};
 
 /// All that the program is told, checked.
@@ -24,7 +24,7 @@
     pub control: Option<Control>,
     pub seed: u64,
     pub budget: Budget,
-    pub known: Roster,
+    pub known: UpstreamList,
     pub deployment: Deployment,
     pub probing: Option<Probing>,
     pub settings: Settings,
@@ -178,7 +178,7 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {:?}: {e}", file.seed));
         let seed = noted(&mut faults, seed);
         let budget = noted(&mut faults, Budget::of(&file.limits));
-        let known = file.known.map(|known| Roster::decode(known.get().as_bytes())).transpose();
+        let known = file.known.map(|known| UpstreamList::decode(known.get().as_bytes())).transpose();
         let known = noted(&mut faults, known.map_err(|e| format!("known: {e}")));
         let settings = Settings::decode(file.settings.get()).map_err(|e| format!("settings: {e}"));
         let settings = noted(&mut faults, settings);
--- a/crates/pondlb-server/src/protocol/control.rs
+++ b/crates/pondlb-server/src/protocol/control.rs
@@ -5,11 +5,11 @@
 use pondlb_control::{Change, Kind, Update};
 use pondlb_terms::{SettingChange, Target};
 
-use super::discovery::Roster;
+use super::discovery::UpstreamList;
 
 /// The upstreams that an update adds, changes or removes.
-pub fn upstreams_of(update: Update) -> Roster {
-    let mut upstreams = Roster { version: update.version.revision, ..Roster::default() };
+pub fn upstreams_of(update: Update) -> UpstreamList {
+    let mut upstreams = UpstreamList { version: update.version.revision, ..UpstreamList::default() };
     for Change { key, value, .. } in update.changes {
         let Some(value) = value else {
             upstreams.removed.push(key.name().to_string());
--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -9,7 +9,7 @@
 
 /// A list as discovery gives it: all upstreams, or those that changed.
 #[derive(Clone, Debug, Default, Deserialize)]
-pub struct Roster {
+pub struct UpstreamList {
     #[serde(rename = "rev")]
     pub version: u64,
     #[serde(rename = "all")]
@@ -20,19 +20,20 @@
     pub removed: Vec<String>,
 }
 
-impl Roster {
-    pub fn decode(json: &[u8]) -> Result<Roster, String> {
+impl UpstreamList {
+    pub fn decode(json: &[u8]) -> Result<UpstreamList, String> {
         let mut reader = serde_json::Deserializer::from_slice(json);
-        let roster: Roster = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
+        let list: UpstreamList =
+            serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
         reader.end().map_err(|e| e.to_string())?;
-        match roster.targets.iter().position(|target| !target.has_size()) {
+        match list.targets.iter().position(|target| !target.has_size()) {
             Some(at) => Err(format!("targets[{at}].capacity_hint is no size")),
-            None => Ok(roster),
+            None => Ok(list),
         }
     }
 }
 
-impl Roster {
+impl UpstreamList {
     fn named_twice(&self) -> Option<&str> {
         let mut named = HashSet::with_capacity(self.targets.len());
         self.targets.iter().map(|target| &*target.upstream).find(|name| !named.insert(*name))
@@ -67,7 +68,7 @@
 
 /// An answer that could be read, and whether the connection may carry another call.
 pub struct Listed {
-    pub roster: Roster,
+    pub list: UpstreamList,
     pub keep: bool,
 }
 
@@ -105,11 +106,11 @@
             return Err(NoList::Status(format!("discovery answers {:?}", message.head.first)));
         }
         let keep = !closed && self.reader.is_idle() && !message.head.lists("Connection", "close");
-        let roster = Roster::decode(&message.body).map_err(NoList::Faulty)?;
+        let list = UpstreamList::decode(&message.body).map_err(NoList::Faulty)?;
         // Which of the two is true nobody can say. Among changes the later one is.
-        match roster.named_twice().filter(|_| roster.whole) {
+        match list.named_twice().filter(|_| list.whole) {
             Some(upstream) => Err(NoList::Faulty(format!("{upstream} is listed twice"))),
-            None => Ok(Some(Listed { roster, keep })),
+            None => Ok(Some(Listed { list, keep })),
         }
     }
 
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -8,7 +8,7 @@
 
 use super::answer::Answer;
 use super::client::{Classes, ClientSide, Wish, write_answer, write_fault};
-use super::discovery::{DiscoverySide, NoList, Roster, write_call};
+use super::discovery::{DiscoverySide, NoList, UpstreamList, write_call};
 use super::upstream::{UpstreamSide, write_posting};
 
 /// The three sides alike: something that is fed bytes and tells what it made of them.
@@ -98,10 +98,10 @@
             NoList::TooLong { size, limit } => format!("{size} bytes are more than {limit}"),
         })?;
         Ok(listed.map(|l| {
-            let whole = if l.roster.whole { "whole" } else { "changes" };
+            let whole = if l.list.whole { "whole" } else { "changes" };
             let states: Vec<_> =
-                l.roster.targets.iter().map(|t| format!("{} {:?}", t.upstream, t.stage)).collect();
-            format!("{whole} {} {states:?}", l.roster.version)
+                l.list.targets.iter().map(|t| format!("{} {:?}", t.upstream, t.stage)).collect();
+            format!("{whole} {} {states:?}", l.list.version)
         }))
     }
 }
@@ -492,7 +492,7 @@
     }
     let busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
     made += &cut(discovery_side, busy.as_bytes(), true);
-    made += &format!("{:?}\n", Roster::decode(b"[]").map(|_| ()));
+    made += &format!("{:?}\n", UpstreamList::decode(b"[]").map(|_| ()));
     let host = ([127, 0, 0, 1], 8500).into();
     for call in [write_call(host, None), write_call(host, Some((41, 20_000)))] {
         made += &String::from_utf8(call).unwrap().replace('\r', "");
@@ -506,7 +506,7 @@
         trailing characters at line 5 column 33
         targets[0].?: EOF while parsing a string at line 2 column 67
         discovery answers "HTTP/1.1 503 Busy"
-        Err("invalid length 0, expected struct Roster with 3 elements at line 1 column 2")
+        Err("invalid length 0, expected struct UpstreamList with 3 elements at line 1 column 2")
         GET /catalog/members HTTP/1.1
         Host: 127.0.0.1:8500
 
--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -6,7 +6,7 @@
 use pondlb::{Entry, Stage, Tenths, UpstreamId};
 use pondlb_terms::Names;
 
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 
 /// Where the upstreams are, and which numbers stand for the names that discovery uses.
 pub struct Directory {
@@ -105,16 +105,16 @@
         [self.places.len(), self.zones.others.len(), self.kinds.others.len()]
     }
 
-    pub fn read(&mut self, roster: Roster) -> Rc<[Entry]> {
-        log::debug!("list {} whole {} names {}", roster.version, roster.whole, roster.targets.len());
-        if roster.whole {
-            let named: BTreeSet<&str> = roster.targets.iter().map(|t| &*t.upstream).collect();
+    pub fn read(&mut self, list: UpstreamList) -> Rc<[Entry]> {
+        log::debug!("list {} whole {} names {}", list.version, list.whole, list.targets.len());
+        if list.whole {
+            let named: BTreeSet<&str> = list.targets.iter().map(|t| &*t.upstream).collect();
             let missing = self.places.keys().filter(|upstream| !named.contains(&***upstream));
             let missing: Vec<UpstreamId> = missing.cloned().collect();
             missing.into_iter().for_each(|upstream| self.place(upstream, None));
         }
-        let mut entries = Vec::with_capacity(roster.targets.len());
-        for target in roster.targets {
+        let mut entries = Vec::with_capacity(list.targets.len());
+        for target in list.targets {
             log::debug!(
                 "{} is {:?} in {} of {} size {} since {}",
                 target.upstream,
@@ -138,7 +138,7 @@
                 stage: target.stage,
             });
         }
-        entries.extend(roster.removed.into_iter().filter_map(|upstream| self.remove(upstream)));
+        entries.extend(list.removed.into_iter().filter_map(|upstream| self.remove(upstream)));
         self.zones.forget_unused();
         self.kinds.forget_unused();
         entries.into()
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -11,7 +11,7 @@
 
 use super::{Directory, End, Note, Order, PostingId};
 use crate::protocol::answer::Answer;
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 
 /// Does the work that the decisions ask for.
 pub trait Carrier {
@@ -128,7 +128,7 @@
     }
 
     /// The list as it was before the start.
-    pub fn remember(&mut self, now: Tenths, known: Roster) {
+    pub fn remember(&mut self, now: Tenths, known: UpstreamList) {
         let entries = self.directory.read(known);
         self.events.push(Event::Listed(Listing::Remembered(entries)));
         self.decide(now);
@@ -215,7 +215,7 @@
                 log::debug!("{upstream} is asked: {outcome:?} after {took}{load}");
                 self.events.push(Event::Probed { upstream, outcome, took, load });
             }
-            Note::Listed(roster) => self.listed(now, roster),
+            Note::Listed(list) => self.listed(now, list),
             Note::Changed { upstreams, completes, applied } => {
                 if !(upstreams.targets.is_empty() && upstreams.removed.is_empty()) {
                     self.listed(now, upstreams);
@@ -229,9 +229,9 @@
         }
     }
 
-    fn listed(&mut self, now: Tenths, roster: Roster) {
-        let whole = roster.whole;
-        let entries = self.directory.read(roster);
+    fn listed(&mut self, now: Tenths, list: UpstreamList) {
+        let whole = list.whole;
+        let entries = self.directory.read(list);
         // Nothing is begun at who is announced as leaving, or is not named any more.
         self.take_back(now, |_, up| {
             let named = entries.iter().find(|entry| entry.upstream == *up);
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::protocol::answer::Answer;
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 
 /// The postings of a txn are numbered as they leave.
 pub type PostingId = (TxnId, u32);
@@ -59,10 +59,10 @@
         took: Tenths,
         load: Load,
     },
-    Listed(Roster),
+    Listed(UpstreamList),
     /// Control servers have changed upstreams.
     Changed {
-        upstreams: Roster,
+        upstreams: UpstreamList,
         /// The first whole state is in force with it.
         completes: bool,
         /// To be told once they are in force.
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -12,7 +12,7 @@
 
 use super::{Carrier, Directory, End, Exchange, Hold, Note, Order};
 use crate::protocol::answer::Answer;
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 
 type Trace = Rc<RefCell<String>>;
 
@@ -83,7 +83,7 @@
 }
 
 /// Upstreams by name, each with its port, zone, state and start.
-fn roster(whole: bool, targets: &[(&str, u16, &str, &str, u64)]) -> Roster {
+fn list(whole: bool, targets: &[(&str, u16, &str, &str, u64)]) -> UpstreamList {
     let targets: Vec<String> = (targets.iter())
         .map(|(name, port, zone, state, boot)| {
             format!(
@@ -93,7 +93,7 @@
         })
         .collect();
     let json = format!(r#"{{"rev":1,"all":{whole},"targets":[{}]}}"#, targets.join(","));
-    Roster::decode(json.as_bytes()).unwrap()
+    UpstreamList::decode(json.as_bytes()).unwrap()
 }
 
 impl Play {
@@ -102,7 +102,7 @@
         let trace = Trace::default();
         let directory = Directory::new(names, 0);
         let mut exchange = Exchange::new(Balancer::new(terms, 7), directory, Scribe(trace.clone()), 50);
-        exchange.remember(0, roster(true, targets));
+        exchange.remember(0, list(true, targets));
         Play { exchange, trace, waiting: Vec::new() }
     }
 
@@ -326,7 +326,7 @@
     let mut play = Play::new(ONE);
     play.arrive(10, "no-time", REPEATABLE, 50);
     play.pass(5000);
-    play.step(6000, Some(Note::Listed(roster(false, &[("u1", 1, "a", "leaving", 0)]))));
+    play.step(6000, Some(Note::Listed(list(false, &[("u1", 1, "a", "leaving", 0)]))));
     play.arrive(6010, "no-upstream", REPEATABLE, 20_000);
     play.ends_with(expect![[r#"
         10: no-time comes
@@ -386,9 +386,9 @@
     play.pass(10_000);
     play.step(10_010, Some(Note::ListLost));
     play.pass(40_000);
-    play.step(40_010, Some(Note::Listed(roster(false, &[("u1", 9, "a", "active", 0)]))));
+    play.step(40_010, Some(Note::Listed(list(false, &[("u1", 9, "a", "active", 0)]))));
     play.arrive(40_020, "t1", REPEATABLE, 20_000);
-    play.step(40_030, Some(Note::Listed(roster(true, &[("u3", 3, "new", "active", 0)]))));
+    play.step(40_030, Some(Note::Listed(list(true, &[("u3", 3, "new", "active", 0)]))));
     play.arrive(40_040, "t2", REPEATABLE, 20_000);
     play.end(40_050, "t1", 0, Outcome::Ok);
     play.ends_with(expect![[r#"
@@ -414,7 +414,7 @@
 fn a_name_that_the_settings_do_not_know_is_not_taken_for_another() {
     let mut directory = Directory::new(terms().1, -5000);
     let zones = [("u1", 1, "b", "active", 0), ("u2", 2, "new", "left", 600), ("u3", 3, "a", "leaving", 400)];
-    let entries = directory.read(roster(false, &zones));
+    let entries = directory.read(list(false, &zones));
     let lines = entries.iter().map(|e| {
         format!("{} in zone {} of kind {}: {:?} since {:?}\n", e.upstream, e.zone, e.kind, e.stage, e.started)
     });
@@ -432,11 +432,11 @@
     play.arrive(10, "t1", REPEATABLE, 60_000);
     play.step(
         20,
-        Some(Note::Listed(roster(false, &[("u1", 1, "a", "leaving", 0), ("u2", 2, "a", "leaving", 0)]))),
+        Some(Note::Listed(list(false, &[("u1", 1, "a", "leaving", 0), ("u2", 2, "a", "leaving", 0)]))),
     );
     play.arrive(30, "declined", REPEATABLE, 60_000);
     let replaced = [("u1", 1, "a", "left", 0), ("u2", 2, "a", "left", 0), ("u3", 1, "a", "active", 0)];
-    play.step(40, Some(Note::Listed(roster(false, &replaced))));
+    play.step(40, Some(Note::Listed(list(false, &replaced))));
     play.arrive(50, "t2", REPEATABLE, 60_000);
     play.end(60, "t1", 0, Outcome::Ok);
     play.end(70, "t2", 0, Outcome::Ok);
@@ -466,7 +466,7 @@
     let mut last = String::new();
     for n in 0..2000 {
         let (id, zone) = (format!("s{n}"), format!("zone {n}"));
-        let mut change = roster(false, &[(&id, 4000, &zone, "active", 0), (&last, 4000, "a", "left", 0)]);
+        let mut change = list(false, &[(&id, 4000, &zone, "active", 0), (&last, 4000, "a", "left", 0)]);
         change.targets[0].kind = format!("kind {n}");
         zones.insert(directory.read(change)[0].zone);
         last = id;
@@ -489,9 +489,9 @@
     let mut directory = Directory::new(terms().1, 0);
     let ids: Vec<String> = (0..10_000).map(|n| format!("s{}", n % 5000)).collect();
     let targets: Vec<_> = ids.iter().map(|id| (&**id, 4000, "a", "active", 0)).collect();
-    let entries = directory.read(roster(true, &targets));
+    let entries = directory.read(list(true, &targets));
     let known = directory.sizes();
-    directory.read(roster(true, &targets[..30]));
+    directory.read(list(true, &targets[..30]));
     expect!["10000 entries, [5000, 0, 0] known, then [30, 0, 0]"].assert_eq(&format!(
         "{} entries, {known:?} known, then {:?}",
         entries.len(),
@@ -505,7 +505,7 @@
     let mut play = Play::new(ONE);
     play.exchange.await_state();
     let change = |play: &mut Play, now, targets, removed: &[&str], completes| {
-        let mut upstreams = roster(false, targets);
+        let mut upstreams = list(false, targets);
         upstreams.removed = removed.iter().map(ToString::to_string).collect();
         let (applied, mut is_applied) = oneshot::channel();
         play.step(now, Some(Note::Changed { upstreams, completes, applied }));
--- a/crates/pondlb-server/src/transport/control.rs
+++ b/crates/pondlb-server/src/transport/control.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::protocol::control::{SettingRecords, take_settings, upstreams_of};
-use crate::protocol::discovery::Roster;
+use crate::protocol::discovery::UpstreamList;
 use crate::routing::Note;
 
 /// So many records change in one turn of the loop: requests are served between.
@@ -86,7 +86,7 @@
         self.put_settings_in_force(take_settings(&mut update)).await?;
         let unlisted = self.unlisted(&update);
         for names in unlisted.chunks(SLICE) {
-            let removed = Roster { removed: names.to_vec(), ..Roster::default() };
+            let removed = UpstreamList { removed: names.to_vec(), ..UpstreamList::default() };
             self.put_upstreams_in_force(removed, false).await?;
         }
         let is_whole = update.whole;
@@ -120,7 +120,7 @@
         unlisted.into_iter().collect()
     }
 
-    async fn put_upstreams_in_force(&self, upstreams: Roster, completes: bool) -> Option<()> {
+    async fn put_upstreams_in_force(&self, upstreams: UpstreamList, completes: bool) -> Option<()> {
         let (applied, is_applied) = oneshot::channel();
         self.notes.send(Note::Changed { upstreams, completes, applied }).ok()?;
         is_applied.await.ok()
--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -7,7 +7,7 @@
 
 use super::backoff::Backoff;
 use super::stream::{Waiting, feed, waiting, write_all};
-use crate::protocol::discovery::{DiscoverySide, NoList, Roster, write_call};
+use crate::protocol::discovery::{DiscoverySide, NoList, UpstreamList, write_call};
 use crate::routing::Note;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -150,12 +150,12 @@
     }
 
     /// False when the call brought nothing.
-    fn tell(&mut self, listed: Result<Roster, Fault>) -> bool {
+    fn tell(&mut self, listed: Result<UpstreamList, Fault>) -> bool {
         let (note, told) = match listed {
-            Ok(roster) => {
-                self.version = Some(roster.version);
+            Ok(list) => {
+                self.version = Some(list.version);
                 self.told = None;
-                (Note::Listed(roster), true)
+                (Note::Listed(list), true)
             }
             Err(fault) => {
                 let note = match fault {
@@ -187,7 +187,7 @@
     }
 
     /// As `call`, but a list that is too long is asked for again and again, after growing waits.
-    async fn call_with_backoff(&mut self, mut from: Option<(u64, Duration)>) -> Result<Roster, Fault> {
+    async fn call_with_backoff(&mut self, mut from: Option<(u64, Duration)>) -> Result<UpstreamList, Fault> {
         loop {
             let listed = self.call(from).await;
             match listed {
@@ -205,23 +205,23 @@
     }
 
     /// For the whole list, or for what is newer than a version, for which discovery may wait so long.
-    async fn call(&mut self, from: Option<(u64, Duration)>) -> Result<Roster, Fault> {
+    async fn call(&mut self, from: Option<(u64, Duration)>) -> Result<UpstreamList, Fault> {
         log::debug!("discovery is called: newer than {from:?}");
         let hold = from.map(|(_, hold)| hold).unwrap_or_default();
         let late = if hold < self.patience.hold { self.patience.row } else { self.patience.late };
-        let roster = timeout(hold + late, self.exchange(from)).await.map_err(|_| Fault::Silent)??;
+        let list = timeout(hold + late, self.exchange(from)).await.map_err(|_| Fault::Silent)??;
         match from {
             // Of another discovery, or of one that has lost its versions: only a whole list tells what holds.
-            Some((from, _)) if roster.version < from => {
+            Some((from, _)) if list.version < from => {
                 self.version = None;
-                Err(Fault::Refused(format!("version {} is answered to one who has {from}", roster.version)))
+                Err(Fault::Refused(format!("version {} is answered to one who has {from}", list.version)))
             }
-            _ => Ok(roster),
+            _ => Ok(list),
         }
     }
 
     /// Takes the connection, so that a call that is given up closes it.
-    async fn exchange(&mut self, from: Option<(u64, Duration)>) -> Result<Roster, Fault> {
+    async fn exchange(&mut self, from: Option<(u64, Duration)>) -> Result<UpstreamList, Fault> {
         let called = Instant::now();
         let call = write_call(self.address, from.map(|(from, hold)| (from, hold.as_millis())));
         if let Some(kept) = self.kept.take().filter(|kept| waiting(kept) == Waiting::Nothing) {
@@ -238,7 +238,7 @@
         self.converse(stream, &call).await
     }
 
-    async fn converse(&mut self, stream: TcpStream, call: &[u8]) -> Result<Roster, Fault> {
+    async fn converse(&mut self, stream: TcpStream, call: &[u8]) -> Result<UpstreamList, Fault> {
         let called = Instant::now();
         let broken = |what: &str, e| Fault::Unreached(format!("{what} breaks: {e}"));
         write_all(&stream, call).await.map_err(|e| broken("the call", e))?;
@@ -260,7 +260,7 @@
             match next {
                 Some(listed) => {
                     self.kept = listed.keep.then_some(stream);
-                    return Ok(listed.roster);
+                    return Ok(listed.list);
                 }
                 None if count == 0 => return Err(Fault::Refused("the answer is cut short".into())),
                 None => {}
