--- a/crates/pondlb-server/src/protocol/discovery.rs
+++ b/crates/pondlb-server/src/protocol/discovery.rs
@@ -23,8 +23,7 @@
 impl UpstreamList {
     pub fn decode(json: &[u8]) -> Result<UpstreamList, String> {
         let mut reader = serde_json::Deserializer::from_slice(json);
-        let list: UpstreamList =
-            serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
+        let list: UpstreamList = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
         reader.end().map_err(|e| e.to_string())?;
         match list.targets.iter().position(|target| !target.has_size()) {
             Some(at) => Err(format!("targets[{at}].capacity_hint is no size")),
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -601,6 +601,19 @@
     assert_eq!(child.wait().unwrap().code(), Some(1));
 }
 
+#[test]
+fn the_example_of_a_balancer_behind_control_servers_has_no_fault() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/control/balancer.json");
+    let program = std::process::Command::new(env!("CARGO_BIN_EXE_pondlb-server"))
+        .env_clear()
+        .args(["check", example])
+        .output()
+        .unwrap();
+    assert_eq!(program.status.code(), Some(0), "{}", String::from_utf8_lossy(&program.stderr));
+    let said = String::from_utf8(program.stdout).unwrap();
+    assert!(said.contains("follow 127.0.0.1:9101, 127.0.0.1:9100"), "{said}");
+}
+
 #[test]
 fn the_command_line_says_all_faults_of_a_file_and_what_a_key_means() {
     let mut plan = Plan::with(&[]);
