--- a/crates/pondlb-lab/src/slopes/callers.rs
+++ b/crates/pondlb-lab/src/slopes/callers.rs
@@ -2,7 +2,8 @@
 
 use std::io;
 
-use super::bench::{Bench, First, Size};
+use super::bench::Bench;
+use super::configuration::{First, Size};
 use super::series::Series;
 use super::stand_in::Traffic;
 
--- a/crates/pondlb-lab/src/slopes/changes.rs
+++ b/crates/pondlb-lab/src/slopes/changes.rs
@@ -5,7 +5,8 @@
 
 use tokio::time::sleep;
 
-use super::bench::{Bench, First, Served, Size, class_name};
+use super::bench::{Bench, Served};
+use super::configuration::{First, Size, class_name};
 use super::load::Latency;
 use super::probe::Scheduled;
 use super::series::Series;
--- a/crates/pondlb-lab/src/slopes/mod.rs
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -4,12 +4,14 @@
 mod bench;
 mod callers;
 mod changes;
+mod configuration;
 pub mod fit;
 pub mod listing;
 mod load;
 pub mod probe;
 mod requests;
 mod restarts;
+mod running;
 pub mod series;
 mod settings;
 pub mod stand_in;
--- a/crates/pondlb-lab/src/slopes/requests.rs
+++ b/crates/pondlb-lab/src/slopes/requests.rs
@@ -2,8 +2,9 @@
 
 use std::io;
 
-use super::bench::{Bench, First, Served, Size, class_name};
+use super::bench::{Bench, Served};
 use super::changes::latency;
+use super::configuration::{First, Size, class_name};
 use super::series::Series;
 
 const LISTS: [usize; 2] = [200, 24_000];
--- a/crates/pondlb-lab/src/slopes/restarts.rs
+++ b/crates/pondlb-lab/src/slopes/restarts.rs
@@ -2,7 +2,8 @@
 
 use std::io;
 
-use super::bench::{Bench, First, Size};
+use super::bench::Bench;
+use super::configuration::{First, Size};
 use super::series::Series;
 
 const SIZES: [usize; 5] = [200, 1000, 4000, 8000, 24_000];
--- a/crates/pondlb-lab/src/slopes/settings.rs
+++ b/crates/pondlb-lab/src/slopes/settings.rs
@@ -2,7 +2,8 @@
 
 use std::io;
 
-use super::bench::{Bench, First, Size, class_name};
+use super::bench::Bench;
+use super::configuration::{First, Size, class_name};
 use super::series::Series;
 
 const CLASSES: [usize; 5] = [1, 200, 400, 800, 1100];
--- a/crates/pondlb-lab/src/slopes/upstreams.rs
+++ b/crates/pondlb-lab/src/slopes/upstreams.rs
@@ -3,7 +3,8 @@
 use std::io;
 use std::time::Duration;
 
-use super::bench::{Bench, First, Size};
+use super::bench::Bench;
+use super::configuration::{First, Size};
 use super::probe::Memory;
 use super::series::Series;
 
