--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -39,10 +39,23 @@
     pub real_bytes_per_second: Rates,
     /// Over all phases.
     pub usage: Vec<RoleUsage>,
+    /// Over all phases, a hollow balancer's part of its process.
+    pub hollow_balancer: Part,
+    /// Memory of all processes together, at the moment of the phases when it was most.
+    pub most_resident_mb: f64,
     /// How all ended.
     pub end: End,
 }
 
+/// What one of many in a process costs.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Part {
+    /// Milliseconds of processor time a second.
+    pub processor_ms_per_second: f64,
+    /// Memory at the end.
+    pub resident_mb: f64,
+}
+
 /// How many of everything there were.
 #[derive(Clone, Debug, Serialize)]
 pub struct Sizes {
@@ -241,7 +254,13 @@
                 usage.most_peak_mb
             )?;
         }
-        Ok(())
+        writeln!(
+            to,
+            "a hollow balancer: {:.3} ms of processor a second, {:.2} MB; all processes: {:.0} MB",
+            self.hollow_balancer.processor_ms_per_second,
+            self.hollow_balancer.resident_mb,
+            self.most_resident_mb
+        )
     }
 
     fn fmt_end(&self, to: &mut fmt::Formatter) -> fmt::Result {
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -11,12 +11,12 @@
 use super::measure::{ByteLedger, Committed, Times};
 use super::message::{FinalState, InForce};
 use super::real::Ways;
-use super::report::{End, PhaseReport, Report, Sizes, TrafficReport};
+use super::report::{End, Part, PhaseReport, Report, Sizes, TrafficReport};
 use super::scenario::{PhaseKind, Scenario};
 use super::servers::{Follower, ServerState};
 use super::tap::Heard;
 use super::timeline::bounds;
-use super::usage::Sample;
+use super::usage::{Role, RoleUsage, Sample};
 use crate::judge;
 use crate::ledger::Asked;
 use crate::scenario as traffic;
@@ -92,11 +92,22 @@
         phases,
         hollow_bytes_per_second: evidence.reported.bytes.rates(evidence.from_us, evidence.end_us),
         real_bytes_per_second: evidence.real_bytes.rates(evidence.from_us, evidence.end_us),
+        hollow_balancer: hollow_balancer(&usage, evidence.scenario.hollow_balancers()),
+        most_resident_mb: evidence.samples.iter().map(Sample::resident_mb).fold(0.0, f64::max),
         usage,
         end,
     }
 }
 
+/// What one hollow balancer costs, as a part of all hollow processes.
+fn hollow_balancer(usage: &[RoleUsage], count: u32) -> Part {
+    let all = usage.iter().find(|usage| usage.role == Role::HollowProcess);
+    all.map_or_else(Part::default, |all| Part {
+        processor_ms_per_second: all.processors * 1000.0 / f64::from(count),
+        resident_mb: all.resident_mb / f64::from(count),
+    })
+}
+
 fn sizes(evidence: &Evidence) -> Sizes {
     let scenario = evidence.scenario;
     Sizes {
--- a/crates/pondlb-lab/src/scale/usage.rs
+++ b/crates/pondlb-lab/src/scale/usage.rs
@@ -36,6 +36,11 @@
         Sample { at_us, usages: processes.filter_map(read).collect() }
     }
 
+    /// Memory of all processes together.
+    pub fn resident_mb(&self) -> f64 {
+        self.usages.values().map(|(_, usage)| megabytes(usage.resident_bytes)).sum()
+    }
+
     /// What each kind has used since an earlier sample. A process that was started since counts from its start.
     pub fn since(&self, earlier: &Sample) -> Vec<RoleUsage> {
         let seconds = self.at_us.saturating_sub(earlier.at_us) as f64 / 1e6;
