Lab: slopes distribution, discovery's watch beside control servers

Cause: what a change costs before and after the incremental distribution stood in separate runs on a machine that was busy in different ways.

Change: `slopes distribution` sets a balancer of `--before`, which has its list from the watch, beside one of `--program` that follows an origin. Both have the same traffic and the same changes at the same moments; processor time, bytes, memory and added p99 are told for each, and the origin's processor time. `ControlServers` takes a layout in place of the scale scenario.

--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -73,7 +73,7 @@
     },
     /// Measures what one balancer needs against one dimension of its size at a time
     Slopes {
-        /// All of them where none is named
+        /// All but `distribution` where none is named
         dimension: Vec<Dimension>,
         /// The balancer's program
         #[arg(long, default_value = "target/release/pondlb-server")]
@@ -81,6 +81,12 @@
         /// An argument for it
         #[arg(long)]
         argument: Vec<String>,
+        /// The balancer that `distribution` sets before discovery; the same program where nothing is said
+        #[arg(long)]
+        before: Option<PathBuf>,
+        /// The control server of `distribution`; the one beside the lab's own program where nothing is said
+        #[arg(long)]
+        server: Option<PathBuf>,
         /// A file for the result as JSON, beside the table
         #[arg(long)]
         json: Option<PathBuf>,
@@ -178,9 +184,15 @@
             }
             Ok(0)
         }
-        Command::Slopes { dimension, program, argument, json, seconds, share } => {
+        Command::Slopes { dimension, program, argument, before, server, json, seconds, share } => {
             let program = Program { path: program, arguments: argument };
-            slopes(&slopes::Options { program, dimensions: dimension, seconds, share }, json.as_deref())
+            let before =
+                before.map_or_else(|| program.clone(), |path| Program { path, arguments: Vec::new() });
+            let path = server.map_or_else(|| beside("pondlb-control-server"), Ok)?;
+            let control_server = Program { path, arguments: Vec::new() };
+            let options =
+                slopes::Options { program, before, control_server, dimensions: dimension, seconds, share };
+            slopes(&options, json.as_deref())
         }
         Command::Run { scenario, program, argument, seed, json, ledgers, html } => {
             let mut scenario = read(&scenario)?;
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -88,7 +88,7 @@
         let fleet = Fleet::start(book.clone(), traffic.fleet(), &traffic.rules, scenario.real_balancers)?;
         let records = Records::new(&scenario, &fleet);
         let steps = timeline::steps(&scenario, &records);
-        let servers = ControlServers::start(&programs.server, &scenario, records.initial()).await?;
+        let servers = ControlServers::start(&programs.server, &scenario.layout(), records.initial()).await?;
         let first_revision = servers.state(0).await?.version.revision;
         let by_region = servers.by_region();
         // Before the others: the snapshots of many make the machine busy.
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::servers::Layout;
 use crate::scenario::Fault;
 
 /// A scale run: how many of everything, and what happens when.
@@ -214,6 +215,16 @@
 const LAB_BYTES: u64 = 500 << 20;
 
 impl Scenario {
+    /// The control servers of the run.
+    pub fn layout(&self) -> Layout {
+        Layout {
+            listen: self.listen,
+            replica_servers: self.replica_servers,
+            regions: self.regions,
+            gather_ms: self.gather_ms,
+        }
+    }
+
     /// Reads and checks a scenario, shrunk to a share of its balancers and records.
     ///
     /// # Errors
--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -15,7 +15,6 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::proxy::Proxy;
-use super::scenario::Scenario;
 use crate::balancers::Program;
 use crate::holding::held;
 use crate::http::{Message, Wire};
@@ -61,6 +60,19 @@
     child: Option<Child>,
 }
 
+/// Which control servers are started, and where.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// The address that they listen on.
+    pub listen: IpAddr,
+    /// Servers beside the origin.
+    pub replica_servers: u32,
+    /// Regions that the replica servers are spread over.
+    pub regions: u32,
+    /// For how long a server gathers changes between two answers to one caller.
+    pub gather_ms: u64,
+}
+
 /// An origin and its replica servers. All end with it.
 pub struct ControlServers {
     program: Program,
@@ -79,18 +91,18 @@
     ///
     /// # Errors
     /// Where a program is missing, ends, or is not ready in time.
-    pub async fn start(program: &Program, scenario: &Scenario, initial: Vec<NewChange>) -> io::Result<Self> {
+    pub async fn start(program: &Program, layout: &Layout, initial: Vec<NewChange>) -> io::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let count = scenario.replica_servers as usize + 1;
-        let mut addresses = free_addresses(scenario.listen, count + 1)?;
+        let count = layout.replica_servers as usize + 1;
+        let mut addresses = free_addresses(layout.listen, count + 1)?;
         let commit = addresses.pop().ok_or(io::ErrorKind::AddrNotAvailable)?;
-        let between_regions = Proxy::start(scenario.listen, addresses[0]).await?;
+        let between_regions = Proxy::start(layout.listen, addresses[0]).await?;
         let first = folder.path().join("initial.json");
         std::fs::write(&first, serde_json::to_vec(&Commit { changes: initial })?)?;
         let mut servers = ControlServers {
             program: program.clone(),
             folder,
-            regions: scenario.regions as usize,
+            regions: layout.regions as usize,
             servers: Vec::new(),
             commit,
             commit_wire: None,
@@ -100,7 +112,7 @@
             let name = if number == 0 { "origin".into() } else { format!("replica-{}", number - 1) };
             let file = servers.folder.path().join(format!("{name}.toml"));
             let role = servers.role(number, addresses[0], &first);
-            std::fs::write(&file, options(&name, number, *address, scenario, &role))?;
+            std::fs::write(&file, options(&name, number, *address, layout, &role))?;
             servers.servers.push(Server { name, address: *address, file, child: None });
         }
         for number in 0..count {
@@ -164,6 +176,11 @@
         Err(io::Error::other(format!("{name} was not ready within {READY_WITHIN:?}")))
     }
 
+    /// Where the origin serves.
+    pub fn origin(&self) -> SocketAddr {
+        self.servers[0].address
+    }
+
     /// Replica servers by region, as balancers are told them.
     pub fn by_region(&self) -> Vec<Vec<SocketAddr>> {
         let mut regions = vec![Vec::new(); self.regions];
@@ -271,13 +288,13 @@
     }
 }
 
-fn options(name: &str, number: usize, listen: SocketAddr, scenario: &Scenario, role: &str) -> String {
+fn options(name: &str, number: usize, listen: SocketAddr, layout: &Layout, role: &str) -> String {
     let mut text = format!("name = \"{name}\"\nnumber = {number}\nlisten = \"{listen}\"\n");
     // Writing to a string can't fail.
     let _written = write!(
         text,
         "gather_ms = {}\nmemory_mb = {MEMORY_MB}\nsnapshot_pieces_per_second = {SNAPSHOT_PIECES_PER_SECOND:?}\n",
-        scenario.gather_ms
+        layout.gather_ms
     );
     text + role
 }
--- a/crates/pondlb-lab/src/scale/tap.rs
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -37,6 +37,8 @@
 pub struct Heard {
     /// Each state, when it was told first after another one.
     pub told: RefCell<Vec<Told>>,
+    /// The version of the last call. What leads to the digest before is in force without being `told`.
+    pub latest: Cell<Option<Version>>,
     /// Bytes from control servers to the balancer.
     pub received: Cell<u64>,
     /// Bytes from the balancer to control servers.
@@ -45,6 +47,7 @@
 
 impl Heard {
     fn note(&self, told: Told) {
+        self.latest.set(Some(told.version));
         let mut all = self.told.borrow_mut();
         // While a snapshot is taken the version is the snapshot's, but the digest is that of what is in force.
         let in_force = all.last().map_or(NOTHING_IN_FORCE, |last| &last.digest);
--- a/crates/pondlb-lab/src/scale/timeline.rs
+++ b/crates/pondlb-lab/src/scale/timeline.rs
@@ -9,7 +9,7 @@
 use super::scenario::{Phase, PhaseKind, Scenario};
 
 /// The most records of one commit; an event with more of them makes several commits.
-const COMMIT_RECORDS: usize = 400;
+pub const COMMIT_RECORDS: usize = 400;
 const US_PER_SECOND: f64 = 1e6;
 
 /// Something that the run does at a moment.
--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::configuration::{First, Size, configuration};
+use super::is_there;
 use super::listing::Listing;
 use super::load::{Latency, Load, Way};
 use super::probe::Scheduled;
@@ -34,7 +35,8 @@
 
 /// What all measurements of one call share.
 pub struct Bench {
-    program: Program,
+    /// The balancer.
+    pub program: Program,
     folder: TempDir,
     /// The clock, and how late the laboratory was by it.
     pub book: Rc<Book>,
@@ -88,8 +90,7 @@
     /// # Errors
     /// The program is missing, or the machine has no port or folder to give.
     pub async fn open(program: Program, span: Duration, share: f64) -> io::Result<Bench> {
-        let is_there = std::fs::metadata(&program.path);
-        is_there.map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.path.display())))?;
+        is_there(&program)?;
         Ok(Bench {
             program,
             folder: tempfile::tempdir()?,
@@ -134,10 +135,27 @@
     /// # Errors
     /// It can't be started, or ends by itself.
     pub async fn start(&self, discovery: &Discovery, size: Size, first: First) -> io::Result<Running> {
+        let text = |number, listen| configuration(number, listen, discovery, size, first);
+        self.start_program(&self.program, text).await
+    }
+
+    /// Starts a program with the configuration for its number and address, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It can't be started, or ends by itself.
+    pub async fn start_program(
+        &self,
+        program: &Program,
+        configuration: impl FnOnce(u32, SocketAddr) -> String,
+    ) -> io::Result<Running> {
         let number = self.started.replace(self.started.get() + 1);
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let configuration = configuration(number, address, discovery, size, first);
-        Running::start(&self.program, self.folder.path(), number, address, &configuration).await
+        Running::start(program, self.folder.path(), number, address, &configuration(number, address)).await
+    }
+
+    /// Counts what a balancer was given while it served.
+    pub fn note_serving(&self, scheduled: &Scheduled) {
+        self.serving.set(self.serving.get().and(scheduled));
     }
 
     /// What a balancer spends in the span of a measurement, and in so long before it nothing is counted.
@@ -170,18 +188,24 @@
         sleep(SETTLE.min(self.span)).await;
     }
 
-    fn load(&self, ways: Vec<Rc<Way>>, rate: f64) -> Load {
+    /// Sends so many requests a second on each of the ways until it is dropped.
+    pub fn load(&self, ways: Vec<Rc<Way>>, rate: f64) -> Load {
         let number = self.loads.replace(self.loads.get() + 1);
         Load::start(self.book.clone(), ways, rate, format!("load-{number}"))
     }
 
+    /// Waits until a balancer under load uses as many upstreams as it will.
+    pub async fn grow(&self) {
+        sleep(CIRCLE_GROWS.min(3 * self.span)).await;
+    }
+
     /// Sends requests until the balancer uses as many upstreams as it will at this rate.
     ///
     /// # Errors
     /// No histogram can be made.
     pub async fn warm_up(&self, running: &Running, class: &str, rate: f64) -> io::Result<()> {
         let load = self.load(vec![Way::new(running.address, class)?], rate);
-        sleep(CIRCLE_GROWS.min(3 * self.span)).await;
+        self.grow().await;
         drop(load);
         Ok(())
     }
@@ -206,7 +230,7 @@
         through.reset();
         direct.reset();
         let spent = self.spend_beside(running, discovery, other).await?;
-        self.serving.set(self.serving.get().and(&spent.scheduled));
+        self.note_serving(&spent.scheduled);
         let connections = self.upstreams.open().saturating_sub(direct.connections());
         let descriptors = running.process.descriptors()?;
         drop(load);
--- a/crates/pondlb-lab/src/slopes/changes.rs
+++ b/crates/pondlb-lab/src/slopes/changes.rs
@@ -105,7 +105,7 @@
             along,
             measured,
             |at| (at.through.answered > 0).then(|| value(at)),
-            |at| Some(seen(at)),
+            |at| Some(seen(&at.through, &at.spent.scheduled)),
         )
         .without_fit()
     };
@@ -120,9 +120,10 @@
     ]
 }
 
-fn seen(served: &Served) -> String {
-    let Latency { answered, failed, .. } = served.through;
-    let Scheduled { ran, waited } = served.spent.scheduled;
+/// What stands beside a latency: answers, and the part of the time that the balancer waited for a processor.
+pub fn seen(through: &Latency, scheduled: &Scheduled) -> String {
+    let Latency { answered, failed, .. } = through;
+    let Scheduled { ran, waited } = scheduled;
     let part = 100.0 * waited.as_secs_f64() / ran.as_secs_f64();
     format!("{answered} answered, {failed} failed; waited for a processor for {part:.0} % of the time on one")
 }
--- a/crates/pondlb-lab/src/slopes/listing.rs
+++ b/crates/pondlb-lab/src/slopes/listing.rs
@@ -55,6 +55,16 @@
         body(version, true, &self.entries(0..self.len()))
     }
 
+    /// The numbers of all entries in a zone.
+    pub fn zone_members(&self, zone: usize) -> Vec<usize> {
+        (zone..self.len()).step_by(ZONES).collect()
+    }
+
+    /// The name of an entry.
+    pub fn name(number: usize) -> String {
+        format!("u{number:05}")
+    }
+
     /// Some entries, as a list of JSON objects without its brackets.
     pub fn entries(&self, numbers: impl IntoIterator<Item = usize>) -> String {
         let mut text = String::new();
--- a/crates/pondlb-lab/src/slopes/mod.rs
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod changes;
 mod configuration;
+mod distribution;
 pub mod fit;
 pub mod listing;
 mod load;
@@ -47,14 +48,31 @@
     Restarts,
     /// Balancers that follow one discovery
     Balancers,
+    /// Discovery's watch beside control servers, against the length of the list; only where it is named
+    Distribution,
 }
 
+/// What is measured where nothing is named: all that needs a balancer alone.
+const ALONE: [Dimension; 7] = [
+    Dimension::Upstreams,
+    Dimension::Changes,
+    Dimension::Classes,
+    Dimension::Tenants,
+    Dimension::Requests,
+    Dimension::Restarts,
+    Dimension::Balancers,
+];
+
 /// What is measured, and how.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// The balancer.
     pub program: Program,
-    /// All of them where none is named.
+    /// The balancer that `Dimension::Distribution` sets before discovery.
+    pub before: Program,
+    /// The control server of `Dimension::Distribution`.
+    pub control_server: Program,
+    /// All but `Dimension::Distribution` where none is named.
     pub dimensions: Vec<Dimension>,
     /// How long each point is measured.
     pub seconds: f64,
@@ -99,13 +117,16 @@
 /// A balancer can't be started, or ends by itself.
 pub async fn measure(options: &Options, mut done: impl FnMut(&Measured)) -> io::Result<Vec<Measured>> {
     let span = Duration::from_secs_f64(options.seconds);
+    if options.dimensions.contains(&Dimension::Distribution) {
+        is_there(&options.before)?;
+        is_there(&options.control_server)?;
+    }
     let bench = Bench::open(options.program.clone(), span, options.share).await?;
     let ticks = spawn_local(tick(bench.book.clone()));
-    let all = Dimension::value_variants();
-    let dimensions = if options.dimensions.is_empty() { all } else { &options.dimensions };
+    let dimensions = if options.dimensions.is_empty() { &ALONE[..] } else { &options.dimensions };
     let mut results = Vec::new();
     for dimension in dimensions {
-        let series = along(&bench, *dimension).await?;
+        let series = along(&bench, options, *dimension).await?;
         let void = bench.void();
         let measured = Measured { dimension: *dimension, void, series };
         done(&measured);
@@ -115,7 +136,13 @@
     Ok(results)
 }
 
-async fn along(bench: &Bench, dimension: Dimension) -> io::Result<Vec<Series>> {
+fn is_there(program: &Program) -> io::Result<()> {
+    let named =
+        |fault: io::Error| io::Error::new(fault.kind(), format!("{}: {fault}", program.path.display()));
+    std::fs::metadata(&program.path).map(|_| ()).map_err(named)
+}
+
+async fn along(bench: &Bench, options: &Options, dimension: Dimension) -> io::Result<Vec<Series>> {
     match dimension {
         Dimension::Upstreams => upstreams::measure(bench).await,
         Dimension::Changes => changes::measure(bench).await,
@@ -124,6 +151,7 @@
         Dimension::Requests => requests::measure(bench).await,
         Dimension::Restarts => restarts::measure(bench).await,
         Dimension::Balancers => callers::measure(bench).await,
+        Dimension::Distribution => distribution::measure(bench, options).await,
     }
 }
 
--- a/crates/pondlb-lab/src/slopes/stand_in.rs
+++ b/crates/pondlb-lab/src/slopes/stand_in.rs
@@ -99,10 +99,20 @@
         self.told.listing.borrow().whole(self.told.version.get())
     }
 
+    /// The numbers of all entries in a zone.
+    pub fn zone_members(&self, zone: usize) -> Vec<usize> {
+        self.told.listing.borrow().zone_members(zone)
+    }
+
+    /// An entry as it is now, as a JSON object.
+    pub fn entry(&self, number: usize) -> String {
+        self.told.listing.borrow().entries([number])
+    }
+
     /// Toggles these entries and tells them alone, in one message.
-    pub fn push_changes(&self, numbers: std::ops::Range<usize>) {
+    pub fn push_changes(&self, numbers: impl IntoIterator<Item = usize> + Clone) {
         let mut listing = self.told.listing.borrow_mut();
-        numbers.clone().for_each(|number| listing.toggle(number));
+        numbers.clone().into_iter().for_each(|number| listing.toggle(number));
         let entries = listing.entries(numbers);
         drop(listing);
         self.told.push(News::Entries(entries));
--- a/crates/pondlb-lab/tests/slopes.rs
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -189,10 +189,77 @@
     assert!(values[4] > values[0], "{values:?}");
 }
 
+/// A program of another package, where cargo puts it. A test of this package alone does not build it.
+fn program(package: &str, name: &str) -> String {
+    let lab = Path::new(env!("CARGO_BIN_EXE_pondlb-lab"));
+    let mut build = Command::new(env!("CARGO"));
+    build.args(["build", "--locked", "--package", package, "--bin", name]);
+    if lab.parent().unwrap().ends_with("release") {
+        build.arg("--release");
+    }
+    assert!(build.status().unwrap().success(), "{name} can't be built");
+    lab.with_file_name(name).to_str().unwrap().into()
+}
+
+#[test]
+fn distribution_measures_both_balancers_and_both_see_all_changes() {
+    let folder = tempfile::tempdir().unwrap();
+    let json = folder.path().join("distribution.json");
+    let balancer = program("pondlb-server", "pondlb-server");
+    let server = program("pondlb-control-net", "pondlb-control-server");
+    let run = slopes(&[
+        "distribution",
+        "--program",
+        &balancer,
+        "--before",
+        &balancer,
+        "--server",
+        &server,
+        "--seconds",
+        "0.6",
+        "--share",
+        "0.05",
+        "--json",
+        json.to_str().unwrap(),
+    ]);
+    // Void says that times mean nothing, which are not looked at here.
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert!(matches!(run.status.code(), Some(0 | VOID)), "{:?} {said}", run.status);
+    let results: Vec<Value> = serde_json::from_str(&std::fs::read_to_string(json).unwrap()).unwrap();
+    assert_eq!((results.len(), &results[0]["dimension"]), (1, &"distribution".into()));
+    for one in results[0]["series"].as_array().unwrap() {
+        assert_eq!(sizes(one), [10.0, 50.0, 200.0, 400.0, 1200.0]);
+        assert_eq!(values(one).len(), 5);
+    }
+    for side in ["before", "after"] {
+        let seen = |what: &str| values(series(&results[0], &format!("changes seen, {what}, {side}")));
+        assert_eq!(seen("5 changes a second"), [3.0; 5]);
+        assert_eq!(seen("20 changes a second"), [12.0; 5]);
+        assert_eq!(seen("a zone at once"), [2.0; 5]);
+        assert!(values(series(&results[0], &format!("resident memory, {side}"))).iter().all(|mb| *mb > 0.0));
+        for what in ["quiet", "5 changes a second", "20 changes a second", "a zone at once"] {
+            let latency = series(&results[0], &format!("added p99, {what}, {side}"));
+            let points = latency["points"].as_array().unwrap().iter().chain([&latency["beyond"]["point"]]);
+            for point in points {
+                let note = point["note"].as_str().unwrap();
+                assert!(
+                    !note.starts_with("0 answered") && note.contains(" 0 failed"),
+                    "{what}, {side}: {note}"
+                );
+            }
+        }
+    }
+    for what in ["5 changes a second", "20 changes a second", "a zone at once"] {
+        series(&results[0], &format!("processor time a change, {what}, origin"));
+    }
+}
+
 #[test]
 fn bad_input_ends_with_2_before_anything_starts() {
     let planted = env!("CARGO_BIN_EXE_pondlb-planted");
-    let cases: [(&[&str], &str); 7] = [
+    let cases: [(&[&str], &str); 9] = [
+        (&["distribution", "--program", planted, "--before", "no/such/before"], "no/such/before"),
+        (&["distribution", "--program", planted, "--server", "no/such/server"], "no/such/server"),
         (&["upstreems"], "upstreems"),
         (&["--seconds", "0"], "--seconds 0: 0.1 to 60 are accepted"),
         (&["--seconds", "nan"], "--seconds NaN: 0.1 to 60 are accepted"),
