A probe of processor time passes over threads that end while it reads

The threads are listed from /proc/PID/task and read one by one; one that ended in between failed the whole probe. Ruled out: the process itself had ended (it was the test's own), and a missing schedstat (the other threads have it).

A thread that has ended is passed over, whether its file is gone or was opened before it ended (ESRCH); a process of which no thread could be read is an error as before.

--- a/crates/pondlb-lab/src/slopes/probe.rs
+++ b/crates/pondlb-lab/src/slopes/probe.rs
@@ -2,8 +2,11 @@
 
 use std::fs;
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
+use rustix::io::Errno;
+
 /// A process that is watched, by its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Process(pub u32);
@@ -42,17 +45,18 @@
 }
 
 impl Process {
-    /// Processor time of all threads that the process has.
+    /// Processor time of all threads that the process has. Threads that have ended no longer count, nor does one that
+    /// ends while the others are read.
     ///
     /// # Errors
     /// The process has ended, or the system keeps no such statistics.
     pub fn scheduled(self) -> io::Result<Scheduled> {
-        let mut sum = Scheduled::default();
+        let mut sum = None;
         for thread in fs::read_dir(format!("/proc/{}/task", self.0))? {
-            let text = fs::read_to_string(thread?.path().join("schedstat"))?;
-            sum = sum.and(&parse_schedstat(&text).ok_or_else(|| unreadable("schedstat", &text))?);
+            let Some(scheduled) = scheduled_thread(&thread?.path())? else { continue };
+            sum = Some(scheduled.and(&sum.unwrap_or_default()));
         }
-        Ok(sum)
+        sum.ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
     }
 
     /// Resident memory.
@@ -73,6 +77,20 @@
     }
 }
 
+/// Processor time of one thread; nothing if it has ended since its directory was listed.
+fn scheduled_thread(directory: &Path) -> io::Result<Option<Scheduled>> {
+    match fs::read_to_string(directory.join("schedstat")) {
+        Ok(text) => parse_schedstat(&text).map(Some).ok_or_else(|| unreadable("schedstat", &text)),
+        Err(error) if has_ended(&error) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// The file is gone, or was opened before the thread ended and read after it.
+fn has_ended(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::NotFound || Errno::from_io_error(error) == Some(Errno::SRCH)
+}
+
 fn unreadable(file: &str, text: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, format!("{file} can't be read: {text:?}"))
 }
--- a/crates/pondlb-lab/tests/slopes.rs
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -2,6 +2,8 @@
 
 use std::path::Path;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use pondlb_lab::http::Wire;
@@ -87,6 +89,28 @@
     assert!(own.descriptors().unwrap() >= 3);
     assert!(own.scheduled().unwrap().ran > Duration::ZERO);
     assert!(Process(u32::MAX).memory().is_err());
+    assert!(Process(u32::MAX).scheduled().is_err());
+}
+
+/// Threads end between the moment when they are listed and the moment when they are read, as they do in a process with
+/// a pool of threads.
+#[test]
+fn a_process_whose_threads_end_can_be_probed() {
+    let own = Process(std::process::id());
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let start_short_threads = || {
+            while !stop.load(Ordering::Relaxed) {
+                thread::spawn(thread::yield_now).join().unwrap();
+            }
+        };
+        (0..4).for_each(|_| drop(scope.spawn(start_short_threads)));
+        let probes: Vec<_> = (0..5_000).map(|_| own.scheduled()).collect();
+        stop.store(true, Ordering::Relaxed);
+        for probe in probes {
+            assert!(probe.unwrap().ran > Duration::ZERO);
+        }
+    });
 }
 
 /// What discovery answers to one call, as JSON.
