--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -75,9 +75,9 @@
 
     fn request(&mut self) -> Vec<Action> {
         self.requests += 1;
-        let (txn, left, cost) = (format!("r{}", self.requests).into(), SECOND, Some(20 * MS));
+        let (request, left, cost) = (format!("r{}", self.requests).into(), SECOND, Some(20 * MS));
         let arrival =
-            Arrival { txn, scheme: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
+            Arrival { request, scheme: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
         self.actions.clear();
         self.balancer.handle(self.now, [Event::Arrived(arrival)], &mut self.actions);
         std::mem::take(&mut self.actions)
@@ -91,9 +91,9 @@
 }
 
 fn answer(action: Action) -> Option<Event> {
-    let Action::Post { txn, upstream, .. } = action else { return None };
+    let Action::Post { request, upstream, .. } = action else { return None };
     let (outcome, load) = (Outcome::Ok, Load::default());
-    Some(Event::Ended { txn, posting: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
+    Some(Event::Ended { request, posting: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
 }
 
 fn changes(numbers: impl Iterator<Item = usize>, stage: Stage) -> Event {
--- a/crates/pondlb-adapter/src/main.rs
+++ b/crates/pondlb-adapter/src/main.rs
@@ -106,7 +106,7 @@
                     .insert(who, Instance { balancer, reading, waiting: Vec::new(), touched: false });
                 host.touch(who)?;
             }
-            // What it was sent earlier in this batch dies with it: it could only act on txns it lost.
+            // What it was sent earlier in this batch dies with it: it could only act on requests it lost.
             Line::Kill { who } => {
                 host.instances.remove(&who).ok_or_else(|| wire::unknown(who))?;
             }
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -230,7 +230,7 @@
             return Ok(Line::View { who, form, page });
         }
         "KNOCK" => Event::Arrived(Arrival {
-            txn: fields.word("OpId")?.into(),
+            request: fields.word("OpId")?.into(),
             scheme: match fields.number("Priority")? {
                 scheme if scheme < reading.schemes => scheme,
                 scheme => return Err(fields.bad("Priority", &scheme.to_string())),
@@ -246,7 +246,7 @@
             write: fields.flag("Write")?,
         }),
         "REPLY" => Event::Ended {
-            txn: fields.word("OpId")?.into(),
+            request: fields.word("OpId")?.into(),
             posting: fields.number("Go")?,
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
@@ -255,7 +255,7 @@
             load: fields.load(reading)?,
         },
         "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
-        "ABORTED" => Event::Left { txn: fields.word("OpId")?.into() },
+        "ABORTED" => Event::Left { request: fields.word("OpId")?.into() },
         "HEALTH" => Event::Probed {
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
@@ -281,8 +281,8 @@
 
 pub fn write(out: &mut impl Write, who: u64, action: &Action) -> io::Result<()> {
     match action {
-        Action::Post { txn, upstream, timeout, .. } => {
-            write!(out, "DISPATCH Who={who} OpId={txn} Upstream={upstream}")?;
+        Action::Post { request, upstream, timeout, .. } => {
+            write!(out, "DISPATCH Who={who} OpId={request} Upstream={upstream}")?;
             optional(out, "TimeoutNs", *timeout)
         }
         Action::Probe { upstream } => writeln!(out, "TOUCH Who={who} Upstream={upstream}"),
@@ -297,10 +297,12 @@
         }
         Action::Watch { on } => writeln!(out, "KEEP_INFORMED Who={who} Enable={}", u8::from(*on)),
         Action::Refetch => writeln!(out, "REFRESH Who={who}"),
-        Action::Recall { txn, posting } => writeln!(out, "CALL_OFF Who={who} OpId={txn} Go={posting}"),
-        Action::Reverse { txn } => writeln!(out, "RESPOND_ERROR Who={who} OpId={txn}"),
-        Action::Decline { txn, cool_down } => {
-            write!(out, "REJECT Who={who} OpId={txn}")?;
+        Action::Recall { request, posting } => {
+            writeln!(out, "CALL_OFF Who={who} OpId={request} Go={posting}")
+        }
+        Action::Reverse { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
+        Action::Decline { request, cool_down } => {
+            write!(out, "REJECT Who={who} OpId={request}")?;
             optional(out, "CoolDownNs", *cool_down)
         }
         Action::CloseIdle { upstream } => writeln!(out, "DROP_CONNS Who={who} Upstream={upstream}"),
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -3,7 +3,7 @@
 
 use serde::Serialize;
 
-/// One txn, as its client saw it.
+/// One request, as its client saw it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Asked {
     pub id: String,
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Sends all that is planned, counted from `from`, and returns once the last txn has had its time.
+/// Sends all that is planned, counted from `from`, and returns once the last request has had its time.
 pub async fn follow(
     scenario: &Rc<Scenario>,
     plan: Vec<Planned>,
--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -176,9 +176,9 @@
                     println!("{}", serde_json::to_string(planned).map_err(|e| e.to_string())?);
                 }
             } else {
-                let (txns, upstreams) = (arrivals.len(), scenario.fleet().len());
+                let (requests, upstreams) = (arrivals.len(), scenario.fleet().len());
                 println!(
-                    "{txns} txns in {} s to {} balancers and {upstreams} upstreams",
+                    "{requests} txns in {} s to {} balancers and {upstreams} upstreams",
                     scenario.seconds, scenario.balancers
                 );
             }
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -31,7 +31,7 @@
     pub times: Times,
 }
 
-/// What became of one scheme's txns; times in milliseconds, from the intended send.
+/// What became of one scheme's requests; times in milliseconds, from the intended send.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Figures {
     pub name: String,
@@ -80,7 +80,7 @@
             }
             () = sleep(Duration::from_millis(100)) => {
                 for (balancer, status) in balancers.ended() {
-                    // Said once: a crash is a crash, not so many txns refused.
+                    // Said once: a crash is a crash, not so many requests refused.
                     if !std::mem::replace(&mut gone[balancer], true) {
                         let crash = Crash { balancer: balancer as u32, at: book.now(), status };
                         book.ledgers.borrow_mut().crashes.push(crash);
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -13,14 +13,14 @@
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     pub seed: u64,
-    /// How long txns arrive; the run is over once the last of them has had its time.
+    /// How long requests arrive; the run is over once the last of them has had its time.
     pub seconds: f64,
     pub balancers: u32,
-    /// Which balancers, from 0, ask upstreams for their load and may not have two postings of a txn out; the
+    /// Which balancers, from 0, ask upstreams for their load and may not have two postings of a request out; the
     /// others do neither.
     #[serde(default)]
     pub asking: Vec<u32>,
-    /// The part of its txns that either kind of balancers has to settle in time, or it is starved.
+    /// The part of its requests that either kind of balancers has to settle in time, or it is starved.
     #[serde(default)]
     pub least_in_time: f64,
     #[serde(default)]
@@ -67,7 +67,7 @@
     pub count: u32,
     #[serde(default = "zone")]
     pub zone: String,
-    /// Those of one group know each other's referenced txns.
+    /// Those of one group know each other's referenced requests.
     #[serde(default)]
     pub group: u32,
     #[serde(default = "one")]
@@ -113,10 +113,10 @@
     pub sla_ms: u64,
     pub expiry_ms: u64,
     pub value: f64,
-    /// Txns a second over the whole fleet.
+    /// Requests a second over the whole fleet.
     pub rate: f64,
     pub work_ms: f64,
-    /// A part of the txns has ten times that work.
+    /// A part of the requests has ten times that work.
     #[serde(default)]
     pub heavy: f64,
 }
@@ -125,7 +125,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
     Repeatable,
-    /// A repeat is dropped within the group, for the txn's own time.
+    /// A repeat is dropped within the group, for the request's own time.
     Referenced,
     OnceOnly,
 }
@@ -184,7 +184,7 @@
     KillBalancer,
 }
 
-/// A txn that will be sent, as drawn ahead.
+/// A request that will be sent, as drawn ahead.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Planned {
     pub id: String,
@@ -195,7 +195,7 @@
 }
 
 const MOST_SECONDS: f64 = 600.0;
-const MOST_TXNS: f64 = 2_000_000.0;
+const MOST_REQUESTS: f64 = 2_000_000.0;
 const MOST_UPSTREAMS: u32 = 1024;
 const MOST_BALANCERS: u32 = 1024;
 
@@ -255,8 +255,8 @@
                 format!("{}: {:?} is there twice", key("name"), s.name),
             );
         }
-        let txns = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds * self.most_times();
-        check(txns <= MOST_TXNS, format!("schemes: {txns:?} txns in all: 2000000 at most"));
+        let requests = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds * self.most_times();
+        check(requests <= MOST_REQUESTS, format!("schemes: {requests:?} txns in all: 2000000 at most"));
         for (n, b) in self.bursts.iter().enumerate() {
             check(
                 within(b.at, 0.0, self.seconds),
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -29,7 +29,7 @@
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
-    /// A txn may have more time left than the program has: its answer comes by then, or the kill would lose
+    /// A request may have more time left than the program has: its answer comes by then, or the kill would lose
     /// it.
     answered: Tenths,
     /// However slow a client is with its request, the program is gone before it is killed.
@@ -194,7 +194,7 @@
         Ok(())
     }
 
-    /// Discovery and most of the settings can change while txns are open. A file that can't be used must not end a
+    /// Discovery and most of the settings can change while requests are open. A file that can't be used must not end a
     /// program that serves, so everything stays as it was.
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -143,9 +143,9 @@
 const OWN_DESCRIPTORS: usize = 48;
 /// Memory of the program's own code, stack and threads, which nobody counts.
 const OWN_MEMORY: u64 = 12 << 20;
-/// A txn's memory at its worst: what its client's connection holds, its request as kept and as written for
+/// A request's memory at its worst: what its client's connection holds, its message as kept and as written for
 /// one posting, and its answer as read, kept and written.
-const TXN_MEMORY: u64 = (2 * MOST_HELD + 4 * (MOST_BODY + MOST_HEAD)) as u64;
+const REQUEST_MEMORY: u64 = (2 * MOST_HELD + 4 * (MOST_BODY + MOST_HEAD)) as u64;
 /// A list may be as long as one of so many parts of the memory. As it was sent, as its upstreams and as what is known
 /// of each it holds fourteen times its length, and with more than half of the memory held nothing new is served.
 const LIST_SHARE: u64 = 40;
@@ -153,7 +153,7 @@
 /// with the longest names and indented two thirds.
 const LEAST_LIST: u64 = 1 << 20;
 const FEWEST: usize = 8;
-const FEW_TXNS: u64 = 4;
+const FEW_REQUESTS: u64 = 4;
 
 impl Setup {
     /// `env` looks up a variable of the environment; what the file leaves out may stand there. All that is wrong
@@ -222,7 +222,7 @@
         if upstreams < FEWEST {
             return Err(format!("limits.sockets: {} are too few to serve", limits.sockets));
         }
-        if most < FEW_TXNS * TXN_MEMORY {
+        if most < FEW_REQUESTS * REQUEST_MEMORY {
             return Err(format!("limits.memory_mb: {} are too few to serve", limits.memory_mb));
         }
         let clients = sockets - upstreams;
--- a/crates/pondlb-server/src/protocol/answer.rs
+++ b/crates/pondlb-server/src/protocol/answer.rs
@@ -1,10 +1,10 @@
-//! What became of a txn, in no protocol's words.
+//! What became of a request, in no protocol's words.
 
 use pondlb::Tenths;
 
 use pondlb_http::Message;
 
-/// The final answer of a txn.
+/// The final answer of a request.
 #[derive(Debug, PartialEq)]
 pub enum Answer {
     Settled(Message),
@@ -14,7 +14,7 @@
     Reversed,
     /// Upstreams turn it away for what the client sent.
     Unfit,
-    /// Its id is that of a txn that is being served or was just now, so it never became one.
+    /// Its id is that of another request that is being served, or was a moment ago; it is refused.
     Duplicate,
 }
 
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -1,4 +1,4 @@
-//! The side that clients speak to: bytes to txns, answers to bytes.
+//! The side that clients speak to: bytes to requests, answers to bytes.
 
 use std::collections::HashMap;
 
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub enum Wish {
     Health,
-    Txn { arrival: Arrival, request: Message },
+    Request { arrival: Arrival, message: Message },
 }
 
 #[derive(Debug)]
@@ -109,7 +109,7 @@
         Some(cost) => Some(decimal_ns(cost, 1000).ok_or(Fault::Malformed("Req-Cost is no number"))?),
     };
     let arrival = Arrival {
-        txn: id.into(),
+        request: id.into(),
         scheme,
         tenant: 0,
         key: None,
@@ -118,7 +118,7 @@
         repeat: head.one("Req-Retry")? == Some("1"),
         write: method != "GET",
     };
-    Ok(Asked { wish: Wish::Txn { arrival, request: message }, last })
+    Ok(Asked { wish: Wish::Request { arrival, message }, last })
 }
 
 /// `480m` or `1500u`, in nanoseconds.
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -40,9 +40,9 @@
         let last = if asked.last { ", the last" } else { "" };
         Ok(Some(match asked.wish {
             Wish::Health => format!("health{last}"),
-            Wish::Txn { arrival: a, request: r } => format!(
+            Wish::Request { arrival: a, message: r } => format!(
                 "{} scheme {} left {} cost {:?} repeat {} write {}: {:?} {}{last}",
-                a.txn,
+                a.request,
                 a.scheme,
                 a.left,
                 a.cost,
@@ -183,7 +183,7 @@
 }
 
 #[test]
-fn what_is_no_request_gets_a_4xx_and_a_close_and_is_no_txn() {
+fn what_is_malformed_gets_a_4xx_and_a_close_and_is_no_request() {
     let mut made = String::new();
     let (id, kind, time) = ("Req-Id: a1\r\n", "Req-Kind: order\r\n", "Req-Deadline: 480m\r\n");
     let long = "x".repeat(MOST_HEAD);
@@ -377,7 +377,7 @@
     side.input().fill(bytes.len());
     match side.next(&Classes::from([("browse".into(), 0), ("order".into(), 1)])) {
         Ok(Some(asked)) => match asked.wish {
-            Wish::Txn { request, .. } => request,
+            Wish::Request { message, .. } => message,
             Wish::Health => panic!("a txn is wanted"),
         },
         other => panic!("{other:?}"),
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -12,21 +12,21 @@
 const REWRITTEN: [&str; 4] = ["Content-Length", "Req-Id", "Req-Deadline", "Expect"];
 
 /// The id goes with it whatever the client's `Connection` says: without it nobody could tell a repeat.
-pub fn write_posting(id: &str, request: &Message, wait: Tenths) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + request.body.len());
-    out.extend_from_slice(request.head.first.rsplit_once(' ').map_or("", |(line, _)| line).as_bytes());
+pub fn write_posting(id: &str, message: &Message, wait: Tenths) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512 + message.body.len());
+    out.extend_from_slice(message.head.first.rsplit_once(' ').map_or("", |(line, _)| line).as_bytes());
     out.extend_from_slice(b" HTTP/1.1\r\n");
-    request.head.pass_on(&REWRITTEN, &mut out);
+    message.head.pass_on(&REWRITTEN, &mut out);
     out.extend_from_slice(format!("Req-Id: {id}\r\nReq-Deadline: {}u\r\n", wait * 100).as_bytes());
-    if !request.body.is_empty() || !request.head.first.starts_with("GET ") {
-        out.extend_from_slice(format!("Content-Length: {}\r\n", request.body.len()).as_bytes());
+    if !message.body.is_empty() || !message.head.first.starts_with("GET ") {
+        out.extend_from_slice(format!("Content-Length: {}\r\n", message.body.len()).as_bytes());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
+    out.extend_from_slice(&message.body);
     out
 }
 
-/// Asks an upstream for its load: no txn, so it has no id.
+/// Asks an upstream for its load. No client's request stands behind it, so it has no id.
 pub fn write_probe(path: &str, address: SocketAddr) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes()
 }
@@ -75,7 +75,7 @@
             }
             // What is said ahead of the answer is nobody's answer.
             if status >= 200 {
-                // More than was asked for must not pass for the next txn's answer.
+                // More than was asked for must not pass for the next request's answer.
                 let whole = !closed && self.reader.is_idle();
                 return Ok(Some(answered(message, status, whole)));
             }
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use pondlb::{
-    Action, Balancer, Event, Listing, Load, Outcome, Stage, Tenths, TermsChange, TxnId, UpstreamId,
+    Action, Balancer, Event, Listing, Load, Outcome, RequestId, Stage, Tenths, TermsChange, UpstreamId,
 };
 use pondlb_http::Message;
 use tokio::sync::oneshot;
@@ -32,9 +32,9 @@
     fn is_written(&self) -> bool;
 }
 
-/// A txn until its final answer is given and none of its postings is out.
-struct Txn {
-    request: Rc<Message>,
+/// A request until its final answer is given and none of its postings is out.
+struct Request {
+    message: Rc<Message>,
     /// None once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
     expiry: Tenths,
@@ -52,8 +52,8 @@
 /// from somebody else.
 #[derive(Default)]
 struct Ids {
-    taken: HashSet<TxnId>,
-    order: VecDeque<(Tenths, TxnId)>,
+    taken: HashSet<RequestId>,
+    order: VecDeque<(Tenths, RequestId)>,
 }
 
 const TAKEN_FOR: Tenths = 50_000;
@@ -61,8 +61,8 @@
 
 impl Ids {
     /// False when it is taken.
-    fn take(&mut self, now: Tenths, id: &TxnId) -> bool {
-        let old = |(at, _): &(Tenths, TxnId)| at + TAKEN_FOR <= now;
+    fn take(&mut self, now: Tenths, id: &RequestId) -> bool {
+        let old = |(at, _): &(Tenths, RequestId)| at + TAKEN_FOR <= now;
         while self.order.front().is_some_and(old) || self.order.len() >= MOST_TAKEN {
             if let Some((_, id)) = self.order.pop_front() {
                 self.taken.remove(&id);
@@ -76,22 +76,22 @@
     }
 }
 
-/// Owns the balancer, and the txns and postings that it has decided on.
+/// Owns the balancer, and the requests and postings that it has decided on.
 pub struct Exchange<C: Carrier> {
     balancer: Balancer,
     directory: Directory,
     carrier: C,
-    txns: BTreeMap<TxnId, Txn>,
+    requests: BTreeMap<RequestId, Request>,
     ids: Ids,
     outs: BTreeMap<PostingId, Out<C::Hold>>,
-    /// Txns that nobody waits for any more, since the last look at what of theirs can be taken back.
-    closed: Vec<TxnId>,
+    /// Requests that nobody waits for any more, since the last look at what of theirs can be taken back.
+    closed: Vec<RequestId>,
     events: Vec<Event>,
     actions: Vec<Action>,
     wake: Option<(Tenths, &'static str)>,
-    /// When every txn must have its answer, whatever its expiry: the program is killed soon after.
+    /// When every request must have its answer, whatever its expiry: the program is killed soon after.
     end: Option<Tenths>,
-    /// How much before its expiry a txn must have its answer, for a loop that runs late.
+    /// How much before its expiry a request must have its answer, for a loop that runs late.
     slack: Tenths,
     /// The list of upstreams is not whole before control servers have told it.
     awaits_state: bool,
@@ -103,7 +103,7 @@
             balancer,
             directory,
             carrier,
-            txns: BTreeMap::new(),
+            requests: BTreeMap::new(),
             ids: Ids::default(),
             outs: BTreeMap::new(),
             closed: Vec::new(),
@@ -121,7 +121,7 @@
         self.awaits_state = true;
     }
 
-    /// Puts checked changes of the terms in force; txns that are open end under what they came with.
+    /// Puts checked changes of the terms in force; requests that are open end under what they came with.
     pub fn change(&mut self, now: Tenths, changes: &[TermsChange]) {
         self.balancer.change(changes);
         self.decide(now);
@@ -156,7 +156,7 @@
 
     /// Of these attempts those that are not written yet: one that is still dialling would be written long after, also
     /// where work that has begun may not be cancelled.
-    fn take_back(&mut self, now: Tenths, which: impl Fn(&TxnId, &UpstreamId) -> bool) {
+    fn take_back(&mut self, now: Tenths, which: impl Fn(&RequestId, &UpstreamId) -> bool) {
         let chosen =
             self.outs.iter().filter(|((id, _), out)| !out.hold.is_written() && which(id, &out.upstream));
         let chosen: Vec<PostingId> = chosen.map(|(posting, _)| posting.clone()).collect();
@@ -171,8 +171,8 @@
     /// From then on nothing is posted, and what is out is given up, for the decisions to answer.
     pub fn end_by(&mut self, at: Tenths) {
         self.end = Some(at);
-        for txn in self.txns.values_mut() {
-            txn.expiry = txn.expiry.min(at);
+        for request in self.requests.values_mut() {
+            request.expiry = request.expiry.min(at);
         }
     }
 
@@ -181,33 +181,33 @@
         !self.directory.is_empty() && !self.awaits_state
     }
 
-    /// Txns that are owed an answer.
+    /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
-        self.txns.values().filter(|txn| txn.answer.is_some()).count()
+        self.requests.values().filter(|request| request.answer.is_some()).count()
     }
 
     fn read(&mut self, now: Tenths, note: Note) {
         match note {
-            Note::Arrived { mut arrival, request, answer } => {
-                // Two txns of one id would get each other's answers, and a second one's effect is no repeat.
-                if self.txns.contains_key(&arrival.txn) || !self.ids.take(now, &arrival.txn) {
+            Note::Arrived { mut arrival, message, answer } => {
+                // Two requests of one id would get each other's answers, and a second one's effect is no repeat.
+                if self.requests.contains_key(&arrival.request) || !self.ids.take(now, &arrival.request) {
                     let _gone = answer.send(Answer::Duplicate);
                     return;
                 }
                 let hint = arrival.cost.unwrap_or_default();
-                log::debug!("{} comes: scheme {} cost {hint}", arrival.txn, arrival.scheme);
+                log::debug!("{} comes: scheme {} cost {hint}", arrival.request, arrival.scheme);
                 arrival.left = arrival.left.saturating_sub(self.slack);
                 if let Some(end) = self.end {
                     arrival.left = arrival.left.min(end.saturating_sub(now));
                 }
-                let (request, expiry) = (Rc::new(request), now + arrival.left);
-                let txn = Txn { request, answer: Some(answer), expiry, posted: 0, out: 0 };
-                self.txns.insert(arrival.txn.clone(), txn);
+                let (message, expiry) = (Rc::new(message), now + arrival.left);
+                let request = Request { message, answer: Some(answer), expiry, posted: 0, out: 0 };
+                self.requests.insert(arrival.request.clone(), request);
                 self.events.push(Event::Arrived(arrival));
             }
-            Note::Left { txn } => {
-                if self.close(&txn).is_some() {
-                    self.events.push(Event::Left { txn });
+            Note::Left { request } => {
+                if self.close(&request).is_some() {
+                    self.events.push(Event::Left { request });
                 }
             }
             Note::Ended { posting, end } => self.ended(now, posting, end),
@@ -248,18 +248,18 @@
     /// A posting given up may have ended at the same moment: only the first of the two ends counts.
     fn ended(&mut self, now: Tenths, (id, posting): PostingId, end: End) {
         let Some(out) = self.outs.remove(&(id.clone(), posting)) else { return };
-        if let Some(txn) = self.txns.get_mut(&id) {
-            txn.out -= 1;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.out -= 1;
         }
         let (up, outcome, took, load) = (&out.upstream, end.outcome, now - out.order, end.load);
         log::debug!("{id} {posting} ends at {up}: {outcome:?} after {took}{load}");
         if let Some(reply) = end.reply {
             self.give(&id, reply);
         }
-        let settled = self.txns.get(&id).is_none_or(|txn| txn.answer.is_none());
+        let settled = self.requests.get(&id).is_none_or(|request| request.answer.is_none());
         self.forget(&id);
         self.events.push(Event::Ended {
-            txn: id,
+            request: id,
             posting,
             upstream: out.upstream,
             outcome: end.outcome,
@@ -286,15 +286,15 @@
 
     fn carry_out(&mut self, now: Tenths, action: Action) {
         match action {
-            Action::Post { txn, upstream, timeout, begin_by } => {
-                self.post(now, txn, upstream, timeout, begin_by);
+            Action::Post { request, upstream, timeout, begin_by } => {
+                self.post(now, request, upstream, timeout, begin_by);
             }
-            Action::Recall { txn, posting } => {
+            Action::Recall { request, posting } => {
                 // Dropping what is kept of it closes its connection.
-                self.ended(now, (txn, posting), Outcome::Cancelled.into());
+                self.ended(now, (request, posting), Outcome::Cancelled.into());
             }
-            Action::Decline { txn, cool_down } => self.give(&txn, Answer::Declined { cool_down }),
-            Action::Reverse { txn } => self.give(&txn, Answer::Reversed),
+            Action::Decline { request, cool_down } => self.give(&request, Answer::Declined { cool_down }),
+            Action::Reverse { request } => self.give(&request, Answer::Reversed),
             Action::Watch { on } => self.carrier.watch(on),
             Action::Refetch => self.carrier.fetch(),
             Action::CloseIdle { upstream } => self.carrier.close_idle(&upstream),
@@ -314,44 +314,44 @@
     fn post(
         &mut self,
         now: Tenths,
-        id: TxnId,
+        id: RequestId,
         upstream: UpstreamId,
         timeout: Option<Tenths>,
         begin_by: Option<Tenths>,
     ) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
-        let posting = txn.posted;
-        txn.posted += 1;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let posting = request.posted;
+        request.posted += 1;
         let outcome = match self.directory.address(&upstream) {
             // Nothing leaves after the final answer or the expiry, whoever asks for it.
-            _ if txn.answer.is_none() || now >= txn.expiry => Outcome::Moot,
+            _ if request.answer.is_none() || now >= request.expiry => Outcome::Moot,
             None => Outcome::ConnectFailed,
             Some(address) => {
                 log::debug!("{id} {posting} is posted to {upstream}");
-                txn.out += 1;
-                let until = timeout.map_or(txn.expiry, |span| txn.expiry.min(now + span));
-                let (request, name) = (txn.request.clone(), upstream.clone());
+                request.out += 1;
+                let until = timeout.map_or(request.expiry, |span| request.expiry.min(now + span));
+                let (message, name) = (request.message.clone(), upstream.clone());
                 let id = (id.clone(), posting);
-                let order = Order { id: id.clone(), upstream: name, address, request, until, begin_by };
+                let order = Order { id: id.clone(), upstream: name, address, message, until, begin_by };
                 let hold = self.carrier.post(order);
                 self.outs.insert(id, Out { order: now, upstream, hold });
                 return;
             }
         };
-        let (settled, took, load) = (txn.answer.is_none(), 0, Load::default());
-        self.events.push(Event::Ended { txn: id, posting, upstream, outcome, took, settled, load });
+        let (settled, took, load) = (request.answer.is_none(), 0, Load::default());
+        self.events.push(Event::Ended { request: id, posting, upstream, outcome, took, settled, load });
     }
 
     /// The first answer is final; a client that has left gets none.
-    fn give(&mut self, id: &TxnId, answer: Answer) {
+    fn give(&mut self, id: &RequestId, answer: Answer) {
         if let Some(waiting) = self.close(id) {
             log::debug!("{id} is answered: {}", answer.name());
             let _gone = waiting.send(answer);
         }
     }
 
-    fn close(&mut self, id: &TxnId) -> Option<oneshot::Sender<Answer>> {
-        let waiting = self.txns.get_mut(id)?.answer.take();
+    fn close(&mut self, id: &RequestId) -> Option<oneshot::Sender<Answer>> {
+        let waiting = self.requests.get_mut(id)?.answer.take();
         if waiting.is_some() {
             self.closed.push(id.clone());
         }
@@ -359,9 +359,9 @@
         waiting
     }
 
-    fn forget(&mut self, id: &TxnId) {
-        if self.txns.get(id).is_some_and(|txn| txn.answer.is_none() && txn.out == 0) {
-            self.txns.remove(id);
+    fn forget(&mut self, id: &RequestId) {
+        if self.requests.get(id).is_some_and(|request| request.answer.is_none() && request.out == 0) {
+            self.requests.remove(id);
         }
     }
 }
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -1,15 +1,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Arrival, Load, Outcome, Tenths, TxnId, UpstreamId};
+use pondlb::{Arrival, Load, Outcome, RequestId, Tenths, UpstreamId};
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
 
-/// The postings of a txn are numbered as they leave.
-pub type PostingId = (TxnId, u32);
+/// The postings of a request are numbered as they leave.
+pub type PostingId = (RequestId, u32);
 
 /// A posting to be carried out.
 #[derive(Debug)]
@@ -17,7 +17,7 @@
     pub id: PostingId,
     pub upstream: UpstreamId,
     pub address: SocketAddr,
-    pub request: Rc<Message>,
+    pub message: Rc<Message>,
     /// When the balancer stops waiting for it.
     pub until: Tenths,
     /// Written later than this it would be met as new, though an earlier one may have run.
@@ -43,11 +43,11 @@
 pub enum Note {
     Arrived {
         arrival: Arrival,
-        request: Message,
+        message: Message,
         answer: oneshot::Sender<Answer>,
     },
     Left {
-        txn: TxnId,
+        request: RequestId,
     },
     Ended {
         posting: PostingId,
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -109,10 +109,10 @@
     fn arrive(&mut self, now: Tenths, name: &'static str, scheme: u32, left: Tenths) {
         let (answer, answered) = oneshot::channel();
         let head = Head { first: "GET / HTTP/1.1".into(), fields: Vec::new() };
-        let (txn, tenant, key, cost) = (name.into(), 0, None, None);
-        let arrival = Arrival { txn, scheme, tenant, key, left, cost, repeat: false, write: false };
+        let (request, tenant, key, cost) = (name.into(), 0, None, None);
+        let arrival = Arrival { request, scheme, tenant, key, left, cost, repeat: false, write: false };
         self.waiting.push((name, answered));
-        self.step(now, Some(Note::Arrived { arrival, request: Message { head, body: Vec::new() }, answer }));
+        self.step(now, Some(Note::Arrived { arrival, message: Message { head, body: Vec::new() }, answer }));
     }
 
     fn end(&mut self, now: Tenths, name: &str, posting: u32, outcome: Outcome) {
@@ -127,8 +127,8 @@
     fn step(&mut self, now: Tenths, note: Option<Note>) {
         let heading = match &note {
             None => "wake".into(),
-            Some(Note::Arrived { arrival, .. }) => format!("{} comes", arrival.txn),
-            Some(Note::Left { txn }) => format!("{txn} leaves"),
+            Some(Note::Arrived { arrival, .. }) => format!("{} comes", arrival.request),
+            Some(Note::Left { request }) => format!("{request} leaves"),
             Some(Note::Ended { posting, end }) => {
                 format!("{} {} ends: {:?}", posting.0, posting.1, end.outcome)
             }
@@ -175,7 +175,7 @@
 const TWO: &[(&str, u16, &str, &str, u64)] = &[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)];
 
 #[test]
-fn an_answer_reaches_its_own_txn_and_no_other() {
+fn an_answer_reaches_its_own_request_and_no_other() {
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     play.arrive(20, "t2", REPEATABLE, 20_000);
@@ -225,9 +225,9 @@
 fn a_client_that_left_is_owed_nothing_and_its_posting_is_let_go() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 20_000);
-    play.step(20, Some(Note::Left { txn: "t1".into() }));
+    play.step(20, Some(Note::Left { request: "t1".into() }));
     play.end(500, "t1", 0, Outcome::Ok);
-    play.step(510, Some(Note::Left { txn: "t1".into() }));
+    play.step(510, Some(Note::Left { request: "t1".into() }));
     play.ends_with(expect![[r#"
         10: t1 comes
           post t1 0 to u1 at 127.0.0.1:1 until 19960
@@ -259,7 +259,7 @@
 }
 
 #[test]
-fn a_second_txn_of_an_id_in_service_is_no_txn() {
+fn a_second_request_of_an_id_in_service_is_refused() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 20_000);
     play.arrive(20, "t1", ONCE_ONLY, 20_000);
@@ -340,7 +340,7 @@
 }
 
 #[test]
-fn a_txn_without_an_answer_gets_its_final_one_before_its_expiry() {
+fn a_request_without_an_answer_gets_its_final_one_before_its_expiry() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 5000);
     play.pass(4959);
@@ -357,7 +357,7 @@
 
 /// The danger is the kill that follows: what it finds unanswered is lost.
 #[test]
-fn when_the_program_ends_every_txn_has_its_answer_by_then() {
+fn when_the_program_ends_every_request_has_its_answer_by_then() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 60_000);
     play.exchange.end_by(5000);
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pondlb::{Tenths, TxnId};
+use pondlb::{RequestId, Tenths};
 use pondlb_http::Fault;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -165,17 +165,17 @@
     ) -> Option<(Vec<u8>, bool)> {
         let overrun = Cell::new(false);
         let last = |asked_last| asked_last || overrun.get() || *self.phase.borrow() >= Phase::Closing;
-        let (arrival, request) = match asked.wish {
+        let (arrival, message) = match asked.wish {
             Wish::Health => {
                 let ready = *self.phase.borrow() == Phase::Serving;
                 let last = last(asked.last);
                 return Some((write_health(ready, last), last));
             }
-            Wish::Txn { arrival, request } => (arrival, request),
+            Wish::Request { arrival, message } => (arrival, message),
         };
-        let txn = arrival.txn.clone();
+        let request = arrival.request.clone();
         let (answer, mut answered) = oneshot::channel();
-        self.notes.send(Note::Arrived { arrival, request, answer }).ok()?;
+        self.notes.send(Note::Arrived { arrival, message, answer }).ok()?;
         tokio::select! {
             biased;
             answer = &mut answered => {
@@ -184,15 +184,15 @@
                 Some((write_answer(&answer, last), last))
             }
             () = leaves(stream, side, &overrun) => {
-                self.left(txn);
+                self.left(request);
                 None
             }
         }
     }
 
-    fn left(&self, txn: TxnId) {
+    fn left(&self, request: RequestId) {
         // The exchange outlives every connection but at the very end, when nothing is owed.
-        let _ended = self.notes.send(Note::Left { txn });
+        let _ended = self.notes.send(Note::Left { request });
     }
 }
 
--- a/crates/pondlb-server/src/transport/memory.rs
+++ b/crates/pondlb-server/src/transport/memory.rs
@@ -6,7 +6,7 @@
 #[global_allocator]
 static HELD: Cap<System> = Cap::new(System, usize::MAX);
 
-/// How much may be held; beyond all of it the program would be killed, with every txn in it.
+/// How much may be held; beyond all of it the program would be killed, with every request in it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Memory {
     pub most: usize,
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/posting.rs
@@ -120,7 +120,7 @@
 }
 
 /// Whether a posting may have run turns on its last byte: until that is written it can't have, from then on
-/// it may have. Nothing is ever written twice, so that the decisions alone repeat a txn.
+/// it may have. Nothing is ever written twice, so that the decisions alone repeat a request.
 async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order, written: &Cell<bool>) -> End {
     let until = clock.instant(order.until);
     let link = match pool.take(&order.upstream, order.address, until).await {
@@ -136,7 +136,7 @@
     if order.begin_by.is_some_and(|by| by <= clock.now()) {
         return Outcome::Moot.into();
     }
-    let bytes = write_posting(&order.id.0, &order.request, order.until.saturating_sub(clock.now()));
+    let bytes = write_posting(&order.id.0, &order.message, order.until.saturating_sub(clock.now()));
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
     }
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -15,7 +15,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 #[test]
-fn a_txn_is_settled_and_connections_are_kept() {
+fn a_request_is_settled_and_connections_are_kept() {
     let upstream = Upstream::start(HELLO);
     let balancer = Plan::with(&[&upstream]).start();
     assert_eq!(balancer.health(), "200");
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn what_is_no_txn_gets_a_4xx_and_a_close_and_goes_nowhere() {
+fn what_is_malformed_gets_a_4xx_and_a_close_and_goes_nowhere() {
     let upstream = Upstream::start(HELLO);
     let balancer = Plan::with(&[&upstream]).start();
     let whole = Client::request("a1", "order", 2000);
@@ -81,7 +81,7 @@
 }
 
 #[test]
-fn a_kept_connection_that_has_ended_costs_no_txn() {
+fn a_kept_connection_that_has_ended_costs_no_request() {
     let upstream = Upstream::start(Habit::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 30));
     let balancer = Plan::with(&[&upstream]).start();
     for n in 0..5 {
@@ -227,7 +227,7 @@
     wait_until("there is room again", || balancer.health() == "200");
 }
 
-/// The danger is declining most of a calm day's txns for bodies that nobody sends.
+/// The danger is declining most of a calm day's requests for bodies that nobody sends.
 #[test]
 fn small_requests_are_counted_as_small() {
     let upstream = Upstream::start(Habit::Silent);
@@ -446,7 +446,7 @@
     assert_eq!(one.requests().len(), 0);
 }
 
-/// The danger is a txn that waits for who says nothing, and a connection that is never given back.
+/// The danger is a request that waits for who says nothing, and a connection that is never given back.
 #[test]
 fn a_probe_that_never_ends_delays_no_answer_and_holds_no_connection() {
     let upstream = Upstream::start(Habit::TellsNothing("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,7 +14,7 @@
 mod upstream;
 
 use estimate::{Decaying, Estimate, Pace, REST_PACE, WINDOW_OUTCOMES};
-use queue::{Posting, Queue, Txn};
+use queue::{Posting, Queue, Request};
 pub use shell::Balancer;
 use subset::Seen;
 use upstream::{ANSWER_CALMS, BENCHED, FADE, Upstream, Zone};
@@ -31,7 +31,7 @@
 const LEAST_SIZE: f64 = 0.01;
 const MOST_SIZE: f64 = 1e4;
 
-/// Further postings while one is out, for each txn settled in time, and how many may be saved up.
+/// Further postings while one is out, for each request settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
@@ -59,7 +59,7 @@
     fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
-            Event::Ended { txn, posting, upstream, outcome, took, settled, load } => {
+            Event::Ended { request, posting, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
                     let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
@@ -71,10 +71,10 @@
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) && !lost {
                     self.estimate.took(now, took);
                 }
-                let number = self.queue.numbers.get(&txn).copied();
-                let txn = number.and_then(|n| self.queue.txns.get(&n));
+                let number = self.queue.numbers.get(&request).copied();
+                let request = number.and_then(|n| self.queue.requests.get(&n));
                 let (cost, sla) =
-                    txn.map_or((self.seen.mean_cost(), 0), |t| (t.cost, t.deadline - t.arrived));
+                    request.map_or((self.seen.mean_cost(), 0), |r| (r.cost, r.deadline - r.arrived));
                 self.seen.note_out(now, -1.0);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full) && !lost {
                     let waited = took as f64 - REST_PACE * cost;
@@ -84,7 +84,7 @@
                 let entry = &upstream.entry;
                 let size = entry.size.clamp(LEAST_SIZE, MOST_SIZE);
                 let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / size);
-                // Else a small txn's way there and back would pass for a crowd at its upstream.
+                // Else a small request's way there and back would pass for a crowd at its upstream.
                 let way = zone.pace.least;
                 if matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut) {
                     zone.unanswered(now, now.saturating_sub(took));
@@ -99,22 +99,23 @@
                 upstream.returned(cost);
                 upstream.end(now, outcome, took, cost + way, self.estimate.tp, &self.terms);
                 let Some(number) = number else { return };
-                let Some(txn) = self.queue.txns.get_mut(&number) else { return };
-                if let Some(p) = txn.postings.get_mut(posting as usize) {
+                let Some(request) = self.queue.requests.get_mut(&number) else { return };
+                if let Some(p) = request.postings.get_mut(posting as usize) {
                     (p.out, p.may_have_run) = (false, !outcome.never_ran());
                 }
                 if !settled {
                     return self.failed(now, number, out);
                 }
                 if outcome == Outcome::Ok {
-                    self.extra =
-                        (self.extra + if now <= txn.deadline { EXTRA_SHARE } else { 0.0 }).min(EXTRA_SAVED);
-                    self.seen.flow.add(now, LONG, txn.cost / (10 * SECOND) as f64);
+                    let earned = if now <= request.deadline { EXTRA_SHARE } else { 0.0 };
+                    self.extra = (self.extra + earned).min(EXTRA_SAVED);
+                    self.seen.flow.add(now, LONG, request.cost / (10 * SECOND) as f64);
                 }
                 self.close(number, out);
             }
-            Event::Left { txn } => {
-                self.queue.numbers.get(&txn).copied().into_iter().for_each(|number| self.close(number, out))
+            Event::Left { request } => {
+                let Some(&number) = self.queue.numbers.get(&request) else { return };
+                self.close(number, out);
             }
             Event::Probed { upstream, outcome, load, .. } => {
                 if let Some(&up) = self.seen.names.get(&upstream) {
@@ -155,13 +156,14 @@
         let rank = (class.value * share).max(0.0).to_bits();
         let deadline = now + class.sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).clamp(1, MOST_COST) as f64;
-        let (id, key, heavy) = (arrival.txn.clone(), arrival.key, self.weigh(cost));
+        let (id, key, heavy) = (arrival.request.clone(), arrival.key, self.weigh(cost));
         let (arrived, effect, attempts) = (now, class.effect, self.terms.attempts());
-        let txn = Txn { id, effect, attempts, cost, key, heavy, arrived, deadline, rank, ..Txn::default() };
-        // A long txn of little value would make dozens late that are worth more and wait behind it.
-        let takes = self.kept(&txn) * self.seen.pace.mean() * cost;
-        self.queue.numbers.insert(arrival.txn, number);
-        self.queue.txns.insert(number, txn);
+        let request =
+            Request { id, effect, attempts, cost, key, heavy, arrived, deadline, rank, ..Request::default() };
+        // A long request of little value would make dozens late that are worth more and wait behind it.
+        let takes = self.kept(&request) * self.seen.pace.mean() * cost;
+        self.queue.numbers.insert(arrival.request, number);
+        self.queue.requests.insert(number, request);
         if !self.terms.probing && takes > (deadline - now) as f64 {
             self.give_up(number, out)
         } else {
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -4,7 +4,7 @@
 
 use nanorand::Rng;
 
-use super::{BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Posting, Txn, mix};
+use super::{BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Posting, Request, mix};
 use crate::{Action, Effect, Scope, Tenths};
 
 /// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
@@ -14,41 +14,41 @@
 const ZONE_STEEP: f64 = 3.0;
 /// With fewer than one in so many trusted, the others serve too.
 const FEW_TRUSTED: usize = 4;
-/// Txns of so many mean costs ask two upstreams for their load, who have so long for both to answer or for one.
+/// Requests of so many mean costs ask two upstreams for their load, who have so long for both to answer or for one.
 const ASK_FROM: f64 = 1.0;
 const ASKED: u32 = u32::MAX;
 const ASKED_BOTH: Tenths = 250;
 const ASKED_ANY: Tenths = 1500;
 /// What an upstream told of its load counts as new for so long.
 const FRESH: Tenths = 1000;
-/// A part of the room is kept from a txn that others are worth more than: how steeply, and how much at most.
+/// A part of the room is kept from a request that others are worth more than: how steeply, and how much at most.
 const KEPT_STEEP: i32 = 4;
 const MOST_KEPT: f64 = 0.75;
 /// Where upstreams may be asked, one has been told enough to have so many out whatever the room.
 const LEAST_ROOM: f64 = 3.0;
 /// How much of the load that would push a cold upstream over this balancer's part may reach.
 const COLD_MARGIN: f64 = 0.35;
-/// What a new connection costs there, in mean txns.
+/// What a new connection costs there, in mean requests.
 const LEAST_ARRIVES: f64 = 0.1;
 
 impl Dispatcher {
-    /// One posting, or one txn given up; false when nothing more can leave.
+    /// One posting, or one request given up; false when nothing more can leave.
     pub fn release(&mut self, now: Tenths, out: &mut Vec<Action>) -> bool {
         self.seen.note_out(now, 0.0);
         // More than the first, against one that only some upstreams may take keeping all others waiting.
         let heads: Vec<u64> = self.queue.held.iter().take(4).map(|(_, number)| *number).collect();
         for number in heads {
-            let txn = &self.queue.txns[&number];
-            if self.seen.lanes.is_empty() || txn.begin_by().is_some_and(|by| by <= now + 1) {
+            let request = &self.queue.requests[&number];
+            if self.seen.lanes.is_empty() || request.begin_by().is_some_and(|by| by <= now + 1) {
                 // Nobody to send it to, or who would not know it again: the client had better hear so at once.
                 self.stop_waiting(number, out);
                 return true;
             }
-            if let Some(up) = self.has_room(txn).then(|| self.pick(now, number, out)).flatten() {
+            if let Some(up) = self.has_room(request).then(|| self.pick(now, number, out)).flatten() {
                 self.unhold(number);
                 // Where nobody waits it costs nobody, and late is worth more than never.
                 let waits = self.seen.told(now, up) >= self.seen.mean_cost();
-                if waits && self.is_late(now, &self.queue.txns[&number], up) {
+                if waits && self.is_late(now, &self.queue.requests[&number], up) {
                     self.give_up(number, out);
                 } else {
                     self.post(now, number, up, out);
@@ -60,35 +60,35 @@
     }
 
     /// The last of the room is kept for what is worth more: with little traffic, one at a time is held.
-    pub fn has_room(&self, txn: &Txn) -> bool {
+    pub fn has_room(&self, request: &Request) -> bool {
         let least = if self.terms.probing { LEAST_ROOM } else { 0.0 };
-        let room = least.max((1.0 - self.kept(txn)) * self.seen.room);
+        let room = least.max((1.0 - self.kept(request)) * self.seen.room);
         self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
     }
 
     /// Whether it is foreseen to be late there, by what is told to be waiting and its own work.
-    fn is_late(&self, now: Tenths, txn: &Txn, up: usize) -> bool {
-        let left = txn.deadline.saturating_sub(now) as f64 * self.seen.speed(up);
-        self.terms.probing && self.seen.told(now, up) + txn.cost * self.seen.cores.max(1.0) > left
+    fn is_late(&self, now: Tenths, request: &Request, up: usize) -> bool {
+        let left = request.deadline.saturating_sub(now) as f64 * self.seen.speed(up);
+        self.terms.probing && self.seen.told(now, up) + request.cost * self.seen.cores.max(1.0) > left
     }
 
-    /// The part that a txn leaves to those that are worth more.
-    pub fn kept(&self, txn: &Txn) -> f64 {
-        let value = f64::from_bits(txn.rank);
+    /// The part that a request leaves to those that are worth more.
+    pub fn kept(&self, request: &Request) -> f64 {
+        let value = f64::from_bits(request.rank);
         let most = self.highest_value.max(value);
         (1.0 - value / most.max(f64::MIN_POSITIVE)).powi(KEPT_STEEP).min(MOST_KEPT)
     }
 
     fn pick(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) -> Option<usize> {
         let chance = self.rng.generate::<u64>();
-        let txn = &self.queue.txns[&number];
-        let cost = txn.cost;
+        let request = &self.queue.requests[&number];
+        let cost = request.cost;
         let (mut own, mut other) = self.seen.lanes.split_at(self.seen.light);
-        if txn.heavy && !other.is_empty() {
+        if request.heavy && !other.is_empty() {
             (own, other) = (other, own);
         }
-        let pinned = match txn.effect {
-            Effect::Referenced { scope, .. } => txn.first().map(|p| (scope, &self.seen.board[p.up])),
+        let pinned = match request.effect {
+            Effect::Referenced { scope, .. } => request.first().map(|p| (scope, &self.seen.board[p.up])),
             _ => None,
         };
         let fit = |up: &usize, careful: bool| {
@@ -100,8 +100,8 @@
             });
             in_group
                 && f64::from(s.in_flight) < s.cap
-                && !txn.postings.iter().any(|p| p.up == *up && (p.out || careful))
-                && self.cold_room(now, *up, self.arrives(txn.cost))
+                && !request.postings.iter().any(|p| p.up == *up && (p.out || careful))
+                && self.cold_room(now, *up, self.arrives(request.cost))
         };
         let trusted = |up: &usize, any_zone: bool| {
             let s = &self.seen.board[*up];
@@ -125,23 +125,23 @@
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
             fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
         }
-        let timely: Vec<usize> = fitting.iter().copied().filter(|up| !self.is_late(now, txn, *up)).collect();
-        let two = self.two(now, txn, if timely.is_empty() { &fitting } else { &timely }, chance);
+        let timely: Vec<_> = fitting.iter().copied().filter(|up| !self.is_late(now, request, *up)).collect();
+        let two = self.two(now, request, if timely.is_empty() { &fitting } else { &timely }, chance);
         if !self.terms.probing || cost < ASK_FROM * self.seen.mean_cost() {
             return self.least(now, &two, cost);
         }
-        let txn = self.queue.txns.get_mut(&number)?;
-        if txn.asked.1.is_empty() {
+        let request = self.queue.requests.get_mut(&number)?;
+        if request.asked.1.is_empty() {
             for &up in two.iter().filter(|up| self.seen.board[**up].reported_at + FRESH <= now) {
                 out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
             }
-            txn.asked = (now, two.clone());
+            request.asked = (now, two.clone());
             let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(ASKED))));
             self.queue.alarms.extend(waits);
         }
-        // Some wait like a txn before they answer: who answers first has the shortest queue.
-        let (since, asked) = (now - txn.asked.0, &txn.asked.1);
-        let heard = |up: &&usize| self.seen.board[**up].reported_at + FRESH > txn.asked.0;
+        // Some wait like a request before they answer: who answers first has the shortest queue.
+        let (since, asked) = (now - request.asked.0, &request.asked.1);
+        let heard = |up: &&usize| self.seen.board[**up].reported_at + FRESH > request.asked.0;
         let told: Vec<usize> = asked.iter().filter(heard).copied().collect();
         if told.len() < asked.len() && since < if told.is_empty() { ASKED_ANY } else { ASKED_BOTH } {
             return None;
@@ -155,10 +155,11 @@
     }
 
     /// The two between which load decides, drawn by speed so that slow ones get less; a key draws alike everywhere.
-    fn two(&self, now: Tenths, txn: &Txn, fitting: &[usize], chance: u64) -> Vec<usize> {
-        let key = txn.key.filter(|_| self.terms.warm_keys);
+    fn two(&self, now: Tenths, request: &Request, fitting: &[usize], chance: u64) -> Vec<usize> {
+        let key = request.key.filter(|_| self.terms.warm_keys);
         // Twice its time is not left: two drawn at random may both be too slow for it.
-        let tight = OVERDUE_PACE * self.seen.pace.mean() * txn.cost > txn.deadline.saturating_sub(now) as f64;
+        let tight =
+            OVERDUE_PACE * self.seen.pace.mean() * request.cost > request.deadline.saturating_sub(now) as f64;
         // Crossing is for when the own zone is worse: the others get more as it answers more slowly.
         let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
         let rank = |up: usize| {
@@ -169,14 +170,14 @@
             let away = (CROSS * (ZONE_STEEP * slower).exp()).clamp(CROSS_LEAST, 1.0);
             let weight = self.seen.speed(up) * if near { 1.0 } else { away };
             let by_chance = -drawn.max(f64::MIN_POSITIVE).ln() / weight;
-            if key.is_none() && tight { self.load(now, up, txn.cost) } else { by_chance }
+            if key.is_none() && tight { self.load(now, up, request.cost) } else { by_chance }
         };
         let mut two: Vec<(f64, usize)> = fitting.iter().map(|up| (rank(*up), *up)).collect();
         two.sort_by(|a, b| a.0.total_cmp(&b.0));
         two.into_iter().map(|(_, up)| up).take(2).collect()
     }
 
-    /// What is in flight counts by its cost: a very heavy txn has time enough only where work gets done fast.
+    /// What is in flight counts by its cost: a very heavy request has time enough only where work gets done fast.
     fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
         let s = &self.seen.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
@@ -186,7 +187,7 @@
     }
 
     /// A cold upstream gets its part of what warm ones bear (settled cost by size) in each window. What is less
-    /// than a txn is granted by chance: one from each of many balancers would be hundreds in sum.
+    /// than a request is granted by chance: one from each of many balancers would be hundreds in sum.
     fn cold_room(&self, now: Tenths, up: usize, cost: f64) -> bool {
         let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
@@ -205,27 +206,27 @@
     }
 
     fn post(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
-        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
-        let ((_, slot), begin_by) = (self.estimate.plan(now, txn.deadline), txn.begin_by());
-        let (cost, deadline) = (txn.cost, txn.deadline);
-        let first = txn.postings.is_empty();
+        let Some(request) = self.queue.requests.get_mut(&number) else { return };
+        let ((_, slot), begin_by) = (self.estimate.plan(now, request.deadline), request.begin_by());
+        let (cost, deadline) = (request.cost, request.deadline);
+        let first = request.postings.is_empty();
         if first {
-            self.estimate.wait += ((now - txn.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
-        } else if txn.out() {
+            self.estimate.wait += ((now - request.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
+        } else if request.out() {
             self.extra -= 1.0;
         }
-        // Neither a heavy txn nor a long way is a sign of trouble: its repeat would be the dearest waste.
+        // Neither a heavy request nor a long way is a sign of trouble: its repeat would be the dearest waste.
         let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
         let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
-        let last = txn.postings.len() + 1 >= txn.attempts.max_postings as usize;
-        let alone = txn.effect == Effect::Repeatable && !txn.attempts.second_copies;
+        let last = request.postings.len() + 1 >= request.attempts.max_postings as usize;
+        let alone = request.effect == Effect::Repeatable && !request.attempts.second_copies;
         let timeout = (alone && !last && slot).then_some(due);
-        txn.asked.1.clear();
-        let posting = txn.postings.len() as u32;
-        txn.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
+        request.asked.1.clear();
+        let posting = request.postings.len() as u32;
+        request.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
-        out.push(Action::Post { txn: txn.id.clone(), upstream, timeout, begin_by });
+        out.push(Action::Post { request: request.id.clone(), upstream, timeout, begin_by });
         let arrives = self.arrives(cost);
         self.seen.board[up].posted(now, cost, arrives, &self.terms);
         self.queue.alarms.push(Reverse((now + due, number, Some(posting))));
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -8,7 +8,7 @@
 /// The quantile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
 const TP_QUANTILE: f64 = 0.95;
 const RELIABILITY: f64 = 0.99;
-/// A txn is given up when fewer of the pooled answers than this would come within its time left.
+/// A request is given up when fewer of the pooled answers than this would come within its time left.
 const QUICK_QUANTILE: f64 = 0.1;
 pub const WINDOW_OUTCOMES: u32 = 1000;
 const WINDOW: Tenths = 5 * SECOND;
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -6,7 +6,7 @@
 use nanorand::Rng;
 
 use super::{Dispatcher, LONG};
-use crate::{Action, Attempts, Effect, Scope, Tenths, TxnId};
+use crate::{Action, Attempts, Effect, RequestId, Scope, Tenths};
 
 const GIVE_WAY: f64 = 4.0;
 
@@ -18,8 +18,8 @@
 }
 
 #[derive(Default)]
-pub struct Txn {
-    pub id: TxnId,
+pub struct Request {
+    pub id: RequestId,
     /// What it came under, whatever its class and the settings say since.
     pub effect: Effect,
     pub attempts: Attempts,
@@ -35,7 +35,7 @@
     pub asked: (Tenths, Vec<usize>),
 }
 
-impl Txn {
+impl Request {
     pub fn out(&self) -> bool {
         self.postings.iter().any(|p| p.out)
     }
@@ -49,10 +49,10 @@
         self.first().is_none()
     }
 
-    /// Whether it may be sent once more.
+    /// Whether it may be sent once more, and is not waiting for that already.
     fn may_post(&self) -> bool {
         let may_repeat = self.effect != Effect::OnceOnly || self.never_ran();
-        may_repeat && self.postings.len() < self.attempts.max_postings as usize
+        may_repeat && self.held.is_none() && self.postings.len() < self.attempts.max_postings as usize
     }
 
     /// Until when one that may have run can be repeated without running twice.
@@ -64,45 +64,45 @@
 
 #[derive(Default)]
 pub struct Queue {
-    pub txns: BTreeMap<u64, Txn>,
-    pub numbers: HashMap<TxnId, u64>,
+    pub requests: BTreeMap<u64, Request>,
+    pub numbers: HashMap<RequestId, u64>,
     pub next: u64,
     pub held: BTreeSet<(Tenths, u64)>,
     pub by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
     pub held_cost: f64,
-    /// When a posting is overdue, a held txn (no posting) runs out of time, or a probe (`ASKED`) is waited for.
+    /// When a posting is overdue, a held request (no posting) runs out of time, or a probe (`ASKED`) is waited for.
     pub alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
 }
 
 impl Dispatcher {
     pub fn hold(&mut self, now: Tenths, number: u64) {
-        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
-        let (send_by, _) = self.estimate.plan(now, txn.deadline);
-        let by = txn.begin_by().unwrap_or(txn.deadline);
-        let last = txn.deadline.saturating_sub(self.estimate.quick).min(by).max(now + 1);
-        txn.held = Some(send_by);
+        let Some(request) = self.queue.requests.get_mut(&number) else { return };
+        let (send_by, _) = self.estimate.plan(now, request.deadline);
+        let by = request.begin_by().unwrap_or(request.deadline);
+        let last = request.deadline.saturating_sub(self.estimate.quick).min(by).max(now + 1);
+        request.held = Some(send_by);
         self.queue.held.insert((send_by, number));
-        self.queue.by_rank.insert((txn.rank, Reverse(send_by), number));
-        self.queue.held_cost += txn.cost;
+        self.queue.by_rank.insert((request.rank, Reverse(send_by), number));
+        self.queue.held_cost += request.cost;
         self.queue.alarms.push(Reverse((last, number, None)));
     }
 
     pub fn unhold(&mut self, number: u64) {
-        let Some(txn) = self.queue.txns.get_mut(&number) else { return };
-        let Some(send_by) = txn.held.take() else { return };
+        let Some(request) = self.queue.requests.get_mut(&number) else { return };
+        let Some(send_by) = request.held.take() else { return };
         self.queue.held.remove(&(send_by, number));
-        self.queue.by_rank.remove(&(txn.rank, Reverse(send_by), number));
-        self.queue.held_cost -= txn.cost;
+        self.queue.by_rank.remove(&(request.rank, Reverse(send_by), number));
+        self.queue.held_cost -= request.cost;
     }
 
-    /// In a jam the txns of least value give way, at once rather than at the end of a hopeless wait.
+    /// In a jam the requests of least value give way, at once rather than at the end of a hopeless wait.
     pub fn shed(&mut self, now: Tenths, out: &mut Vec<Action>) {
         while let Some(&(_, _, number)) = self.queue.by_rank.first() {
-            let txn = &self.queue.txns[&number];
+            let request = &self.queue.requests[&number];
             let flow = self.seen.flow.at(now, LONG);
-            let slack = txn.deadline.saturating_sub(self.estimate.tp).saturating_sub(now);
+            let slack = request.deadline.saturating_sub(self.estimate.tp).saturating_sub(now);
             // What only waits for an answer to what it asked is in nobody's way.
-            let asks = self.terms.probing && self.has_room(txn);
+            let asks = self.terms.probing && self.has_room(request);
             if GIVE_WAY * self.queue.held_cost <= slack as f64 * flow || flow == 0.0 || asks {
                 return;
             }
@@ -112,68 +112,65 @@
 
     /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
     pub fn copy(&mut self, now: Tenths, number: u64) {
-        let txn = &self.queue.txns[&number];
-        if txn.attempts.second_copies && txn.may_post() && txn.held.is_none() && self.extra >= 1.0 {
+        let request = &self.queue.requests[&number];
+        if request.attempts.second_copies && request.may_post() && self.extra >= 1.0 {
             self.hold(now, number);
         }
     }
 
     pub fn failed(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let txn = &self.queue.txns[&number];
-        if txn.held.is_some() || txn.out() {
+        let request = &self.queue.requests[&number];
+        if request.held.is_some() || request.out() {
             return;
         }
-        if txn.may_post() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
+        if request.may_post() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
     }
 
     /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
     pub fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
-        let txn = &self.queue.txns[&number];
-        let may_decline = match txn.effect {
+        let request = &self.queue.requests[&number];
+        let harmless = match request.effect {
             Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
-            Effect::OnceOnly | Effect::Referenced { .. } => txn.never_ran(),
+            Effect::OnceOnly | Effect::Referenced { .. } => request.never_ran(),
         };
-        let txn = txn.id.clone();
+        let request = request.id.clone();
         // Apart from each other, against all those declined coming back in one wave.
         let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
-        out.push(if may_decline { Action::Decline { txn, cool_down } } else { Action::Reverse { txn } });
+        out.push(if harmless { Action::Decline { request, cool_down } } else { Action::Reverse { request } });
         self.close(number, out);
     }
 
     pub fn stop_waiting(&mut self, number: u64, out: &mut Vec<Action>) {
-        if self.queue.txns[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
+        if self.queue.requests[&number].out() { self.unhold(number) } else { self.give_up(number, out) }
     }
 
     fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let hopeful = now + self.estimate.quick < self.queue.txns[&number].deadline;
+        let hopeful = now + self.estimate.quick < self.queue.requests[&number].deadline;
         if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
     pub fn close(&mut self, number: u64, out: &mut Vec<Action>) {
         self.unhold(number);
-        let Some(txn) = self.queue.txns.remove(&number) else { return };
-        self.queue.numbers.remove(&txn.id);
-        let outs = (0u32..).zip(&txn.postings).filter(|(_, p)| p.out && txn.attempts.cancelling);
-        out.extend(outs.map(|(posting, _)| Action::Recall { txn: txn.id.clone(), posting }));
+        let Some(request) = self.queue.requests.remove(&number) else { return };
+        self.queue.numbers.remove(&request.id);
+        let outs = (0u32..).zip(&request.postings).filter(|(_, p)| p.out && request.attempts.cancelling);
+        out.extend(outs.map(|(posting, _)| Action::Recall { request: request.id.clone(), posting }));
     }
 
     pub fn ring(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        while let Some(&Reverse((_, number, posting))) =
-            self.queue.alarms.peek().filter(|alarm| alarm.0.0 <= now)
-        {
+        while let Some(&Reverse((_, number, posting))) = self.queue.alarms.peek().filter(|a| a.0.0 <= now) {
             self.queue.alarms.pop();
-            let Some(txn) = self.queue.txns.get(&number) else { continue };
+            let Some(request) = self.queue.requests.get(&number) else { continue };
             if let Some(posting) = posting {
-                let posting = txn.postings.get(posting as usize).filter(|p| p.out);
+                let posting = request.postings.get(posting as usize).filter(|p| p.out);
                 let Some(&Posting { up, sent, .. }) = posting else { continue };
                 self.seen.board[up].overdue(now, sent, &self.terms);
-                let zone = self.seen.board[up].entry.zone;
-                self.seen.zones.entry(zone).or_default().unanswered(now, sent);
-                if now + self.estimate.quick < txn.deadline {
+                self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
+                if now + self.estimate.quick < request.deadline {
                     self.copy(now, number);
                 }
-            } else if txn.held.is_some() {
-                let still_out = txn.out();
+            } else if request.held.is_some() {
+                let still_out = request.out();
                 self.unhold(number);
                 if !still_out {
                     self.hold_or_give_up(now, number, out);
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -132,7 +132,7 @@
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
         let since = now.saturating_sub(self.dispatcher.terms.cold.warm_within.max(SECOND));
-        let (seen, txns) = (&mut self.dispatcher.seen, &self.dispatcher.queue.txns);
+        let (seen, requests) = (&mut self.dispatcher.seen, &self.dispatcher.queue.requests);
         let mut old: Vec<(UpstreamId, Tenths, usize)> = self
             .gone
             .range(..(since, 0))
@@ -140,7 +140,8 @@
             .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
             .collect();
         if !old.is_empty() {
-            let posted = txns.values().flat_map(|txn| txn.postings.iter().map(|posting| posting.up));
+            let posted =
+                requests.values().flat_map(|request| request.postings.iter().map(|posting| posting.up));
             let posted: BTreeSet<usize> = posted.collect();
             old.retain(|(.., up)| !posted.contains(up));
         }
@@ -158,10 +159,10 @@
         }
     }
 
-    /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
+    /// How many upstreams, zones and kinds are remembered, and requests open: for the log.
     pub fn sizes(&self) -> [usize; 4] {
         let Seen { names, zones, kinds, .. } = &self.dispatcher.seen;
-        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.txns.len()]
+        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.requests.len()]
     }
 }
 
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -5,7 +5,7 @@
 use super::{Decaying, FEW_ANSWERS, LONG, Pace, SECOND, Upstream, Zone, mix};
 use crate::{Entry, Stage, Tenths, Terms, UpstreamId};
 
-/// Of the txns of ten seconds this part is the number of upstreams used, but never fewer than so many.
+/// Of the requests of ten seconds this part is the number of upstreams used, but never fewer than so many.
 const MEET: f64 = 0.15;
 const LEAST_SUBSET: usize = 8;
 /// Postings for a unit of listed size before any answer has come.
@@ -34,7 +34,7 @@
     /// As above, for a unit of cost by listed size: what kinds and zones are held against.
     pub listed: Pace,
     pub kinds: BTreeMap<u32, Pace>,
-    /// How many txns an upstream works on at once, by what those with a queue tell.
+    /// How many requests an upstream works on at once, by what those with a queue tell.
     pub cores: f64,
     pub zones: BTreeMap<u32, Zone>,
     pub arrivals: Decaying,
@@ -144,7 +144,7 @@
         let all: f64 = self.lanes.iter().map(|up| self.speed(*up)).sum();
         let mut part = all * self.cost_sums[0] / cost.max(1e-9);
         // One lane where no hint tells heavy from light, and where only a part of the list is in use: the lanes
-        // of different balancers overlap then, so that light txns wait behind heavy ones all the same.
+        // of different balancers overlap then, so that light requests wait behind heavy ones all the same.
         let one_lane = self.cost_sums[1] == 0.0 || self.partial;
         let fits = |up: &&usize| {
             part -= self.speed(**up);
--- a/src/balance/upstream.rs
+++ b/src/balance/upstream.rs
@@ -122,7 +122,7 @@
         // A later one was answered: this is heavy, or its connection silent, and no crowd.
         if sent >= self.answered_sent {
             self.halve(terms);
-            // Silent since that posting left: perhaps it takes txns and answers none.
+            // Silent since that posting left: perhaps it takes requests and answers none.
             if self.answered < sent {
                 self.doubt(now, 1.0);
             }
--- a/src/event.rs
+++ b/src/event.rs
@@ -3,7 +3,7 @@
 
 use crate::Tenths;
 
-pub type TxnId = Rc<str>;
+pub type RequestId = Rc<str>;
 pub type UpstreamId = Rc<str>;
 
 #[derive(Clone, Debug)]
@@ -11,18 +11,18 @@
     Listed(Listing),
     Arrived(Arrival),
     Ended {
-        txn: TxnId,
+        request: RequestId,
         posting: u32,
         upstream: UpstreamId,
         outcome: Outcome,
         took: Tenths,
-        /// The txn has had its final answer, by this outcome or earlier.
+        /// The request has had its final answer, by this outcome or earlier.
         settled: bool,
         load: Load,
     },
     /// The client has left; nothing is owed any more.
     Left {
-        txn: TxnId,
+        request: RequestId,
     },
     Probed {
         upstream: UpstreamId,
@@ -41,7 +41,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    pub txn: TxnId,
+    pub request: RequestId,
     pub scheme: u32,
     pub tenant: u32,
     pub key: Option<u64>,
@@ -94,7 +94,7 @@
     TimedOut,
     ConnectFailed,
     Reset,
-    /// What came is no answer; the upstream lives and may have run the txn.
+    /// What came is no answer; the upstream lives and may have run the request.
     Spoilt,
     Cancelled,
     Moot,
@@ -143,7 +143,7 @@
 pub enum Action {
     /// Not to be begun after `begin_by`, whatever it waits for by then.
     Post {
-        txn: TxnId,
+        request: RequestId,
         upstream: UpstreamId,
         timeout: Option<Tenths>,
         begin_by: Option<Tenths>,
@@ -160,14 +160,14 @@
     },
     Refetch,
     Recall {
-        txn: TxnId,
+        request: RequestId,
         posting: u32,
     },
     Reverse {
-        txn: TxnId,
+        request: RequestId,
     },
     Decline {
-        txn: TxnId,
+        request: RequestId,
         cool_down: Option<Tenths>,
     },
     CloseIdle {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,6 @@
 mod time;
 
 pub use balance::Balancer;
-pub use event::{Action, Arrival, Entry, Event, Listing, Load, Outcome, Stage, TxnId, UpstreamId};
+pub use event::{Action, Arrival, Entry, Event, Listing, Load, Outcome, RequestId, Stage, UpstreamId};
 pub use terms::{Attempts, ColdTerms, Effect, Limits, Lists, Scheme, Scope, Tenant, Terms, TermsChange};
 pub use time::{Tenths, ceil_from_ns, floor_from_ns, to_ns};
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -9,7 +9,7 @@
     pub lists: Lists,
     pub schemes: Vec<Scheme>,
     pub tenants: Vec<Tenant>,
-    /// The value of a txn beyond its tenant's share, as a fraction.
+    /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
     /// An upstream that met a key lately has less work with it.
     pub warm_keys: bool,
@@ -62,7 +62,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
-    /// Txns a second within its share, over all balancers.
+    /// Requests a second within its share, over all balancers.
     pub quota: f64,
 }
 
@@ -76,23 +76,23 @@
     pub window: Tenths,
 }
 
-/// How one txn may be posted.
+/// How one request may be posted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Attempts {
     /// Postings in all.
     pub max_postings: u32,
     /// Whether two may be out together.
     pub second_copies: bool,
-    /// Whether those still out are recalled once the txn has ended.
+    /// Whether those still out are recalled once the request has ended.
     pub cancelling: bool,
 }
 
-/// What of the terms may change while txns are open, apart from schemes and tenants.
+/// What of the terms may change while requests are open, apart from schemes and tenants.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// The value of a txn beyond its tenant's share, as a fraction.
+    /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
-    /// How one txn may be posted.
+    /// How one request may be posted.
     pub attempts: Attempts,
     /// The longest cool-down that clients heed; none where no advice is passed on.
     pub cool_down: Option<Tenths>,
@@ -100,7 +100,7 @@
     pub cold: ColdTerms,
 }
 
-/// A change of the terms. Txns that are open end under what they came with.
+/// A change of the terms. Requests that are open end under what they came with.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TermsChange {
     /// The scheme of a number is new or another one; without one, the number may be used again.
@@ -121,9 +121,9 @@
     Limits(Limits),
 }
 
-/// Stands where a scheme was removed: a txn of it has no time and no value.
+/// Stands where a scheme was removed: a request of it has no time and no value.
 const NO_SCHEME: Scheme = Scheme { sla: 0, value: 0.0, effect: Effect::OnceOnly };
-/// Stands where a tenant was removed: none of its txns is beyond its share.
+/// Stands where a tenant was removed: none of its requests is beyond its share.
 const NO_TENANT: Tenant = Tenant { quota: f64::INFINITY };
 
 impl Terms {
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -41,9 +41,9 @@
 #[test]
 fn a_changed_class_holds_for_requests_that_come_later() {
     let (mut play, now) = served();
-    let before = play.post(now, txn("before", 0));
+    let before = play.post(now, request("before", 0));
     play.change(&[class(0, Some(scheme(400, 1.0, Effect::OnceOnly)))]);
-    let after = play.post(now + 1, txn("after", 0));
+    let after = play.post(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
     // The repeat of the first is answered, so that it does not count as open.
@@ -62,9 +62,9 @@
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     // More than the upstream may have in flight: the last of each kind is held until its time is over.
-    play.at(0, (0..5).map(|n| txn(&format!("before{n}"), 1)));
+    play.at(0, (0..5).map(|n| request(&format!("before{n}"), 1)));
     play.change(&[class(1, Some(scheme(100, 1.0, Effect::OnceOnly)))]);
-    play.at(1, [txn("after", 1)]);
+    play.at(1, [request("after", 1)]);
     for ms in [50, 100, 102, 250, 390, 400, 402] {
         play.at(ms, []);
     }
@@ -82,14 +82,14 @@
 #[test]
 fn the_number_of_a_removed_class_is_used_again_while_requests_of_it_are_open() {
     let (mut play, now) = served();
-    let before = play.post(now, txn("before", 0));
+    let before = play.post(now, request("before", 0));
     play.change(&[class(0, None)]);
     play.change(&[
         class(0, Some(scheme(400, 1.0, Effect::OnceOnly))),
         class(3, Some(scheme(400, 2.0, Effect::Repeatable))),
     ]);
-    let after = play.post(now + 1, txn("after", 0));
-    let added = play.post(now + 2, txn("added", 3));
+    let after = play.post(now + 1, request("after", 0));
+    let added = play.post(now + 2, request("added", 3));
     for (id, upstream) in [("before", &before), ("after", &after), ("added", &added)] {
         fail(&mut play, now + 5, id, upstream);
     }
@@ -108,7 +108,7 @@
 fn a_request_of_a_removed_class_is_declined_at_once() {
     let (mut play, now) = served();
     play.change(&[class(1, None)]);
-    play.at(now, [txn("removed", 1)]);
+    play.at(now, [request("removed", 1)]);
     play.at(now + 1, []);
     expect![[r#"
         1600: decline removed, with advice
@@ -119,9 +119,9 @@
 #[test]
 fn limits_of_attempts_are_those_at_arrival() {
     let (mut play, now) = served();
-    let before = play.post(now, txn("before", 0));
+    let before = play.post(now, request("before", 0));
     play.change(&[limits(|limits| limits.attempts.max_postings = 1)]);
-    let after = play.post(now + 1, txn("after", 0));
+    let after = play.post(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
     expect![[r#"
@@ -136,10 +136,10 @@
 #[test]
 fn attempts_of_a_request_that_came_before_are_recalled_though_cancelling_has_ended() {
     let (mut play, now) = served();
-    play.post(now, txn("before", 0));
+    play.post(now, request("before", 0));
     play.change(&[limits(|limits| limits.attempts.cancelling = false)]);
-    play.post(now + 1, txn("after", 0));
-    play.at(now + 5, [Event::Left { txn: "before".into() }, Event::Left { txn: "after".into() }]);
+    play.post(now + 1, request("after", 0));
+    play.at(now + 5, [Event::Left { request: "before".into() }, Event::Left { request: "after".into() }]);
     expect![[r#"
         1600: post before to a
         1601: post after to b
@@ -151,9 +151,9 @@
 #[test]
 fn advice_to_come_back_later_follows_the_limits_at_once() {
     let mut play = Play::new(terms());
-    play.at(0, [txn("with", 1)]);
+    play.at(0, [request("with", 1)]);
     play.change(&[limits(|limits| limits.cool_down = None)]);
-    play.at(1, [txn("without", 1)]);
+    play.at(1, [request("without", 1)]);
     expect![[r#"
         0: decline with, with advice
         1: decline without
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,13 +10,13 @@
 use pondlb::*;
 
 #[test]
-fn held_txns_leave_by_send_by_time_under_the_cap() {
+fn held_requests_leave_by_send_by_time_under_the_cap() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     let mut soon = arrival("soon", 0);
     soon.left = 300 * MS;
-    play.at(1, (0..4).map(|n| txn(&format!("t{n}"), 1)));
-    play.at(2, [txn("later", 1), Event::Arrived(soon)]);
+    play.at(1, (0..4).map(|n| request(&format!("t{n}"), 1)));
+    play.at(2, [request("later", 1), Event::Arrived(soon)]);
     play.at(22, [ended("t0", 0, "a", Outcome::Ok, 21)]);
     play.at(23, [ended("t1", 0, "a", Outcome::Ok, 22)]);
     expect![[r#"
@@ -31,11 +31,11 @@
 }
 
 #[test]
-fn a_repeatable_txn_is_posted_again_after_tp_and_the_loser_recalled() {
+fn a_repeatable_request_is_posted_again_after_tp_and_the_loser_recalled() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let first = play.post(now, txn("t", 0));
+    let first = play.post(now, request("t", 0));
     let second = if first == "a" { "b" } else { "a" };
     play.at(now + 50, []);
     play.at(now + 60, [ended("t", 1, second, Outcome::Ok, 10)]);
@@ -48,11 +48,11 @@
 }
 
 #[test]
-fn a_once_only_txn_waits_out_its_time_and_is_repeated_only_if_it_never_ran() {
+fn a_once_only_request_waits_out_its_time_and_is_repeated_only_if_it_never_ran() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let up = play.post(now, txn("slow", 1));
+    let up = play.post(now, request("slow", 1));
     play.at(now + 500, []);
     play.at(now + 1000, [ended("slow", 0, &up, Outcome::TimedOut, 1000)]);
     for (n, outcome) in [
@@ -68,7 +68,7 @@
     {
         let id = format!("{outcome:?}");
         let at = now + 40_000 * (n as u64 + 1);
-        let up = play.post(at, txn(&id, 1));
+        let up = play.post(at, request(&id, 1));
         play.at(at + 5, [ended(&id, 0, &up, outcome, 5)]);
         let second = if up == "a" { "b" } else { "a" };
         if outcome.never_ran() {
@@ -98,10 +98,10 @@
 fn a_time_out_at_the_expiry_still_owes_the_answer_and_nothing_follows_it() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
-    let up = play.post(0, txn("t", 0));
+    let up = play.post(0, request("t", 0));
     play.at(1000, [ended("t", 0, &up, Outcome::TimedOut, 1000)]);
     play.at(1000, [ended("t", 1, "b", Outcome::Cancelled, 10)]);
-    play.at(5000, [Event::Left { txn: "t".into() }]);
+    play.at(5000, [Event::Left { request: "t".into() }]);
     expect![[r#"
         0: post t to a
         1000: decline t, with advice
@@ -113,8 +113,8 @@
 fn nothing_is_posted_once_the_client_has_left() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
-    play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 0)));
-    play.at(1, [Event::Left { txn: "t4".into() }, Event::Left { txn: "t0".into() }]);
+    play.at(0, (0..5).map(|n| request(&format!("t{n}"), 0)));
+    play.at(1, [Event::Left { request: "t4".into() }, Event::Left { request: "t0".into() }]);
     play.at(2, [ended("t0", 0, "a", Outcome::Cancelled, 2), ended("t1", 0, "a", Outcome::Ok, 2)]);
     expect![[r#"
         0: post t0 to a
@@ -131,9 +131,9 @@
     let mut play = Play::new(terms());
     play.at(0, [list("a b c")]);
     let drains = Entry { stage: Stage::Draining, ..entry("a", 0) };
-    play.at(1, [Event::Listed(Listing::Changes([drains].into())), txn("t0", 0), txn("t1", 0)]);
-    play.at(2, [list("c"), txn("t2", 0), txn("t3", 0)]);
-    play.at(3, [list(""), txn("t4", 0), txn("t5", 1)]);
+    play.at(1, [Event::Listed(Listing::Changes([drains].into())), request("t0", 0), request("t1", 0)]);
+    play.at(2, [list("c"), request("t2", 0), request("t3", 0)]);
+    play.at(3, [list(""), request("t4", 0), request("t5", 1)]);
     expect![[r#"
         1: post t0 to c
         1: post t1 to b
@@ -146,12 +146,12 @@
 }
 
 #[test]
-fn a_referenced_txn_stays_in_its_group_and_its_time() {
+fn a_referenced_request_stays_in_its_group_and_its_time() {
     for took in [100, 350] {
         let mut play = Play::new(terms());
         let zones = [entry("a0", 0), entry("b0", 0), entry("c1", 1), entry("d1", 1)];
         play.at(0, [Event::Listed(Listing::Whole(zones.into()))]);
-        let up = play.post(0, txn("t", 2));
+        let up = play.post(0, request("t", 2));
         play.at(took, [ended("t", 0, &up, Outcome::Error, took)]);
         play.at(500, []);
         if took == 100 {
@@ -173,16 +173,16 @@
 /// The danger is a client that is kept waiting for what can't come: nobody in the group takes the repeat, and its time
 /// runs out while it is held. Others behind it are not held up.
 #[test]
-fn a_referenced_txn_whose_time_to_be_repeated_runs_out_while_it_is_held_is_given_up_then() {
+fn a_referenced_request_whose_time_to_be_repeated_runs_out_while_it_is_held_is_given_up_then() {
     let mut play = Play::new(terms());
     play.at(0, [Event::Listed(Listing::Whole([entry("a0", 0), entry("c1", 1)].into()))]);
     let ids = ["t0", "t1", "t2", "t3"];
-    let ups: Vec<String> = (0..).zip(ids).map(|(n, id)| play.post(n, txn(id, 2))).collect();
+    let ups: Vec<String> = (0..).zip(ids).map(|(n, id)| play.post(n, request(id, 2))).collect();
     for (id, up) in ids.iter().zip(&ups) {
         play.at(100, [ended(id, 0, up, Outcome::Error, 100)]);
     }
     play.trace.clear();
-    play.post(250, txn("other", 0));
+    play.post(250, request("other", 0));
     for ms in 251..450 {
         play.at(ms, []);
     }
@@ -206,7 +206,7 @@
     let mut to_cold = 0;
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(now + n, txn(&id, 0));
+        let up = play.post(now + n, request(&id, 0));
         to_cold += usize::from(up == "cold");
         play.at(now + n, [ended(&id, 0, &up, Outcome::Ok, 1)]);
     }
@@ -225,18 +225,18 @@
         play.at(now, [Event::Listed(Listing::Changes([cold].into()))]);
         for n in 0..20 {
             let (at, id) = (now + 500 * n + seed % 500, format!("t{n}"));
-            let up = play.post(at, txn(&id, 0));
+            let up = play.post(at, request(&id, 0));
             windows[n as usize / 2] += usize::from(up == "cold");
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         }
     }
-    // At 2 txns a second from each, an upstream bears 8 s of work a second: 2 x 0.2 x 8 s is 160 txns of 20 ms.
+    // At 2 requests a second from each, an upstream bears 8 s of work a second: 2 x 0.2 x 8 s is 160 requests of 20 ms.
     expect!["[9, 5, 14, 15, 31, 27, 32, 53, 35, 49] txns to the cold upstream in each second"]
         .assert_eq(&format!("{windows:?} txns to the cold upstream in each second"));
 }
 
 /// All that a fleet sends one cold upstream, over 12 s from its start, beside ten warm ones at half their load: uneven
-/// traffic, three times as much for the second second, a third of the balancers just restarted, one txn in twenty so
+/// traffic, three times as much for the second second, a third of the balancers just restarted, one request in twenty so
 /// slow that it is copied. The window with most beyond what the settings allow at its start, N, beside 2 x root of N + 2.
 fn sent_to_a_cold_one_by(balancers: u64) -> String {
     let known = |seed| {
@@ -272,7 +272,7 @@
                 at < 0.0
             };
             let n = weights.iter().position(reached).unwrap_or(0);
-            due.insert((now, next), (n, Some(txn(&format!("t{next}"), 0))));
+            due.insert((now, next), (n, Some(request(&format!("t{next}"), 0))));
             (next, arriving) = (next + 1, arriving - 0.5);
         }
         while let Some(((at, key), (n, event))) = due.pop_first() {
@@ -283,11 +283,11 @@
             for action in plays[n].at(now, event) {
                 next += 1;
                 match action {
-                    Action::Post { txn, upstream, .. } => {
-                        let of_it = |event: &Option<Event>| matches!(event, Some(Event::Ended { txn: t, .. }) if *t == txn);
+                    Action::Post { request, upstream, .. } => {
+                        let of_it = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, .. }) if *t == request);
                         let copy = due.values().any(|(_, event)| of_it(event));
                         let took = if !copy && next % 20 == 0 { 600 } else { 20 };
-                        let end = ended(&txn, u32::from(copy), &upstream, Outcome::Ok, took);
+                        let end = ended(&request, u32::from(copy), &upstream, Outcome::Ok, took);
                         due.insert((now + took, next), (n, Some(end)));
                         (1..took / 100)
                             .for_each(|k| drop(due.insert((now + 100 * k, next + (k << 40)), (n, None))));
@@ -295,13 +295,13 @@
                             sent.push(now);
                         }
                     }
-                    Action::Recall { txn, posting } => {
-                        let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { txn: t, posting: p, .. }) if *t == txn && *p == posting);
+                    Action::Recall { request, posting } => {
+                        let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, posting: p, .. }) if *t == request && *p == posting);
                         let out = due.iter().find(|(_, (_, event))| given_up(event)).map(|(key, _)| *key);
                         if let Some((n, Some(Event::Ended { upstream, .. }))) =
                             out.and_then(|key| due.remove(&key))
                         {
-                            let end = ended(&txn, posting, &upstream, Outcome::Cancelled, 1);
+                            let end = ended(&request, posting, &upstream, Outcome::Cancelled, 1);
                             due.insert((now, next), (n, Some(end)));
                         }
                     }
@@ -340,7 +340,7 @@
     let mut play = Play::new(Terms { second_copies: false, ..terms() });
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let up = play.post(now, txn("t", 0));
+    let up = play.post(now, request("t", 0));
     play.at(now + 30, []);
     play.at(now + 30, [ended("t", 0, &up, Outcome::TimedOut, 30)]);
     expect![[r#"
@@ -484,7 +484,7 @@
 #[test]
 fn a_lost_list_is_asked_for_again_with_growing_waits() {
     let mut play = Play::new(Terms { lists: Lists::Asked { within: 10_000 * MS }, ..terms() });
-    play.at(0, [Event::Listed(Listing::Remembered([entry("a", 0)].into())), txn("first", 0)]);
+    play.at(0, [Event::Listed(Listing::Remembered([entry("a", 0)].into())), request("first", 0)]);
     let mut asked = 0;
     for ms in 1..20_000 {
         if !play.at(ms, []).is_empty() {
@@ -513,13 +513,13 @@
     let mut to_a = [0, 0];
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(n * 10, txn(&id, 1));
+        let up = play.post(n * 10, request(&id, 1));
         to_a[usize::from(n >= 100)] += usize::from(up == "a");
         let outcome = if up == "a" || n >= 150 { Outcome::Error } else { Outcome::Ok };
         play.at(n * 10 + 5, [ended(&id, 0, &up, outcome, 5)]);
     }
     play.trace.clear();
-    play.at(2010, [txn("t", 0)]);
+    play.at(2010, [request("t", 0)]);
     expect![[r#"
         [1, 14]
         2010: post t to a
@@ -533,11 +533,11 @@
     play.at(0, [list("a b c d")]);
     for n in 0..40 {
         let id = format!("t{n}");
-        let up = play.post(n * 400, txn(&id, 1));
+        let up = play.post(n * 400, request(&id, 1));
         play.at(n * 400 + 399, [ended(&id, 0, &up, Outcome::Ok, 399)]);
     }
     play.trace.clear();
-    play.at(20_000, (0..6).map(|n| txn(&format!("j{n}"), 1)));
+    play.at(20_000, (0..6).map(|n| request(&format!("j{n}"), 1)));
     expect![[r#"
         20000: post j0 to d
         20000: post j1 to b
@@ -550,7 +550,7 @@
 }
 
 #[test]
-fn a_heavy_txn_is_not_overdue_at_tp() {
+fn a_heavy_request_is_not_overdue_at_tp() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
@@ -571,7 +571,7 @@
     play.at(0, [list("a b c d e f g h i j k l")]);
     let now = play.warm_up(64);
     for n in 0..40 {
-        play.at(now + n, [txn(&format!("t{n}"), 0)]);
+        play.at(now + n, [request(&format!("t{n}"), 0)]);
     }
     play.trace.clear();
     play.at(now + 100, []);
@@ -630,8 +630,8 @@
         let keyed = |id: &str, key| Event::Arrived(Arrival { key: Some(key), ..arrival(id, 0) });
         balancer.handle(0, [list("a b c d"), keyed("t5", 5), keyed("t6", 6), keyed("t9", 9)], &mut actions);
         for action in actions {
-            if let Action::Post { txn, upstream, .. } = action {
-                trace += &format!("{txn} to {upstream}; ");
+            if let Action::Post { request, upstream, .. } = action {
+                trace += &format!("{request} to {upstream}; ");
             }
         }
         trace.push('\n');
@@ -648,7 +648,7 @@
 fn what_cannot_be_posted_in_its_sla_time_is_declined_then() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
-    play.at(0, (0..5).map(|n| txn(&format!("t{n}"), 1)));
+    play.at(0, (0..5).map(|n| request(&format!("t{n}"), 1)));
     play.at(401, []);
     expect![[r#"
         0: post t0 to a
@@ -665,7 +665,7 @@
     let play = || {
         let mut play = Play::new(terms());
         play.at(0, [list("a b c d e")]);
-        play.at(1, (0..30).map(|n| txn(&format!("t{n}"), n % 3)));
+        play.at(1, (0..30).map(|n| request(&format!("t{n}"), n % 3)));
         play.at(200, [ended("t1", 0, "a", Outcome::Error, 199)]);
         play.at(390, []);
         play.trace
@@ -686,7 +686,7 @@
         let terms = Terms { balancers: 1000, lists: Lists::Asked { within: 10_000 * MS }, ..terms() };
         let mut play = Play::seeded(terms, seed);
         play.at(0, [Event::Listed(Listing::Remembered(fleet(40).into()))]);
-        served += usize::from(!play.post(0, txn("t", 0)).is_empty());
+        served += usize::from(!play.post(0, request("t", 0)).is_empty());
         let asked = |ms: &u64| play.at(*ms, []).contains(&Action::Watch { on: true });
         calls[(1..100).map(|n| n * 100).find(asked).unwrap() as usize / 1000] += 1;
     }
@@ -739,7 +739,7 @@
         let mut met = std::collections::BTreeSet::new();
         for n in 0..60 {
             let id = format!("t{n}");
-            let up = play.post(n * 1000, txn(&id, 0));
+            let up = play.post(n * 1000, request(&id, 0));
             play.at(n * 1000 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             met.insert(up);
         }
@@ -751,14 +751,14 @@
         .assert_eq(&format!("circles {circles:?}, {} upstreams, {least} to {most} balancers", users.len()));
 }
 
-/// To the slower half, of each hundred txns, where odd upstreams take 60 ms and the others a quarter or a half.
+/// To the slower half, of each hundred requests, where odd upstreams take 60 ms and the others a quarter or a half.
 fn to_slow_half(fleet: Vec<Entry>, fast_ms: Tenths) -> String {
     let mut play = Play::new(Terms { balancers: 1000, ..terms() });
     play.at(0, [Event::Listed(Listing::Whole(fleet.into()))]);
     let mut to_slow = [0, 0];
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(n * 1000, txn(&id, 0));
+        let up = play.post(n * 1000, request(&id, 0));
         let slow = up[1..].parse::<u32>().unwrap() % 2 == 1;
         to_slow[usize::from(n >= 100)] += usize::from(slow);
         let ms = if slow { 60 } else { fast_ms };
@@ -779,15 +779,16 @@
         .assert_eq(&to_slow_half(fleet(50).into_iter().map(sized).collect(), 30));
 }
 
-/// What becomes of light txns after two dozen dear ones waited long, and others tell of no wait.
+/// What becomes of light requests after two dozen dear ones waited long, and others tell of no wait.
 fn after_long_waits(terms: Terms) -> String {
     let mut play = Play::new(Terms { balancers: 100, ..terms });
     play.at(0, [Event::Listed(Listing::Whole(fleet(50).into()))]);
     let told_by_all = || (0..50).map(|n| told(&format!("u{n}"), Outcome::Ok, 0.0, 0.0));
     for n in 0..24 {
         let id = format!("w{n}");
-        let up =
-            posted_to(&[play.at(n * 2500, [txn(&id, 1)]), play.at(n * 2500 + 30, told_by_all())].concat());
+        let up = posted_to(
+            &[play.at(n * 2500, [request(&id, 1)]), play.at(n * 2500 + 30, told_by_all())].concat(),
+        );
         play.at(n * 2500 + 330, [ended(&id, 0, &up, Outcome::Ok, 300)]);
     }
     play.trace.clear();
@@ -823,7 +824,7 @@
     play.at(0, [Event::Listed(Listing::Whole([Entry { size: 3.0, ..entry("big", 0) }].into()))]);
     for n in 0..12 {
         let id = format!("w{n}");
-        play.at(n * 1000, [txn(&id, 1)]);
+        play.at(n * 1000, [request(&id, 1)]);
         play.at(n * 1000 + 399, [ended(&id, 0, "big", Outcome::Ok, 399)]);
     }
     play.trace.clear();
@@ -841,12 +842,12 @@
     .assert_eq(&play.trace);
 }
 
-/// The danger is a far upstream that counts as crowded whenever a run of small txns meets it.
+/// The danger is a far upstream that counts as crowded whenever a run of small requests meets it.
 #[test]
-fn the_way_to_an_upstream_is_no_sign_of_a_crowd_for_small_txns() {
+fn the_way_to_an_upstream_is_no_sign_of_a_crowd_for_small_requests() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
-    // The way there and back takes 10 ms: runs of large txns, then of small ones.
+    // The way there and back takes 10 ms: runs of large requests, then of small ones.
     for n in 0..96 {
         let cost = if n / 12 % 2 == 0 { 40 * MS } else { MS / 2 };
         let arrived = Arrival { cost: Some(cost), ..arrival(&format!("w{n}"), 0) };
@@ -855,7 +856,7 @@
         play.at(n * 60 + took, [ended(&format!("w{n}"), 0, "a", Outcome::Ok, took)]);
     }
     play.trace.clear();
-    play.at(6000, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+    play.at(6000, (0..6).map(|n| request(&format!("t{n}"), 1)));
     expect![[r#"
         6000: post t0 to a
         6000: post t1 to a
@@ -877,12 +878,12 @@
         let now = play.warm_up(32);
         for n in 0..spoilt {
             let id = format!("s{n}");
-            play.post(now + n * 10, txn(&id, 1));
+            play.post(now + n * 10, request(&id, 1));
             play.at(now + n * 10 + 5, [ended(&id, 0, "a", Outcome::Spoilt, 5)]);
         }
         play.at(now + 200, [list("a b")]);
         play.trace.clear();
-        play.at(now + 200, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+        play.at(now + 200, (0..6).map(|n| request(&format!("t{n}"), 1)));
         shares += &format!("{} to a after {spoilt}\n", play.trace.matches("to a").count());
     }
     expect![[r#"
@@ -902,11 +903,11 @@
         for n in 0..(32 + usual) {
             let id = format!("w{n}");
             let took = if n < 32 { 8 } else { 22 };
-            play.at(n * 30, [txn(&id, 1)]);
+            play.at(n * 30, [request(&id, 1)]);
             play.at(n * 30 + took, [ended(&id, 0, "a", Outcome::Ok, took)]);
         }
         play.trace.clear();
-        play.at(30_000, (0..6).map(|n| txn(&format!("t{n}"), 1)));
+        play.at(30_000, (0..6).map(|n| request(&format!("t{n}"), 1)));
         posted += &format!("{} of 6 after {usual}\n", play.trace.matches("post").count());
     }
     expect![[r#"
@@ -960,10 +961,10 @@
     terms.schemes[1].value = 8.0;
     let mut play = Play::new(terms);
     play.at(0, [list("a b c d")]);
-    // Each answer waits too long: a jam, in which this balancer holds one txn at a time.
+    // Each answer waits too long: a jam, in which this balancer holds one request at a time.
     for n in 0..60 {
         let (id, at) = (format!("j{n}"), n * 350);
-        let up = play.post(at, txn(&id, 0));
+        let up = play.post(at, request(&id, 0));
         play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
     }
     play.trace.clear();
@@ -971,7 +972,7 @@
     for n in 0..40 {
         let (id, at) = (format!("t{n}"), 21_000 + n * 700);
         let scheme = [0, 1, 1, 0][n as usize % 4];
-        let up = play.post(at, txn(&id, scheme));
+        let up = play.post(at, request(&id, scheme));
         if !up.is_empty() {
             posted[scheme as usize] += 1;
             play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
@@ -984,7 +985,7 @@
 }
 
 #[test]
-fn a_long_txn_of_little_value_is_declined_on_arrival_and_one_of_much_is_not() {
+fn a_long_request_of_little_value_is_declined_on_arrival_and_one_of_much_is_not() {
     let mut terms = terms();
     terms.schemes[1].value = 8.0;
     let mut play = Play::new(terms);
@@ -994,10 +995,10 @@
     play.at(now, [long("short", 0, 700), long("long", 0, 1800)]);
     play.at(now, [long("dear", 1, 1800)]);
     let first = std::mem::take(&mut play.trace);
-    // The slower all answer, the sooner a txn is too long.
+    // The slower all answer, the sooner a request is too long.
     for n in 0..64 {
         let (id, at) = (format!("s{n}"), now + 1000 + n * 100);
-        let up = play.post(at, txn(&id, 0));
+        let up = play.post(at, request(&id, 0));
         play.at(at + 60, [ended(&id, 0, &up, Outcome::Ok, 60)]);
     }
     play.trace.clear();
@@ -1011,13 +1012,13 @@
     .assert_eq(&(first + &play.trace));
 }
 
-/// Serves so many txns, every fourth a heavy one, and says where each went.
+/// Serves so many requests, every fourth a heavy one, and says where each went.
 fn light_and_heavy(play: &mut Play, count: u64) -> Vec<(bool, String)> {
     let serve = |n: u64| {
         let (id, at, heavy) = (format!("t{n}"), n * 60, n.is_multiple_of(4));
         let took = if heavy { 40 } else { 4 };
-        let txn = Arrival { cost: Some(took * MS), ..arrival(&id, 0) };
-        let up = play.post(at, Event::Arrived(txn));
+        let request = Arrival { cost: Some(took * MS), ..arrival(&id, 0) };
+        let up = play.post(at, Event::Arrived(request));
         play.at(at + 40, [ended(&id, 0, &up, Outcome::Ok, took)]);
         (heavy, up)
     };
@@ -1025,7 +1026,7 @@
 }
 
 #[test]
-fn heavy_txns_have_a_lane_of_their_own_where_the_circle_is_the_whole_list_only() {
+fn heavy_requests_have_a_lane_of_their_own_where_the_circle_is_the_whole_list_only() {
     let shared = |count, k| {
         let mut play = Play::new(terms());
         // Sizes whose sum depends on the order in which they are added.
@@ -1044,7 +1045,7 @@
 }
 
 #[test]
-fn txns_stay_in_the_own_zone_and_all_upstreams_are_used_alike() {
+fn requests_stay_in_the_own_zone_and_all_upstreams_are_used_alike() {
     let mut users = std::collections::BTreeMap::<String, usize>::new();
     let mut crossing = [0, 0];
     for number in 0..90 {
@@ -1082,12 +1083,12 @@
     let mut posted = std::collections::BTreeSet::new();
     for n in 0..300 {
         let (id, at) = (format!("t{n}"), 100 + n * 50);
-        let up = play.post(at, txn(&id, 0));
+        let up = play.post(at, request(&id, 0));
         play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         posted.insert(up[1..].parse::<u32>().unwrap());
     }
     play.trace.clear();
-    play.at(20_000, [list(""), txn("last", 0)]);
+    play.at(20_000, [list(""), request("last", 0)]);
     expect![[r#"
         13 of 30 are used, the last is u27
         20000: decline last, with advice
@@ -1106,7 +1107,7 @@
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
             let (id, at) = (format!("t{from}-{n}"), from + n * 110);
-            let up = play.post(at, txn(&id, 0));
+            let up = play.post(at, request(&id, 0));
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             used.insert(up);
         }
@@ -1151,7 +1152,7 @@
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
             let (id, at) = (format!("t{n}"), n * 110);
-            let up = play.post(at, txn(&id, 0));
+            let up = play.post(at, request(&id, 0));
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             used.insert(up[1..].parse::<u32>().unwrap());
         }
@@ -1176,7 +1177,7 @@
     let mut line = String::new();
     for n in 0..480 {
         let (id, cut) = (format!("t{n}"), (40..200).contains(&n));
-        let (mut up, mut at, mut posting) = (play.post(now, txn(&id, 1)), now, 0);
+        let (mut up, mut at, mut posting) = (play.post(now, request(&id, 1)), now, 0);
         line += up.get(..1).unwrap_or("-");
         while up.starts_with('a') && cut {
             at += 100;
@@ -1199,13 +1200,13 @@
     let (mut play, now) = two_zones();
     // All that is out is lost: nothing has come from either zone since it left.
     let lost: Vec<(String, String)> =
-        (0..32).map(|n| format!("l{n}")).map(|id| (play.post(now, txn(&id, 1)), id)).collect();
+        (0..32).map(|n| format!("l{n}")).map(|id| (play.post(now, request(&id, 1)), id)).collect();
     for (up, id) in lost {
         play.at(now + 900, [ended(&id, 0, &up, Outcome::TimedOut, 900)]);
     }
     play.trace.clear();
-    // tp is short as before: a repeatable txn is posted again soon.
-    play.at(now + 20_000, [txn("soon", 0)]);
+    // tp is short as before: a repeatable request is posted again soon.
+    play.at(now + 20_000, [request("soon", 0)]);
     play.at(now + 20_060, []);
     expect![[r#"
         25000: post soon to a3
@@ -1223,9 +1224,9 @@
         play.at(0, [list("a")]);
         let mut now = play.warm_up(64);
         for n in 0..6 {
-            play.at(now, [txn(&format!("silent{n}"), 1)]);
+            play.at(now, [request(&format!("silent{n}"), 1)]);
             if answering {
-                play.at(now + 1, [txn(&format!("later{n}"), 1)]);
+                play.at(now + 1, [request(&format!("later{n}"), 1)]);
                 play.at(now + 21, [ended(&format!("later{n}"), 0, "a", Outcome::Ok, 20)]);
             }
             let end = ends.then(|| ended(&format!("silent{n}"), 0, "a", Outcome::TimedOut, 300));
@@ -1233,7 +1234,7 @@
             now += 300;
         }
         play.trace.clear();
-        play.at(now, (0..30).map(|n| txn(&format!("t{n}"), 1)));
+        play.at(now, (0..30).map(|n| request(&format!("t{n}"), 1)));
         play.trace.matches("post").count()
     };
     let mut trace = String::new();
@@ -1264,12 +1265,16 @@
         let new = Entry { kind: n, ..entry(&format!("u{n}"), n) };
         balancer.handle(
             now,
-            [Event::Listed(Listing::Changes([gone, new].into())), txn(&format!("t{n}"), 0)],
+            [Event::Listed(Listing::Changes([gone, new].into())), request(&format!("t{n}"), 0)],
             &mut actions,
         );
         for action in std::mem::take(&mut actions) {
-            if let Action::Post { txn, upstream, .. } = action {
-                balancer.handle(now + 20 * MS, [ended(&txn, 0, &upstream, Outcome::Ok, 20)], &mut actions);
+            if let Action::Post { request, upstream, .. } = action {
+                balancer.handle(
+                    now + 20 * MS,
+                    [ended(&request, 0, &upstream, Outcome::Ok, 20)],
+                    &mut actions,
+                );
             }
         }
         actions.clear();
@@ -1295,18 +1300,18 @@
 }
 
 #[test]
-fn a_heavy_txn_asks_two_and_goes_where_less_is_held_and_a_light_one_asks_nobody() {
+fn a_heavy_request_asks_two_and_goes_where_less_is_held_and_a_light_one_asks_nobody() {
     let mut play = Play::new(asking());
     play.at(0, [list("a b")]);
     let mut light = arrival("light", 1);
     light.cost = Some(MS);
-    play.at(200, [txn("t", 1), Event::Arrived(light)]);
+    play.at(200, [request("t", 1), Event::Arrived(light)]);
     play.at(205, [told("a", Outcome::Ok, 9.0, 8.0)]);
     play.at(210, [told("b", Outcome::Ok, 1.0, 0.0)]);
     // One that answers nothing is not waited for.
     let mut other = Play::new(asking());
     other.at(0, [list("a b")]);
-    other.at(200, [txn("t", 1)]);
+    other.at(200, [request("t", 1)]);
     other.at(210, [told("a", Outcome::Ok, 2.0, 1.0)]);
     other.at(225, []);
     play.trace += &other.trace;
@@ -1323,7 +1328,7 @@
 }
 
 #[test]
-fn a_txn_too_long_for_the_slow_is_not_drawn_there_while_nobody_is_busy() {
+fn a_request_too_long_for_the_slow_is_not_drawn_there_while_nobody_is_busy() {
     let mut play = Play::new(Terms { warm_keys: true, ..asking() });
     let sized = |n: u32| Entry { size: if n < 6 { 1.0 } else { 4.0 }, ..entry(&format!("u{n}"), 0) };
     play.at(0, [Event::Listed(Listing::Whole((0..8).map(sized).collect()))]);
@@ -1340,13 +1345,13 @@
 fn a_long_wait_told_of_is_declined_at_once_and_a_posting_turned_away_tells_of_one() {
     let mut play = Play::new(asking());
     play.at(0, [list("a b")]);
-    play.at(200, [txn("t", 1)]);
+    play.at(200, [request("t", 1)]);
     play.at(205, [told("a", Outcome::Ok, 40.0, 39.0), told("b", Outcome::Full, 0.0, 0.0)]);
-    play.at(2000, [txn("u", 1)]);
+    play.at(2000, [request("u", 1)]);
     play.at(2005, [told("a", Outcome::Ok, 0.0, 0.0), told("b", Outcome::Ok, 1.0, 0.0)]);
     play.at(2010, [ended("u", 0, "a", Outcome::Full, 5)]);
     play.at(2015, [ended("u", 1, "b", Outcome::Ok, 5)]);
-    play.at(2020, [txn("v", 1)]);
+    play.at(2020, [request("v", 1)]);
     expect![[r#"
         200: Probe { upstream: "a" }
         200: Probe { upstream: "b" }
@@ -1360,11 +1365,11 @@
     .assert_eq(&play.trace);
 }
 
-/// A txn that is given up is answered in the batch in which that is known, never parked until its time is up.
+/// A request that is given up is answered in the batch in which that is known, never parked until its time is up.
 #[test]
 fn whatever_is_given_up_is_answered_in_the_same_batch() {
     let mut play = Play::new(asking());
-    play.at(0, [list("a"), txn("heavy", 1)]);
+    play.at(0, [list("a"), request("heavy", 1)]);
     play.at(200, [ended("heavy", 0, "a", Outcome::Ok, 20)]);
     let mut trace = String::new();
     for (n, name) in ["repeatable", "once-only", "referenced"].into_iter().enumerate() {
@@ -1378,7 +1383,7 @@
             trace += &play.trace;
         }
         play.trace.clear();
-        play.at(at + 80_000, [list(""), txn(&format!("{name} with nobody there"), n as u32)]);
+        play.at(at + 80_000, [list(""), request(&format!("{name} with nobody there"), n as u32)]);
         trace += &play.trace;
         play.at(at + 80_010, [list("a")]);
     }
@@ -1403,13 +1408,13 @@
 fn reports_of_the_forgotten_the_replaced_and_the_absurd_change_nothing() {
     let mut play = Play::new(asking());
     play.at(0, [list("a b")]);
-    play.at(200, [txn("t", 1), told("nobody", Outcome::Ok, 1.0, 0.0)]);
+    play.at(200, [request("t", 1), told("nobody", Outcome::Ok, 1.0, 0.0)]);
     play.at(205, [told("a", Outcome::Ok, f64::NAN, -1.0), told("b", Outcome::Ok, 3.0, 1.0)]);
     play.at(206, [told("b", Outcome::Ok, 3.0, 1.0), told("b", Outcome::TimedOut, 0.0, 0.0)]);
     let replaced = Entry { started: Some(250 * MS), ..entry("b", 0) };
     play.at(300, [Event::Listed(Listing::Changes([replaced].into())), told("b", Outcome::Ok, 1e300, 0.0)]);
     play.at(1000, [ended("t", 0, "a", Outcome::Ok, 795)]);
-    play.at(2000, [list("a"), txn("u", 1), told("b", Outcome::Ok, 0.0, 0.0)]);
+    play.at(2000, [list("a"), request("u", 1), told("b", Outcome::Ok, 0.0, 0.0)]);
     play.at(2005, [told("a", Outcome::Moot, 0.0, 0.0)]);
     let told = [(f64::INFINITY, 1.0), (-1.0, 0.0), (2.0, 3.0), (2.0, f64::NAN), (2.0, 1.0)];
     for (held, waiting) in told {
@@ -1450,7 +1455,7 @@
             play.at(1010 + 40 * n, [told("a", Outcome::Ok, 3.0, 2.0)]);
             play.at(1030 + 40 * n, [ended(&format!("t{n}"), 0, "a", Outcome::Ok, 20)]);
         }
-        play.at(2000, [told("a", Outcome::Ok, 40.0, 39.0), txn("late", 1)]);
+        play.at(2000, [told("a", Outcome::Ok, 40.0, 39.0), request("late", 1)]);
         trace += &format!("{}\n", play.trace);
     }
     expect![[r#"
@@ -1485,7 +1490,7 @@
     let mut sent = 0;
     for n in 0..50 {
         let (id, at) = (format!("t{n}"), now + 20 * (n + 1));
-        let up = play.post(at, txn(&id, 0));
+        let up = play.post(at, request(&id, 0));
         sent += u32::from(up.starts_with('c'));
         play.at(at + 19, [ended(&id, 0, &up, Outcome::Ok, 19)]);
     }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -44,19 +44,19 @@
     Event::Listed(Listing::Whole(upstreams.split_whitespace().map(|name| entry(name, 0)).collect()))
 }
 
-pub fn txn(id: &str, scheme: u32) -> Event {
+pub fn request(id: &str, scheme: u32) -> Event {
     Event::Arrived(arrival(id, scheme))
 }
 
 pub fn arrival(id: &str, scheme: u32) -> Arrival {
     let (tenant, left, cost) = (0, 1000 * MS, Some(20 * MS));
-    Arrival { txn: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
+    Arrival { request: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
 }
 
 pub fn ended(id: &str, posting: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
     let (settled, load) = (outcome == Outcome::Ok, Load::default());
-    let (txn, upstream, took) = (id.into(), upstream.into(), ms * MS);
-    Event::Ended { txn, posting, upstream, outcome, took, settled, load }
+    let (request, upstream, took) = (id.into(), upstream.into(), ms * MS);
+    Event::Ended { request, posting, upstream, outcome, took, settled, load }
 }
 
 /// Where the first posting among them goes; empty where there is none.
@@ -88,15 +88,17 @@
         actions.retain(|action| !matches!(action, Action::Wake { .. }));
         for action in &actions {
             let line = match action {
-                Action::Post { txn, upstream, timeout: None, .. } => format!("post {txn} to {upstream}"),
-                Action::Post { txn, upstream, timeout: Some(t), .. } => {
-                    format!("post {txn} to {upstream} for {} ms", t / MS)
+                Action::Post { request, upstream, timeout: None, .. } => {
+                    format!("post {request} to {upstream}")
                 }
-                Action::Decline { txn, cool_down } => {
-                    format!("decline {txn}{}", if cool_down.is_some() { ", with advice" } else { "" })
+                Action::Post { request, upstream, timeout: Some(t), .. } => {
+                    format!("post {request} to {upstream} for {} ms", t / MS)
                 }
-                Action::Reverse { txn } => format!("reverse {txn}"),
-                Action::Recall { txn, posting } => format!("recall {txn}/{posting}"),
+                Action::Decline { request, cool_down } => {
+                    format!("decline {request}{}", if cool_down.is_some() { ", with advice" } else { "" })
+                }
+                Action::Reverse { request } => format!("reverse {request}"),
+                Action::Recall { request, posting } => format!("recall {request}/{posting}"),
                 other => format!("{other:?}"),
             };
             writeln!(self.trace, "{ms}: {line}").unwrap();
@@ -104,7 +106,7 @@
         actions
     }
 
-    /// The upstream that a txn was posted to at that time, for tests in which chance picks it.
+    /// The upstream that a request was posted to at that time, for tests in which chance picks it.
     pub fn post(&mut self, ms: Tenths, event: Event) -> String {
         posted_to(&self.at(ms, [event]))
     }
@@ -113,7 +115,7 @@
     pub fn warm_up(&mut self, count: u64) -> Tenths {
         for n in 0..count {
             let id = format!("w{n}");
-            let up = self.post(n * 25, txn(&id, 0));
+            let up = self.post(n * 25, request(&id, 0));
             self.at(n * 25 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         }
         self.trace.clear();
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -109,20 +109,20 @@
 
 /// The upstreams that so many requests at once are sent to, none of which is answered: those of the whole subset.
 fn used(balancer: &mut Balancer, now: Tenths, check: u64) -> BTreeSet<String> {
-    let ids: Vec<TxnId> = (0..REQUESTS).map(|number| format!("{check}-{number}").into()).collect();
-    let arrived = |txn: &TxnId| {
-        let (txn, left, cost) = (txn.clone(), SECOND, Some(10));
+    let ids: Vec<RequestId> = (0..REQUESTS).map(|number| format!("{check}-{number}").into()).collect();
+    let arrived = |request: &RequestId| {
+        let (request, left, cost) = (request.clone(), SECOND, Some(10));
         let (scheme, tenant, key, repeat, write) = (0, 0, None, false, false);
-        Event::Arrived(Arrival { txn, scheme, tenant, key, left, cost, repeat, write })
+        Event::Arrived(Arrival { request, scheme, tenant, key, left, cost, repeat, write })
     };
     let posted = handle(balancer, now, ids.iter().map(arrived).collect());
-    handle(balancer, now, ids.into_iter().map(|txn| Event::Left { txn }).collect());
+    handle(balancer, now, ids.into_iter().map(|request| Event::Left { request }).collect());
     let (mut used, mut over) = (BTreeSet::new(), Vec::new());
     for action in posted {
-        if let Action::Post { txn, upstream, .. } = action {
+        if let Action::Post { request, upstream, .. } = action {
             let (outcome, took, settled, load) = (Outcome::Cancelled, 0, true, Load::default());
             used.insert(upstream.to_string());
-            over.push(Event::Ended { txn, posting: 0, upstream, outcome, took, settled, load });
+            over.push(Event::Ended { request, posting: 0, upstream, outcome, took, settled, load });
         }
     }
     handle(balancer, now, over);
