--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -31,7 +31,7 @@
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
-        max_postings: 3,
+        max_attempts: 3,
         second_copies: true,
         cancelling: true,
         probing: false,
@@ -62,9 +62,9 @@
         serving.handle(Event::Listed(Listing::Whole(entries)));
         while serving.now < WARMED {
             serving.now += SECOND / RATE;
-            let posted = serving.request();
+            let sent = serving.request();
             serving.now += ANSWERED_IN;
-            let answers = posted.into_iter().filter_map(answer);
+            let answers = sent.into_iter().filter_map(answer);
             answers.for_each(|event| serving.handle(event));
         }
         for _ in 0..OPEN {
@@ -91,9 +91,9 @@
 }
 
 fn answer(action: Action) -> Option<Event> {
-    let Action::Post { request, upstream, .. } = action else { return None };
+    let Action::Attempt { request, upstream, .. } = action else { return None };
     let (outcome, load) = (Outcome::Ok, Load::default());
-    Some(Event::Ended { request, posting: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
+    Some(Event::Ended { request, attempt: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
 }
 
 fn changes(numbers: impl Iterator<Item = usize>, stage: Stage) -> Event {
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -247,7 +247,7 @@
         }),
         "REPLY" => Event::Ended {
             request: fields.word("OpId")?.into(),
-            posting: fields.number("Go")?,
+            attempt: fields.number("Go")?,
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
             took: fields.took()?,
@@ -281,7 +281,7 @@
 
 pub fn write(out: &mut impl Write, who: u64, action: &Action) -> io::Result<()> {
     match action {
-        Action::Post { request, upstream, timeout, .. } => {
+        Action::Attempt { request, upstream, timeout, .. } => {
             write!(out, "DISPATCH Who={who} OpId={request} Upstream={upstream}")?;
             optional(out, "TimeoutNs", *timeout)
         }
@@ -297,8 +297,8 @@
         }
         Action::Watch { on } => writeln!(out, "KEEP_INFORMED Who={who} Enable={}", u8::from(*on)),
         Action::Refetch => writeln!(out, "REFRESH Who={who}"),
-        Action::Recall { request, posting } => {
-            writeln!(out, "CALL_OFF Who={who} OpId={request} Go={posting}")
+        Action::Recall { request, attempt } => {
+            writeln!(out, "CALL_OFF Who={who} OpId={request} Go={attempt}")
         }
         Action::Reverse { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
         Action::Decline { request, cool_down } => {
--- a/crates/pondlb-lab/src/compare.rs
+++ b/crates/pondlb-lab/src/compare.rs
@@ -54,7 +54,7 @@
         found.push(difference(&format!("{name}, p99 ms"), &sound, |report| report.schemes[number].p99));
     }
     found.push(difference("postings a txn", &sound, |report| {
-        report.postings as f64 / report.schemes.iter().map(|f| f.asked).sum::<usize>().max(1) as f64
+        report.attempts as f64 / report.schemes.iter().map(|f| f.asked).sum::<usize>().max(1) as f64
     }));
     found
 }
--- a/crates/pondlb-lab/src/compare/tests.rs
+++ b/crates/pondlb-lab/src/compare/tests.rs
@@ -12,7 +12,7 @@
         void,
         broken: Vec::new(),
         schemes: vec![figures],
-        postings: 110,
+        attempts: 110,
         probes: 0,
         times: Default::default(),
     }
--- a/crates/pondlb-lab/src/fleet.rs
+++ b/crates/pondlb-lab/src/fleet.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// A posting that is out, for as long as this is kept: until its answer leaves, its balancer has closed its
+/// An attempt that is out, for as long as this is kept: until its answer leaves, its balancer has closed its
 /// connection, or its upstream has died. The ledgers may have been taken by then.
 struct Out<'a>(&'a Book, usize);
 
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Each balancer has an address of its own to it, so that a posting tells whose it is.
+    /// Each balancer has an address of its own to it, so that an attempt tells whose it is.
     pub fn address_of(&self, balancer: u32) -> SocketAddr {
         SocketAddr::from(([127, 1, (balancer >> 8) as u8, (balancer & 255) as u8 + 1], self.port))
     }
@@ -176,7 +176,7 @@
                 continue;
             }
             let held = Count::one(&self.held);
-            // Goes on when the balancer gives up, but then the posting is out no longer.
+            // Goes on when the balancer gives up, but then the attempt is out no longer.
             let work = self.work(book, entry, run.work + std::mem::take(&mut handshake));
             tokio::pin!(work);
             let mut out = Some(out);
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -103,7 +103,7 @@
     if scenario.asking.contains(&asked.balancer) && runs.windows(2).any(both) {
         found.push(("2 one effect", "had two postings out".into()));
     }
-    // Given up at its SLA time at the latest: what comes later and was never posted was parked.
+    // Given up at its SLA time at the latest: what comes later and was never sent was parked.
     let wait = asked.answered.map_or(0, |at| at.saturating_sub(sent));
     if declined && runs.is_empty() && wait > scheme.sla_ms * 1000 + SLACK {
         found.push(("parked", format!("declined after {} ms with nothing posted", wait / 1000)));
@@ -156,7 +156,7 @@
     ledgers.told.iter().filter_map(late).collect()
 }
 
-/// In each window of the rule that ends with a posting, the work that came against what a cold one bears.
+/// In each window of the rule that ends with an attempt, the work that came against what a cold one bears.
 fn cold(scenario: &Scenario, ledgers: &Ledgers) -> Vec<Broken> {
     let (rules, fleet) = (&scenario.rules, scenario.fleet());
     let (window, warm) = (rules.fall_ms * 1000, rules.warm_ms * 1000);
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -22,7 +22,7 @@
     pub killed: bool,
 }
 
-/// One posting, as its upstream saw it.
+/// One attempt, as its upstream saw it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Run {
     pub id: String,
--- a/crates/pondlb-lab/src/report.rs
+++ b/crates/pondlb-lab/src/report.rs
@@ -16,8 +16,9 @@
     pub outcomes: Vec<Vec<[u32; 4]>>,
     /// By half second, over all schemes: the median and the 99th percentile of what settled, in milliseconds.
     pub latency: Vec<[f64; 2]>,
-    /// By upstream and half second: postings.
-    pub postings: Vec<Vec<u32>>,
+    /// By upstream and half second: attempts.
+    #[serde(rename = "postings")]
+    pub attempts: Vec<Vec<u32>>,
 }
 
 const STEP: u64 = 500_000;
@@ -55,9 +56,9 @@
             let at = |part: usize| all.get(all.len() * part / 100).map_or(0.0, |us| *us as f64 / 1000.0);
             [at(50), at(99)]
         });
-        let mut postings = vec![vec![0; steps]; scenario.fleet().len()];
-        ledgers.runs.iter().for_each(|run| postings[run.upstream][step(run.first_byte)] += 1);
-        Times { outcomes, latency: latency.collect(), postings }
+        let mut attempts = vec![vec![0; steps]; scenario.fleet().len()];
+        ledgers.runs.iter().for_each(|run| attempts[run.upstream][step(run.first_byte)] += 1);
+        Times { outcomes, latency: latency.collect(), attempts }
     }
 }
 
@@ -79,7 +80,7 @@
         page += &svg(|area| draw_lines(area, scenario, &lines, &["median", "99th percentile"]))?;
         page += "<h2>postings to each upstream in each half second</h2>";
         let count = |ups: &Vec<u32>| ups.iter().map(|n| f64::from(*n)).collect::<Vec<f64>>();
-        let lines: Vec<Vec<f64>> = report.times.postings.iter().map(count).collect();
+        let lines: Vec<Vec<f64>> = report.times.attempts.iter().map(count).collect();
         let names: Vec<String> = (0..lines.len()).map(|n| format!("upstream {n}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         page += &svg(|area| draw_lines(area, scenario, &lines, &names))?;
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -26,7 +26,8 @@
     pub void: Option<String>,
     pub broken: Vec<Broken>,
     pub schemes: Vec<Figures>,
-    pub postings: usize,
+    #[serde(rename = "postings")]
+    pub attempts: usize,
     pub probes: usize,
     pub times: Times,
 }
@@ -97,8 +98,8 @@
     let schemes = (0..scenario.schemes.len()).map(|n| figures(scenario, ledgers, n)).collect();
     let (void, broken) = (judge::void(ledgers), judge::judge(scenario, ledgers));
     let times = Times::of(scenario, ledgers, from);
-    let (postings, probes) = (ledgers.runs.len(), ledgers.probes.len());
-    Report { void, broken, schemes, postings, probes, times }
+    let (attempts, probes) = (ledgers.runs.len(), ledgers.probes.len());
+    Report { void, broken, schemes, attempts, probes, times }
 }
 
 fn figures(scenario: &Scenario, ledgers: &Ledgers, number: usize) -> Figures {
@@ -138,7 +139,7 @@
                 f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
             );
         }
-        text += &format!("{} postings, {} probes\n", self.postings, self.probes);
+        text += &format!("{} postings, {} probes\n", self.attempts, self.probes);
         for broken in self.broken.iter().take(MOST_TOLD) {
             text += &format!("broken, {}: {}\n", broken.rule, broken.what);
         }
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -16,7 +16,7 @@
     /// How long requests arrive; the run is over once the last of them has had its time.
     pub seconds: f64,
     pub balancers: u32,
-    /// Which balancers, from 0, ask upstreams for their load and may not have two postings of a request out; the
+    /// Which balancers, from 0, ask upstreams for their load and may not have two attempts of a request out; the
     /// others do neither.
     #[serde(default)]
     pub asking: Vec<u32>,
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -18,7 +18,7 @@
 use crate::protocol::control::setting_change;
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{
-    Ask, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool, Postings,
+    Ask, Attempts, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool,
     SettingsUpdate, discover, follow_control, listen, span,
 };
 
@@ -68,7 +68,7 @@
 pub struct Service {
     phase: watch::Sender<Phase>,
     clock: Clock,
-    exchange: Exchange<Postings>,
+    exchange: Exchange<Attempts>,
     notes: mpsc::UnboundedReceiver<Note>,
     /// From control servers; closed where none are followed.
     settings: mpsc::UnboundedReceiver<SettingsUpdate>,
@@ -143,7 +143,7 @@
             spawn_local(follow_control(control, follower, notes_in.clone()));
         }
         let carrier =
-            Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
+            Attempts { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
         if setup.control.is_some() {
             exchange.await_state();
@@ -296,7 +296,7 @@
     }
 }
 
-/// A posting that is still connecting when its upstream is told to drain must leave within the grace. With none
+/// An attempt that is still connecting when its upstream is told to drain must leave within the grace. With none
 /// at all, what the limit is longer on sockets is left.
 pub(super) fn connect_within(links: &Links) -> Tenths {
     links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2)
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -144,7 +144,7 @@
 /// Memory of the program's own code, stack and threads, which nobody counts.
 const OWN_MEMORY: u64 = 12 << 20;
 /// A request's memory at its worst: what its client's connection holds, its message as kept and as written for
-/// one posting, and its answer as read, kept and written.
+/// one attempt, and its answer as read, kept and written.
 const REQUEST_MEMORY: u64 = (2 * MOST_HELD + 4 * (MOST_BODY + MOST_HEAD)) as u64;
 /// A list may be as long as one of so many parts of the memory. As it was sent, as its upstreams and as what is known
 /// of each it holds fourteen times its length, and with more than half of the memory held nothing new is served.
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -9,7 +9,7 @@
 use super::answer::Answer;
 use super::client::{Classes, ClientSide, Wish, write_answer, write_fault};
 use super::discovery::{DiscoverySide, NoList, UpstreamList, write_call};
-use super::upstream::{UpstreamSide, write_posting};
+use super::upstream::{UpstreamSide, write_attempt};
 
 /// The three sides alike: something that is fed bytes and tells what it made of them.
 trait Side {
@@ -385,13 +385,13 @@
 }
 
 #[test]
-fn a_posting_goes_on_as_it_came_but_for_what_is_between_two_machines() {
+fn an_attempt_goes_on_as_it_came_but_for_what_is_between_two_machines() {
     let chunked =
         "Transfer-Encoding: chunked\r\nConnection: x-mine, req-id\r\nX-Mine: 1\r\nX-Other: 2\r\nTE: x\r\n";
-    let posted = request(&format!("POST /api?a=b HTTP/1.1\r\n{FIELDS}{chunked}\r\n2\r\nhi\r\n0\r\n\r\n"));
+    let sent = request(&format!("POST /api?a=b HTTP/1.1\r\n{FIELDS}{chunked}\r\n2\r\nhi\r\n0\r\n\r\n"));
     let got = request(&format!("GET /api HTTP/1.0\r\n{FIELDS}\r\n"));
-    let mut made = String::from_utf8(write_posting("a1", &posted, 1234)).unwrap() + "\n";
-    made += &String::from_utf8(write_posting("a1", &got, 0)).unwrap();
+    let mut made = String::from_utf8(write_attempt("a1", &sent, 1234)).unwrap() + "\n";
+    made += &String::from_utf8(write_attempt("a1", &got, 0)).unwrap();
     expect![[r#"
         POST /api?a=b HTTP/1.1
         Host: b
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -1,4 +1,4 @@
-//! The side that speaks to upstreams: a posting to bytes, bytes to its outcome.
+//! The side that speaks to upstreams: an attempt to bytes, bytes to its outcome.
 
 use std::net::SocketAddr;
 
@@ -8,11 +8,11 @@
 use super::MOST_ANSWER;
 use super::answer::Answer;
 
-/// Fields that are written anew for each posting.
+/// Fields that are written anew for each attempt.
 const REWRITTEN: [&str; 4] = ["Content-Length", "Req-Id", "Req-Deadline", "Expect"];
 
 /// The id goes with it whatever the client's `Connection` says: without it nobody could tell a repeat.
-pub fn write_posting(id: &str, message: &Message, wait: Tenths) -> Vec<u8> {
+pub fn write_attempt(id: &str, message: &Message, wait: Tenths) -> Vec<u8> {
     let mut out = Vec::with_capacity(512 + message.body.len());
     out.extend_from_slice(message.head.first.rsplit_once(' ').map_or("", |(line, _)| line).as_bytes());
     out.extend_from_slice(b" HTTP/1.1\r\n");
@@ -42,7 +42,7 @@
     /// What the client is to get, where this is final.
     pub reply: Option<Answer>,
     pub load: Load,
-    /// The connection may carry another posting.
+    /// The connection may carry another attempt.
     pub keep: bool,
 }
 
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -9,16 +9,16 @@
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
-use super::{Directory, End, Note, Order, PostingId};
+use super::{AttemptId, Directory, End, Note, Order};
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
 
 /// Does the work that the decisions ask for.
 pub trait Carrier {
-    /// Kept while a posting is out; dropping it gives the posting up and closes its connection.
+    /// Kept while an attempt is out; dropping it gives the attempt up and closes its connection.
     type Hold: Hold;
 
-    fn post(&mut self, order: Order) -> Self::Hold;
+    fn send(&mut self, order: Order) -> Self::Hold;
     /// Asks for an upstream's load; `Note::Probed` says what came of it.
     fn probe(&mut self, upstream: UpstreamId, address: SocketAddr);
     fn watch(&mut self, on: bool);
@@ -26,19 +26,20 @@
     fn close_idle(&mut self, upstream: &str);
 }
 
-/// What is kept of a posting that is out.
+/// What is kept of an attempt that is out.
 pub trait Hold {
     /// Whether its last byte has been written, so that it may run; until then it can be taken back.
     fn is_written(&self) -> bool;
 }
 
-/// A request until its final answer is given and none of its postings is out.
+/// A request until its final answer is given and none of its attempts is out.
 struct Request {
     message: Rc<Message>,
     /// None once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
     expiry: Tenths,
-    posted: u32,
+    /// How many attempts there have been.
+    attempts: u32,
     out: u32,
 }
 
@@ -76,14 +77,14 @@
     }
 }
 
-/// Owns the balancer, and the requests and postings that it has decided on.
+/// Owns the balancer, and the requests and attempts that it has decided on.
 pub struct Exchange<C: Carrier> {
     balancer: Balancer,
     directory: Directory,
     carrier: C,
     requests: BTreeMap<RequestId, Request>,
     ids: Ids,
-    outs: BTreeMap<PostingId, Out<C::Hold>>,
+    outs: BTreeMap<AttemptId, Out<C::Hold>>,
     /// Requests that nobody waits for any more, since the last look at what of theirs can be taken back.
     closed: Vec<RequestId>,
     events: Vec<Event>,
@@ -145,8 +146,8 @@
             self.take_back(now, |id, _| closed.contains(id));
         }
         if self.end.is_some_and(|at| at <= now) {
-            let late: Vec<PostingId> = self.outs.keys().cloned().collect();
-            late.into_iter().for_each(|posting| self.ended(now, posting, Outcome::TimedOut.into()));
+            let late: Vec<AttemptId> = self.outs.keys().cloned().collect();
+            late.into_iter().for_each(|attempt| self.ended(now, attempt, Outcome::TimedOut.into()));
         }
         if let Some((_, token)) = self.wake.take_if(|(at, _)| *at <= now) {
             self.events.push(Event::Woke { token: token.into() });
@@ -159,8 +160,8 @@
     fn take_back(&mut self, now: Tenths, which: impl Fn(&RequestId, &UpstreamId) -> bool) {
         let chosen =
             self.outs.iter().filter(|((id, _), out)| !out.hold.is_written() && which(id, &out.upstream));
-        let chosen: Vec<PostingId> = chosen.map(|(posting, _)| posting.clone()).collect();
-        chosen.into_iter().for_each(|posting| self.ended(now, posting, Outcome::Moot.into()));
+        let chosen: Vec<AttemptId> = chosen.map(|(attempt, _)| attempt.clone()).collect();
+        chosen.into_iter().for_each(|attempt| self.ended(now, attempt, Outcome::Moot.into()));
     }
 
     pub fn wake_at(&self) -> Option<Tenths> {
@@ -168,7 +169,7 @@
         self.wake.map(|(at, _)| at).into_iter().chain(end).min()
     }
 
-    /// From then on nothing is posted, and what is out is given up, for the decisions to answer.
+    /// From then on nothing is sent, and what is out is given up, for the decisions to answer.
     pub fn end_by(&mut self, at: Tenths) {
         self.end = Some(at);
         for request in self.requests.values_mut() {
@@ -201,7 +202,7 @@
                     arrival.left = arrival.left.min(end.saturating_sub(now));
                 }
                 let (message, expiry) = (Rc::new(message), now + arrival.left);
-                let request = Request { message, answer: Some(answer), expiry, posted: 0, out: 0 };
+                let request = Request { message, answer: Some(answer), expiry, attempts: 0, out: 0 };
                 self.requests.insert(arrival.request.clone(), request);
                 self.events.push(Event::Arrived(arrival));
             }
@@ -210,7 +211,7 @@
                     self.events.push(Event::Left { request });
                 }
             }
-            Note::Ended { posting, end } => self.ended(now, posting, end),
+            Note::Ended { attempt, end } => self.ended(now, attempt, end),
             Note::Probed { upstream, outcome, took, load } => {
                 log::debug!("{upstream} is asked: {outcome:?} after {took}{load}");
                 self.events.push(Event::Probed { upstream, outcome, took, load });
@@ -245,14 +246,14 @@
         );
     }
 
-    /// A posting given up may have ended at the same moment: only the first of the two ends counts.
-    fn ended(&mut self, now: Tenths, (id, posting): PostingId, end: End) {
-        let Some(out) = self.outs.remove(&(id.clone(), posting)) else { return };
+    /// An attempt given up may have ended at the same moment: only the first of the two ends counts.
+    fn ended(&mut self, now: Tenths, (id, attempt): AttemptId, end: End) {
+        let Some(out) = self.outs.remove(&(id.clone(), attempt)) else { return };
         if let Some(request) = self.requests.get_mut(&id) {
             request.out -= 1;
         }
         let (up, outcome, took, load) = (&out.upstream, end.outcome, now - out.order, end.load);
-        log::debug!("{id} {posting} ends at {up}: {outcome:?} after {took}{load}");
+        log::debug!("{id} {attempt} ends at {up}: {outcome:?} after {took}{load}");
         if let Some(reply) = end.reply {
             self.give(&id, reply);
         }
@@ -260,7 +261,7 @@
         self.forget(&id);
         self.events.push(Event::Ended {
             request: id,
-            posting,
+            attempt,
             upstream: out.upstream,
             outcome: end.outcome,
             took: now - out.order,
@@ -277,7 +278,7 @@
                 self.carry_out(now, action);
             }
             self.actions = actions;
-            // What a recall or a posting that can't leave brings about is news again.
+            // What a recall or an attempt that can't leave brings about is news again.
             if self.events.is_empty() {
                 return;
             }
@@ -286,12 +287,12 @@
 
     fn carry_out(&mut self, now: Tenths, action: Action) {
         match action {
-            Action::Post { request, upstream, timeout, begin_by } => {
-                self.post(now, request, upstream, timeout, begin_by);
+            Action::Attempt { request, upstream, timeout, begin_by } => {
+                self.attempt(now, request, upstream, timeout, begin_by);
             }
-            Action::Recall { request, posting } => {
+            Action::Recall { request, attempt } => {
                 // Dropping what is kept of it closes its connection.
-                self.ended(now, (request, posting), Outcome::Cancelled.into());
+                self.ended(now, (request, attempt), Outcome::Cancelled.into());
             }
             Action::Decline { request, cool_down } => self.give(&request, Answer::Declined { cool_down }),
             Action::Reverse { request } => self.give(&request, Answer::Reversed),
@@ -311,7 +312,7 @@
         }
     }
 
-    fn post(
+    fn attempt(
         &mut self,
         now: Tenths,
         id: RequestId,
@@ -320,26 +321,26 @@
         begin_by: Option<Tenths>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let posting = request.posted;
-        request.posted += 1;
+        let attempt = request.attempts;
+        request.attempts += 1;
         let outcome = match self.directory.address(&upstream) {
             // Nothing leaves after the final answer or the expiry, whoever asks for it.
             _ if request.answer.is_none() || now >= request.expiry => Outcome::Moot,
             None => Outcome::ConnectFailed,
             Some(address) => {
-                log::debug!("{id} {posting} is posted to {upstream}");
+                log::debug!("{id} {attempt} is posted to {upstream}");
                 request.out += 1;
                 let until = timeout.map_or(request.expiry, |span| request.expiry.min(now + span));
                 let (message, name) = (request.message.clone(), upstream.clone());
-                let id = (id.clone(), posting);
+                let id = (id.clone(), attempt);
                 let order = Order { id: id.clone(), upstream: name, address, message, until, begin_by };
-                let hold = self.carrier.post(order);
+                let hold = self.carrier.send(order);
                 self.outs.insert(id, Out { order: now, upstream, hold });
                 return;
             }
         };
         let (settled, took, load) = (request.answer.is_none(), 0, Load::default());
-        self.events.push(Event::Ended { request: id, posting, upstream, outcome, took, settled, load });
+        self.events.push(Event::Ended { request: id, attempt, upstream, outcome, took, settled, load });
     }
 
     /// The first answer is final; a client that has left gets none.
--- a/crates/pondlb-server/src/routing/mod.rs
+++ b/crates/pondlb-server/src/routing/mod.rs
@@ -9,4 +9,4 @@
 
 pub use directory::Directory;
 pub use exchange::{Carrier, Exchange, Hold};
-pub use notes::{End, Note, Order, PostingId};
+pub use notes::{AttemptId, End, Note, Order};
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -8,13 +8,13 @@
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
 
-/// The postings of a request are numbered as they leave.
-pub type PostingId = (RequestId, u32);
+/// The attempts of a request are numbered as they leave.
+pub type AttemptId = (RequestId, u32);
 
-/// A posting to be carried out.
+/// An attempt to be carried out.
 #[derive(Debug)]
 pub struct Order {
-    pub id: PostingId,
+    pub id: AttemptId,
     pub upstream: UpstreamId,
     pub address: SocketAddr,
     pub message: Rc<Message>,
@@ -24,7 +24,7 @@
     pub begin_by: Option<Tenths>,
 }
 
-/// How a posting ended.
+/// How an attempt ended.
 #[derive(Debug)]
 pub struct End {
     pub outcome: Outcome,
@@ -50,7 +50,7 @@
         request: RequestId,
     },
     Ended {
-        posting: PostingId,
+        attempt: AttemptId,
         end: End,
     },
     Probed {
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -18,7 +18,7 @@
 
 struct Scribe(Trace);
 
-/// Says when it is dropped, as the connection of a posting would close. That of a posting to `dials` never comes up.
+/// Says when it is dropped, as the connection of an attempt would close. That of an attempt to `dials` never comes up.
 struct Held(Trace, String, bool);
 
 impl Hold for Held {
@@ -36,7 +36,7 @@
 impl Carrier for Scribe {
     type Hold = Held;
 
-    fn post(&mut self, order: Order) -> Held {
+    fn send(&mut self, order: Order) -> Held {
         let what = format!("{} {}", order.id.0, order.id.1);
         *self.0.borrow_mut() +=
             &format!("  post {what} to {} at {} until {}\n", order.upstream, order.address, order.until);
@@ -115,13 +115,13 @@
         self.step(now, Some(Note::Arrived { arrival, message: Message { head, body: Vec::new() }, answer }));
     }
 
-    fn end(&mut self, now: Tenths, name: &str, posting: u32, outcome: Outcome) {
+    fn end(&mut self, now: Tenths, name: &str, attempt: u32, outcome: Outcome) {
         let mut end = End::from(outcome);
         if outcome == Outcome::Ok {
             let head = Head { first: "HTTP/1.1 200 OK".into(), fields: Vec::new() };
-            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {posting}").into() }));
+            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {attempt}").into() }));
         }
-        self.step(now, Some(Note::Ended { posting: (name.into(), posting), end }));
+        self.step(now, Some(Note::Ended { attempt: (name.into(), attempt), end }));
     }
 
     fn step(&mut self, now: Tenths, note: Option<Note>) {
@@ -129,8 +129,8 @@
             None => "wake".into(),
             Some(Note::Arrived { arrival, .. }) => format!("{} comes", arrival.request),
             Some(Note::Left { request }) => format!("{request} leaves"),
-            Some(Note::Ended { posting, end }) => {
-                format!("{} {} ends: {:?}", posting.0, posting.1, end.outcome)
+            Some(Note::Ended { attempt, end }) => {
+                format!("{} {} ends: {:?}", attempt.0, attempt.1, end.outcome)
             }
             Some(Note::Probed { upstream, outcome, .. }) => format!("{upstream} is asked: {outcome:?}"),
             Some(Note::Listed(_)) => "listed".into(),
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn the_posting_that_lost_is_let_go_and_its_late_answer_goes_nowhere() {
+fn the_attempt_that_lost_is_let_go_and_its_late_answer_goes_nowhere() {
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     play.pass(6000);
@@ -222,7 +222,7 @@
 }
 
 #[test]
-fn a_client_that_left_is_owed_nothing_and_its_posting_is_let_go() {
+fn a_client_that_left_is_owed_nothing_and_its_attempt_is_let_go() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 20_000);
     play.step(20, Some(Note::Left { request: "t1".into() }));
@@ -305,7 +305,7 @@
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     let end = End { outcome: Outcome::Moot, reply: Some(Answer::Unfit), load: Load::default() };
-    play.step(20, Some(Note::Ended { posting: ("t1".into(), 0), end }));
+    play.step(20, Some(Note::Ended { attempt: ("t1".into(), 0), end }));
     play.pass(20_000);
     play.ends_with(expect![[r#"
         10: t1 comes
@@ -427,7 +427,7 @@
 }
 
 #[test]
-fn a_whole_set_is_replaced_at_its_own_addresses_while_postings_are_out() {
+fn a_whole_set_is_replaced_at_its_own_addresses_while_attempts_are_out() {
     let mut play = Play::new(&[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
     play.arrive(10, "t1", REPEATABLE, 60_000);
     play.step(
@@ -499,7 +499,7 @@
     ));
 }
 
-/// The danger is a balancer that serves with a part of its list, or posts to who has been removed.
+/// The danger is a balancer that serves with a part of its list, or sends to who has been removed.
 #[test]
 fn records_are_in_force_once_told_and_the_first_whole_state_makes_ready() {
     let mut play = Play::new(ONE);
--- a/crates/pondlb-server/src/transport/posting.rs
+++ b/crates/pondlb-server/src/transport/attempt.rs
@@ -13,11 +13,11 @@
 use super::memory::Memory;
 use super::pool::{Link, NoLink, Pool};
 use super::stream::{feed, write_all};
-use crate::protocol::upstream::{Answered, UpstreamSide, write_posting, write_probe};
+use crate::protocol::upstream::{Answered, UpstreamSide, write_attempt, write_probe};
 use crate::routing::{Carrier, End, Hold, Note, Order};
 
-/// Carries postings to upstreams, each in a task of its own.
-pub struct Postings {
+/// Carries attempts to upstreams, each in a task of its own.
+pub struct Attempts {
     pub pool: Rc<Pool>,
     pub clock: Clock,
     pub memory: Memory,
@@ -51,17 +51,17 @@
     }
 }
 
-impl Carrier for Postings {
+impl Carrier for Attempts {
     type Hold = Task;
 
-    fn post(&mut self, order: Order) -> Task {
+    fn send(&mut self, order: Order) -> Task {
         let (pool, clock, memory, notes) = (self.pool.clone(), self.clock, self.memory, self.notes.clone());
         let written = Rc::new(Cell::new(false));
         let is_written = written.clone();
         let task = spawn_local(async move {
-            let posting = order.id.clone();
+            let attempt = order.id.clone();
             let end = carry(&pool, clock, memory, order, &is_written).await;
-            let _ended = notes.send(Note::Ended { posting, end });
+            let _ended = notes.send(Note::Ended { attempt, end });
         });
         Task { handle: task.abort_handle(), written }
     }
@@ -119,7 +119,7 @@
     }
 }
 
-/// Whether a posting may have run turns on its last byte: until that is written it can't have, from then on
+/// Whether an attempt may have run turns on its last byte: until that is written it can't have, from then on
 /// it may have. Nothing is ever written twice, so that the decisions alone repeat a request.
 async fn carry(pool: &Rc<Pool>, clock: Clock, memory: Memory, order: Order, written: &Cell<bool>) -> End {
     let until = clock.instant(order.until);
@@ -136,7 +136,7 @@
     if order.begin_by.is_some_and(|by| by <= clock.now()) {
         return Outcome::Moot.into();
     }
-    let bytes = write_posting(&order.id.0, &order.message, order.until.saturating_sub(clock.now()));
+    let bytes = write_attempt(&order.id.0, &order.message, order.until.saturating_sub(clock.now()));
     if !matches!(timeout_at(until, write_all(&link.stream, &bytes)).await, Ok(Ok(()))) {
         return Outcome::ConnectFailed.into();
     }
--- a/crates/pondlb-server/src/transport/memory.rs
+++ b/crates/pondlb-server/src/transport/memory.rs
@@ -13,7 +13,7 @@
 }
 
 impl Memory {
-    /// Too much for anything new: what is let in still grows by its postings and answers.
+    /// Too much for anything new: what is let in still grows by its attempts and answers.
     pub fn is_short(&self) -> bool {
         HELD.allocated() > self.most / 2
     }
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets and timers: thin drivers that read and write for the protocols' state machines.
 
+mod attempt;
 mod backoff;
 mod client;
 mod clock;
@@ -10,11 +11,11 @@
 mod memory;
 mod phase;
 mod pool;
-mod posting;
 mod stream;
 #[cfg(test)]
 mod tests;
 
+pub use attempt::{Attempts, Probing};
 pub use backoff::Backoff;
 pub use client::Front;
 pub use clock::{Clock, span};
@@ -25,4 +26,3 @@
 pub use memory::Memory;
 pub use phase::Phase;
 pub use pool::Pool;
-pub use posting::{Postings, Probing};
--- a/crates/pondlb-server/src/transport/pool.rs
+++ b/crates/pondlb-server/src/transport/pool.rs
@@ -10,12 +10,12 @@
 
 use super::stream::{Waiting, waiting};
 
-/// The connections to upstreams: at most so many, and those that stand idle for the next posting.
+/// The connections to upstreams: at most so many, and those that stand idle for the next attempt.
 pub struct Pool {
     most: usize,
     open: Cell<usize>,
     idle: RefCell<HashMap<UpstreamId, VecDeque<Kept>>>,
-    /// Idle ones are retired after this, well before their upstream closes them: a posting written to one
+    /// Idle ones are retired after this, well before their upstream closes them: an attempt written to one
     /// that is being closed may or may not have run.
     retire: Cell<Duration>,
     connect_within: Cell<Duration>,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// For the next posting to the upstream.
+    /// For the next attempt to the upstream.
     pub fn keep(self: &Rc<Self>, upstream: UpstreamId, link: Link) {
         let kept = Kept { link, since: Instant::now() };
         self.idle.borrow_mut().entry(upstream).or_default().push_back(kept);
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -72,7 +72,7 @@
 
 /// The danger is an effect that happens twice: after the last byte a reset may have run.
 #[test]
-fn what_may_have_run_is_posted_once() {
+fn what_may_have_run_is_sent_once() {
     let (one, two) = (Upstream::start(Habit::Reset), Upstream::start(Habit::Reset));
     let balancer = Plan::with(&[&one, &two]).start();
     assert_eq!(balancer.ask("a1", "order").status(), "502");
@@ -91,7 +91,7 @@
     assert_eq!(upstream.requests().len(), 5);
 }
 
-/// The danger is a posting on a connection that its upstream is just closing.
+/// The danger is an attempt on a connection that its upstream is just closing.
 #[test]
 fn idle_connections_are_retired_well_before_the_settings_time() {
     let upstream = Upstream::start(HELLO);
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn a_client_that_closes_has_left_and_its_posting_is_closed() {
+fn a_client_that_closes_has_left_and_its_attempt_is_closed() {
     let upstream = Upstream::start(Habit::Silent);
     let balancer = Plan::with(&[&upstream]).start();
     let mut client = balancer.client();
--- a/crates/pondlb-terms/src/settings.rs
+++ b/crates/pondlb-terms/src/settings.rs
@@ -178,7 +178,7 @@
     /// What a front end needs of them, as at its start: no class or tenant has been removed yet.
     pub fn deployment(&self) -> Deployment {
         let Fixed { balancers, self_index, my_zone, warm_keys, .. } = self.fixed;
-        let pondlb::Limits { excess_value, attempts, cool_down, cold } = self.tunables.terms();
+        let pondlb::Limits { excess_value, attempt_limits, cool_down, cold } = self.tunables.terms();
         let must_ask_in = floor_from_ns(self.tunables.rules.must_ask_in_ns);
         let terms = Terms {
             balancers,
@@ -192,9 +192,9 @@
             tenants: self.tenants.values().map(|realm| Tenant { quota: realm.quota_rps }).collect(),
             excess_value,
             warm_keys,
-            max_postings: attempts.max_postings,
-            second_copies: attempts.second_copies,
-            cancelling: attempts.cancelling,
+            max_attempts: attempt_limits.max_attempts,
+            second_copies: attempt_limits.second_copies,
+            cancelling: attempt_limits.cancelling,
             probing: self.tunables.limits.probing,
             cool_down,
             cold,
--- a/crates/pondlb-terms/src/tunable.rs
+++ b/crates/pondlb-terms/src/tunable.rs
@@ -1,6 +1,6 @@
 //! The scalars of the settings that can change in place.
 
-use pondlb::{Attempts, ColdTerms, Limits as TermsLimits, ceil_from_ns, floor_from_ns};
+use pondlb::{AttemptLimits, ColdTerms, Limits as TermsLimits, ceil_from_ns, floor_from_ns};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -37,13 +37,13 @@
 impl Tunables {
     /// Values that stand for no deployment and yet pass the check.
     pub fn neutral() -> Tunables {
-        let limits = Limits { max_postings: 1, ..Limits::default() };
+        let limits = Limits { max_attempts: 1, ..Limits::default() };
         Tunables { limits, ..Tunables::default() }
     }
 
     pub fn check(&self) -> Result<(), Fault> {
         within("ExcessValue", self.excess_value, 0.0, 1.0)?;
-        within("Limits.MaxPostings", self.limits.max_postings.into(), 1.0, u32::MAX.into())?;
+        within("Limits.MaxPostings", self.limits.max_attempts.into(), 1.0, u32::MAX.into())?;
         within("Rules.ColdShare", self.rules.cold_share, 0.0, 1.0)?;
         within("Rules.FallMultiple", self.rules.fall_multiple, 0.0, f64::MAX)
     }
@@ -72,8 +72,8 @@
         let Tunables { excess_value, limits, rules } = self;
         TermsLimits {
             excess_value: *excess_value,
-            attempts: Attempts {
-                max_postings: limits.max_postings,
+            attempt_limits: AttemptLimits {
+                max_attempts: limits.max_attempts,
                 second_copies: limits.second_copies,
                 cancelling: limits.cancelling,
             },
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -77,7 +77,8 @@
     pub conn_idle_ns: u64,
     pub dial_timeout_ns: u64,
     pub max_open: u32,
-    pub max_postings: u32,
+    #[serde(rename = "MaxPostings")]
+    pub max_attempts: u32,
     #[serde(default)]
     pub probing: bool,
     pub max_retry_after_ns: u64,
--- a/crates/pondlb-terms/tests/changes.rs
+++ b/crates/pondlb-terms/tests/changes.rs
@@ -105,15 +105,15 @@
     }
     expect![[r#"
         2 changed, classes []
-        Limits { excess_value: 0.5, attempts: Attempts { max_postings: 2, second_copies: true, cancelling: true }, cool_down: Some(20000), cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
+        Limits { excess_value: 0.5, attempt_limits: AttemptLimits { max_attempts: 2, second_copies: true, cancelling: true }, cool_down: Some(20000), cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
         Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000, expiry: Some(30000) }
         2 changed, classes []
         Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, expiry: Some(30000) }
         2 changed, classes []
-        Limits { excess_value: 0.5, attempts: Attempts { max_postings: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
+        Limits { excess_value: 0.5, attempt_limits: AttemptLimits { max_attempts: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
         Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, expiry: Some(30000) }
         2 changed, classes []
-        Limits { excess_value: 0.1, attempts: Attempts { max_postings: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
+        Limits { excess_value: 0.1, attempt_limits: AttemptLimits { max_attempts: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
         Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 20000, expiry: Some(30000) }
     "#]].assert_eq(&trace);
 }
@@ -244,7 +244,7 @@
         0 changed, classes []
         0 changed, classes []
         1 changed, classes []
-        Limits { excess_value: 0.1, attempts: Attempts { max_postings: 4, second_copies: true, cancelling: true }, cool_down: Some(20000), cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
+        Limits { excess_value: 0.1, attempt_limits: AttemptLimits { max_attempts: 4, second_copies: true, cancelling: true }, cool_down: Some(20000), cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
     "#]].assert_eq(&trace);
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,7 +14,7 @@
 mod upstream;
 
 use estimate::{Decaying, Estimate, Pace, REST_PACE, WINDOW_OUTCOMES};
-use queue::{Posting, Queue, Request};
+use queue::{Attempt, Queue, Request};
 pub use shell::Balancer;
 use subset::Seen;
 use upstream::{ANSWER_CALMS, BENCHED, FADE, Upstream, Zone};
@@ -31,7 +31,7 @@
 const LEAST_SIZE: f64 = 0.01;
 const MOST_SIZE: f64 = 1e4;
 
-/// Further postings while one is out, for each request settled in time, and how many may be saved up.
+/// Further attempts while one is out, for each request settled in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
@@ -59,7 +59,7 @@
     fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
-            Event::Ended { request, posting, upstream, outcome, took, settled, load } => {
+            Event::Ended { request, attempt, upstream, outcome, took, settled, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
                     let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
@@ -100,8 +100,8 @@
                 upstream.end(now, outcome, took, cost + way, self.estimate.tp, &self.terms);
                 let Some(number) = number else { return };
                 let Some(request) = self.queue.requests.get_mut(&number) else { return };
-                if let Some(p) = request.postings.get_mut(posting as usize) {
-                    (p.out, p.may_have_run) = (false, !outcome.never_ran());
+                if let Some(a) = request.attempts.get_mut(attempt as usize) {
+                    (a.out, a.may_have_run) = (false, !outcome.never_ran());
                 }
                 if !settled {
                     return self.failed(now, number, out);
@@ -157,9 +157,9 @@
         let deadline = now + class.sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).clamp(1, MOST_COST) as f64;
         let (id, key, heavy) = (arrival.request.clone(), arrival.key, self.weigh(cost));
-        let (arrived, effect, attempts) = (now, class.effect, self.terms.attempts());
+        let (arrived, effect, limits) = (now, class.effect, self.terms.attempt_limits());
         let request =
-            Request { id, effect, attempts, cost, key, heavy, arrived, deadline, rank, ..Request::default() };
+            Request { id, effect, limits, cost, key, heavy, arrived, deadline, rank, ..Request::default() };
         // A long request of little value would make dozens late that are worth more and wait behind it.
         let takes = self.kept(&request) * self.seen.pace.mean() * cost;
         self.queue.numbers.insert(arrival.request, number);
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -4,10 +4,10 @@
 
 use nanorand::Rng;
 
-use super::{BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Posting, Request, mix};
+use super::{Attempt, BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Request, mix};
 use crate::{Action, Effect, Scope, Tenths};
 
-/// A posting is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
+/// An attempt is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
 const OVERDUE_PACE: f64 = 2.0;
 const CROSS: f64 = 0.1;
 const CROSS_LEAST: f64 = 0.03;
@@ -32,7 +32,7 @@
 const LEAST_ARRIVES: f64 = 0.1;
 
 impl Dispatcher {
-    /// One posting, or one request given up; false when nothing more can leave.
+    /// One attempt, or one request given up; false when nothing more can leave.
     pub fn release(&mut self, now: Tenths, out: &mut Vec<Action>) -> bool {
         self.seen.note_out(now, 0.0);
         // More than the first, against one that only some upstreams may take keeping all others waiting.
@@ -51,7 +51,7 @@
                 if waits && self.is_late(now, &self.queue.requests[&number], up) {
                     self.give_up(number, out);
                 } else {
-                    self.post(now, number, up, out);
+                    self.attempt(now, number, up, out);
                 }
                 return true;
             }
@@ -88,7 +88,7 @@
             (own, other) = (other, own);
         }
         let pinned = match request.effect {
-            Effect::Referenced { scope, .. } => request.first().map(|p| (scope, &self.seen.board[p.up])),
+            Effect::Referenced { scope, .. } => request.first().map(|a| (scope, &self.seen.board[a.up])),
             _ => None,
         };
         let fit = |up: &usize, careful: bool| {
@@ -100,7 +100,7 @@
             });
             in_group
                 && f64::from(s.in_flight) < s.cap
-                && !request.postings.iter().any(|p| p.up == *up && (p.out || careful))
+                && !request.attempts.iter().any(|a| a.up == *up && (a.out || careful))
                 && self.cold_room(now, *up, self.arrives(request.cost))
         };
         let trusted = |up: &usize, any_zone: bool| {
@@ -200,16 +200,16 @@
         s.cold_work.at(now, cold.window.max(1)) + cost <= budget + drawn * cost
     }
 
-    /// What a posting costs a cold upstream: a new connection too, and light ones are heavier than they look.
+    /// What an attempt costs a cold upstream: a new connection too, and light ones are heavier than they look.
     fn arrives(&self, cost: f64) -> f64 {
         cost + LEAST_ARRIVES * self.seen.mean_cost()
     }
 
-    fn post(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
+    fn attempt(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
         let Some(request) = self.queue.requests.get_mut(&number) else { return };
         let ((_, slot), begin_by) = (self.estimate.plan(now, request.deadline), request.begin_by());
         let (cost, deadline) = (request.cost, request.deadline);
-        let first = request.postings.is_empty();
+        let first = request.attempts.is_empty();
         if first {
             self.estimate.wait += ((now - request.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
         } else if request.out() {
@@ -219,17 +219,17 @@
         let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
         let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
-        let last = request.postings.len() + 1 >= request.attempts.max_postings as usize;
-        let alone = request.effect == Effect::Repeatable && !request.attempts.second_copies;
+        let last = request.attempts.len() + 1 >= request.limits.max_attempts as usize;
+        let alone = request.effect == Effect::Repeatable && !request.limits.second_copies;
         let timeout = (alone && !last && slot).then_some(due);
         request.asked.1.clear();
-        let posting = request.postings.len() as u32;
-        request.postings.push(Posting { up, sent: now, out: true, may_have_run: false });
+        let attempt = request.attempts.len() as u32;
+        request.attempts.push(Attempt { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
-        out.push(Action::Post { request: request.id.clone(), upstream, timeout, begin_by });
+        out.push(Action::Attempt { request: request.id.clone(), upstream, timeout, begin_by });
         let arrives = self.arrives(cost);
-        self.seen.board[up].posted(now, cost, arrives, &self.terms);
-        self.queue.alarms.push(Reverse((now + due, number, Some(posting))));
+        self.seen.board[up].sent(now, cost, arrives, &self.terms);
+        self.queue.alarms.push(Reverse((now + due, number, Some(attempt))));
         self.seen.note_out(now, 1.0);
         if first && !slot && now < deadline {
             self.copy(now, number);
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -18,7 +18,7 @@
 const BEST_ANSWERS: u32 = 256;
 pub const REST_PACE: f64 = 2.5;
 
-/// The pooled window: response times of all upstreams together, and the mean wait before first postings.
+/// The pooled window: response times of all upstreams together, and the mean wait before first attempts.
 pub struct Estimate {
     pub took: Histogram,
     pub since: u32,
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -6,11 +6,11 @@
 use nanorand::Rng;
 
 use super::{Dispatcher, LONG};
-use crate::{Action, Attempts, Effect, RequestId, Scope, Tenths};
+use crate::{Action, AttemptLimits, Effect, RequestId, Scope, Tenths};
 
 const GIVE_WAY: f64 = 4.0;
 
-pub struct Posting {
+pub struct Attempt {
     pub up: usize,
     pub sent: Tenths,
     pub out: bool,
@@ -22,7 +22,7 @@
     pub id: RequestId,
     /// What it came under, whatever its class and the settings say since.
     pub effect: Effect,
-    pub attempts: Attempts,
+    pub limits: AttemptLimits,
     pub cost: f64,
     pub key: Option<u64>,
     pub heavy: bool,
@@ -30,19 +30,19 @@
     pub deadline: Tenths,
     pub rank: u64,
     pub held: Option<Tenths>,
-    pub postings: Vec<Posting>,
-    /// When it asked for their load before it is posted, and which upstreams.
+    pub attempts: Vec<Attempt>,
+    /// When it asked for their load before it is sent, and which upstreams.
     pub asked: (Tenths, Vec<usize>),
 }
 
 impl Request {
     pub fn out(&self) -> bool {
-        self.postings.iter().any(|p| p.out)
+        self.attempts.iter().any(|a| a.out)
     }
 
     /// The first that may have run.
-    pub fn first(&self) -> Option<&Posting> {
-        self.postings.iter().find(|p| p.out || p.may_have_run)
+    pub fn first(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.out || a.may_have_run)
     }
 
     fn never_ran(&self) -> bool {
@@ -50,15 +50,15 @@
     }
 
     /// Whether it may be sent once more, and is not waiting for that already.
-    fn may_post(&self) -> bool {
+    fn may_retry(&self) -> bool {
         let may_repeat = self.effect != Effect::OnceOnly || self.never_ran();
-        may_repeat && self.held.is_none() && self.postings.len() < self.attempts.max_postings as usize
+        may_repeat && self.held.is_none() && self.attempts.len() < self.limits.max_attempts as usize
     }
 
     /// Until when one that may have run can be repeated without running twice.
     pub fn begin_by(&self) -> Option<Tenths> {
         let Effect::Referenced { memory, .. } = self.effect else { return None };
-        self.first().map(|p| p.sent + memory)
+        self.first().map(|a| a.sent + memory)
     }
 }
 
@@ -70,7 +70,7 @@
     pub held: BTreeSet<(Tenths, u64)>,
     pub by_rank: BTreeSet<(u64, Reverse<Tenths>, u64)>,
     pub held_cost: f64,
-    /// When a posting is overdue, a held request (no posting) runs out of time, or a probe (`ASKED`) is waited for.
+    /// When an attempt is overdue, a held request (no attempt) runs out of time, or a probe (`ASKED`) is waited for.
     pub alarms: BinaryHeap<Reverse<(Tenths, u64, Option<u32>)>>,
 }
 
@@ -113,7 +113,7 @@
     /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
     pub fn copy(&mut self, now: Tenths, number: u64) {
         let request = &self.queue.requests[&number];
-        if request.attempts.second_copies && request.may_post() && self.extra >= 1.0 {
+        if request.limits.second_copies && request.may_retry() && self.extra >= 1.0 {
             self.hold(now, number);
         }
     }
@@ -123,7 +123,7 @@
         if request.held.is_some() || request.out() {
             return;
         }
-        if request.may_post() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
+        if request.may_retry() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
     }
 
     /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
@@ -153,17 +153,17 @@
         self.unhold(number);
         let Some(request) = self.queue.requests.remove(&number) else { return };
         self.queue.numbers.remove(&request.id);
-        let outs = (0u32..).zip(&request.postings).filter(|(_, p)| p.out && request.attempts.cancelling);
-        out.extend(outs.map(|(posting, _)| Action::Recall { request: request.id.clone(), posting }));
+        let outs = (0u32..).zip(&request.attempts).filter(|(_, a)| a.out && request.limits.cancelling);
+        out.extend(outs.map(|(attempt, _)| Action::Recall { request: request.id.clone(), attempt }));
     }
 
     pub fn ring(&mut self, now: Tenths, out: &mut Vec<Action>) {
-        while let Some(&Reverse((_, number, posting))) = self.queue.alarms.peek().filter(|a| a.0.0 <= now) {
+        while let Some(&Reverse((_, number, attempt))) = self.queue.alarms.peek().filter(|a| a.0.0 <= now) {
             self.queue.alarms.pop();
             let Some(request) = self.queue.requests.get(&number) else { continue };
-            if let Some(posting) = posting {
-                let posting = request.postings.get(posting as usize).filter(|p| p.out);
-                let Some(&Posting { up, sent, .. }) = posting else { continue };
+            if let Some(attempt) = attempt {
+                let attempt = request.attempts.get(attempt as usize).filter(|a| a.out);
+                let Some(&Attempt { up, sent, .. }) = attempt else { continue };
                 self.seen.board[up].overdue(now, sent, &self.terms);
                 self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
                 if now + self.estimate.quick < request.deadline {
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -140,10 +140,10 @@
             .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
             .collect();
         if !old.is_empty() {
-            let posted =
-                requests.values().flat_map(|request| request.postings.iter().map(|posting| posting.up));
-            let posted: BTreeSet<usize> = posted.collect();
-            old.retain(|(.., up)| !posted.contains(up));
+            let sent =
+                requests.values().flat_map(|request| request.attempts.iter().map(|attempt| attempt.up));
+            let sent: BTreeSet<usize> = sent.collect();
+            old.retain(|(.., up)| !sent.contains(up));
         }
         // By name, so that equal events leave equal places free in equal order.
         old.sort();
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -8,7 +8,7 @@
 /// Of the requests of ten seconds this part is the number of upstreams used, but never fewer than so many.
 const MEET: f64 = 0.15;
 const LEAST_SUBSET: usize = 8;
-/// Postings for a unit of listed size before any answer has come.
+/// Attempts for a unit of listed size before any answer has come.
 const FIRST_ROOM: f64 = 8.0;
 const LATE_SHRINKS: f64 = 0.93;
 const TIMELY_GROWS: f64 = 1.02;
@@ -83,14 +83,14 @@
         s.entry.size * (-self.slower(self.kinds.get(&s.entry.kind))).exp()
     }
 
-    /// The cost that an upstream told of, and what was posted there since; what it told fades.
+    /// The cost that an upstream told of, and what was sent there since; what it told fades.
     pub fn told(&self, now: Tenths, up: usize) -> f64 {
         let s = &self.board[up];
         let level = s.reported_held.map_or(0.0, |held| held * self.mean_cost() + s.cost_since);
         Decaying { level, at: s.reported_at }.at(now, REPORT_FADE)
     }
 
-    /// What is out, and its mean over the last while: a part of less than one posting is a part of the time.
+    /// What is out, and its mean over the last while: a part of less than one attempt is a part of the time.
     pub fn note_out(&mut self, now: Tenths, change: f64) {
         let span = (now - self.out_at) as f64;
         self.out_mean += (self.out_now - self.out_mean) * (1.0 - (-span / OUT_SPAN).exp());
--- a/src/balance/upstream.rs
+++ b/src/balance/upstream.rs
@@ -12,7 +12,7 @@
 pub const BENCHED: f64 = 2.0;
 pub const ANSWER_CALMS: f64 = 0.7;
 const SPOILT_DOUBT: f64 = 0.25;
-/// How much a zone is doubted for a posting since which nothing has come from it, and at most.
+/// How much a zone is doubted for an attempt since which nothing has come from it, and at most.
 const ZONE_DOUBT: f64 = 0.5;
 const MOST_ZONE_DOUBT: f64 = 3.0;
 /// A probe that is turned away stands for so many held.
@@ -28,17 +28,17 @@
     pub cost_out: f64,
     pub cap: f64,
     pub distrust: Decaying,
-    /// Work posted of late, against its budget while it is cold.
+    /// Work sent of late, against its budget while it is cold.
     pub cold_work: Decaying,
     pub gone: Tenths,
     /// Its listed size, or 0 where it was not live, when the subset was chosen last.
     pub counted_size: f64,
-    /// What it told last of the work it holds, when, and the cost posted there since.
+    /// What it told last of the work it holds, when, and the cost sent there since.
     pub reported_held: Option<f64>,
     pub reported_at: Tenths,
     pub cost_since: f64,
     pub answered: Tenths,
-    /// When the last of the answered postings left.
+    /// When the last of the answered attempts left.
     pub answered_sent: Tenths,
     pub pace: Pace,
 }
@@ -70,7 +70,7 @@
         }
     }
 
-    pub fn posted(&mut self, now: Tenths, cost: f64, arrives: f64, terms: &Terms) {
+    pub fn sent(&mut self, now: Tenths, cost: f64, arrives: f64, terms: &Terms) {
         self.in_flight += 1;
         self.cost_out += cost;
         self.cost_since += cost;
@@ -122,7 +122,7 @@
         // A later one was answered: this is heavy, or its connection silent, and no crowd.
         if sent >= self.answered_sent {
             self.halve(terms);
-            // Silent since that posting left: perhaps it takes requests and answers none.
+            // Silent since that attempt left: perhaps it takes requests and answers none.
             if self.answered < sent {
                 self.doubt(now, 1.0);
             }
--- a/src/event.rs
+++ b/src/event.rs
@@ -12,7 +12,7 @@
     Arrived(Arrival),
     Ended {
         request: RequestId,
-        posting: u32,
+        attempt: u32,
         upstream: UpstreamId,
         outcome: Outcome,
         took: Tenths,
@@ -101,7 +101,7 @@
 }
 
 impl Outcome {
-    /// Whether the posting is known never to have run.
+    /// Whether the attempt is known never to have run.
     pub const fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
     }
@@ -142,7 +142,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Not to be begun after `begin_by`, whatever it waits for by then.
-    Post {
+    Attempt {
         request: RequestId,
         upstream: UpstreamId,
         timeout: Option<Tenths>,
@@ -161,7 +161,7 @@
     Refetch,
     Recall {
         request: RequestId,
-        posting: u32,
+        attempt: u32,
     },
     Reverse {
         request: RequestId,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -13,7 +13,7 @@
     pub excess_value: f64,
     /// An upstream that met a key lately has less work with it.
     pub warm_keys: bool,
-    pub max_postings: u32,
+    pub max_attempts: u32,
     pub second_copies: bool,
     pub cancelling: bool,
     /// Upstreams may be asked for their load.
@@ -76,11 +76,11 @@
     pub window: Tenths,
 }
 
-/// How one request may be posted.
+/// How one request may be attempted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Attempts {
-    /// Postings in all.
-    pub max_postings: u32,
+pub struct AttemptLimits {
+    /// Attempts in all.
+    pub max_attempts: u32,
     /// Whether two may be out together.
     pub second_copies: bool,
     /// Whether those still out are recalled once the request has ended.
@@ -92,8 +92,8 @@
 pub struct Limits {
     /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
-    /// How one request may be posted.
-    pub attempts: Attempts,
+    /// How one request may be attempted.
+    pub attempt_limits: AttemptLimits,
     /// The longest cool-down that clients heed; none where no advice is passed on.
     pub cool_down: Option<Tenths>,
     /// When cold upstreams fall over.
@@ -136,10 +136,10 @@
             TermsChange::Tenant { number, tenant } => {
                 set(&mut self.tenants, *number, tenant.clone().unwrap_or(NO_TENANT), NO_TENANT);
             }
-            TermsChange::Limits(Limits { excess_value, attempts, cool_down, cold }) => {
+            TermsChange::Limits(Limits { excess_value, attempt_limits, cool_down, cold }) => {
                 (self.excess_value, self.cool_down, self.cold) = (*excess_value, *cool_down, cold.clone());
-                let Attempts { max_postings, second_copies, cancelling } = *attempts;
-                self.max_postings = max_postings;
+                let AttemptLimits { max_attempts, second_copies, cancelling } = *attempt_limits;
+                self.max_attempts = max_attempts;
                 self.second_copies = second_copies;
                 self.cancelling = cancelling;
             }
@@ -152,9 +152,9 @@
     }
 
     /// The limits of attempts as they are now.
-    pub fn attempts(&self) -> Attempts {
-        let Terms { max_postings, second_copies, cancelling, .. } = *self;
-        Attempts { max_postings, second_copies, cancelling }
+    pub fn attempt_limits(&self) -> AttemptLimits {
+        let Terms { max_attempts, second_copies, cancelling, .. } = *self;
+        AttemptLimits { max_attempts, second_copies, cancelling }
     }
 
     /// This balancer's part of a figure that all balancers together should keep to.
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -16,7 +16,7 @@
 
 fn limits(change: impl Fn(&mut Limits)) -> TermsChange {
     let Terms { excess_value, cool_down, cold, .. } = terms();
-    let mut limits = Limits { excess_value, attempts: terms().attempts(), cool_down, cold };
+    let mut limits = Limits { excess_value, attempt_limits: terms().attempt_limits(), cool_down, cold };
     change(&mut limits);
     TermsChange::Limits(limits)
 }
@@ -33,7 +33,7 @@
     if upstream == "a" { "b" } else { "a" }
 }
 
-/// Fails the only posting of a request.
+/// Fails the only attempt of a request.
 fn fail(play: &mut Play, ms: Tenths, id: &str, upstream: &str) {
     play.at(ms, [ended(id, 0, upstream, Outcome::Error, 5)]);
 }
@@ -41,9 +41,9 @@
 #[test]
 fn a_changed_class_holds_for_requests_that_come_later() {
     let (mut play, now) = served();
-    let before = play.post(now, request("before", 0));
+    let before = play.sent_to(now, request("before", 0));
     play.change(&[class(0, Some(scheme(400, 1.0, Effect::OnceOnly)))]);
-    let after = play.post(now + 1, request("after", 0));
+    let after = play.sent_to(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
     // The repeat of the first is answered, so that it does not count as open.
@@ -82,14 +82,14 @@
 #[test]
 fn the_number_of_a_removed_class_is_used_again_while_requests_of_it_are_open() {
     let (mut play, now) = served();
-    let before = play.post(now, request("before", 0));
+    let before = play.sent_to(now, request("before", 0));
     play.change(&[class(0, None)]);
     play.change(&[
         class(0, Some(scheme(400, 1.0, Effect::OnceOnly))),
         class(3, Some(scheme(400, 2.0, Effect::Repeatable))),
     ]);
-    let after = play.post(now + 1, request("after", 0));
-    let added = play.post(now + 2, request("added", 3));
+    let after = play.sent_to(now + 1, request("after", 0));
+    let added = play.sent_to(now + 2, request("added", 3));
     for (id, upstream) in [("before", &before), ("after", &after), ("added", &added)] {
         fail(&mut play, now + 5, id, upstream);
     }
@@ -119,9 +119,9 @@
 #[test]
 fn limits_of_attempts_are_those_at_arrival() {
     let (mut play, now) = served();
-    let before = play.post(now, request("before", 0));
-    play.change(&[limits(|limits| limits.attempts.max_postings = 1)]);
-    let after = play.post(now + 1, request("after", 0));
+    let before = play.sent_to(now, request("before", 0));
+    play.change(&[limits(|limits| limits.attempt_limits.max_attempts = 1)]);
+    let after = play.sent_to(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
     expect![[r#"
@@ -136,9 +136,9 @@
 #[test]
 fn attempts_of_a_request_that_came_before_are_recalled_though_cancelling_has_ended() {
     let (mut play, now) = served();
-    play.post(now, request("before", 0));
-    play.change(&[limits(|limits| limits.attempts.cancelling = false)]);
-    play.post(now + 1, request("after", 0));
+    play.sent_to(now, request("before", 0));
+    play.change(&[limits(|limits| limits.attempt_limits.cancelling = false)]);
+    play.sent_to(now + 1, request("after", 0));
     play.at(now + 5, [Event::Left { request: "before".into() }, Event::Left { request: "after".into() }]);
     expect![[r#"
         1600: post before to a
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,11 +31,11 @@
 }
 
 #[test]
-fn a_repeatable_request_is_posted_again_after_tp_and_the_loser_recalled() {
+fn a_repeatable_request_is_sent_again_after_tp_and_the_loser_recalled() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let first = play.post(now, request("t", 0));
+    let first = play.sent_to(now, request("t", 0));
     let second = if first == "a" { "b" } else { "a" };
     play.at(now + 50, []);
     play.at(now + 60, [ended("t", 1, second, Outcome::Ok, 10)]);
@@ -52,7 +52,7 @@
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let up = play.post(now, request("slow", 1));
+    let up = play.sent_to(now, request("slow", 1));
     play.at(now + 500, []);
     play.at(now + 1000, [ended("slow", 0, &up, Outcome::TimedOut, 1000)]);
     for (n, outcome) in [
@@ -68,7 +68,7 @@
     {
         let id = format!("{outcome:?}");
         let at = now + 40_000 * (n as u64 + 1);
-        let up = play.post(at, request(&id, 1));
+        let up = play.sent_to(at, request(&id, 1));
         play.at(at + 5, [ended(&id, 0, &up, outcome, 5)]);
         let second = if up == "a" { "b" } else { "a" };
         if outcome.never_ran() {
@@ -98,7 +98,7 @@
 fn a_time_out_at_the_expiry_still_owes_the_answer_and_nothing_follows_it() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
-    let up = play.post(0, request("t", 0));
+    let up = play.sent_to(0, request("t", 0));
     play.at(1000, [ended("t", 0, &up, Outcome::TimedOut, 1000)]);
     play.at(1000, [ended("t", 1, "b", Outcome::Cancelled, 10)]);
     play.at(5000, [Event::Left { request: "t".into() }]);
@@ -110,7 +110,7 @@
 }
 
 #[test]
-fn nothing_is_posted_once_the_client_has_left() {
+fn nothing_is_sent_once_the_client_has_left() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     play.at(0, (0..5).map(|n| request(&format!("t{n}"), 0)));
@@ -151,7 +151,7 @@
         let mut play = Play::new(terms());
         let zones = [entry("a0", 0), entry("b0", 0), entry("c1", 1), entry("d1", 1)];
         play.at(0, [Event::Listed(Listing::Whole(zones.into()))]);
-        let up = play.post(0, request("t", 2));
+        let up = play.sent_to(0, request("t", 2));
         play.at(took, [ended("t", 0, &up, Outcome::Error, took)]);
         play.at(500, []);
         if took == 100 {
@@ -177,12 +177,12 @@
     let mut play = Play::new(terms());
     play.at(0, [Event::Listed(Listing::Whole([entry("a0", 0), entry("c1", 1)].into()))]);
     let ids = ["t0", "t1", "t2", "t3"];
-    let ups: Vec<String> = (0..).zip(ids).map(|(n, id)| play.post(n, request(id, 2))).collect();
+    let ups: Vec<String> = (0..).zip(ids).map(|(n, id)| play.sent_to(n, request(id, 2))).collect();
     for (id, up) in ids.iter().zip(&ups) {
         play.at(100, [ended(id, 0, up, Outcome::Error, 100)]);
     }
     play.trace.clear();
-    play.post(250, request("other", 0));
+    play.sent_to(250, request("other", 0));
     for ms in 251..450 {
         play.at(ms, []);
     }
@@ -206,7 +206,7 @@
     let mut to_cold = 0;
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(now + n, request(&id, 0));
+        let up = play.sent_to(now + n, request(&id, 0));
         to_cold += usize::from(up == "cold");
         play.at(now + n, [ended(&id, 0, &up, Outcome::Ok, 1)]);
     }
@@ -225,7 +225,7 @@
         play.at(now, [Event::Listed(Listing::Changes([cold].into()))]);
         for n in 0..20 {
             let (at, id) = (now + 500 * n + seed % 500, format!("t{n}"));
-            let up = play.post(at, request(&id, 0));
+            let up = play.sent_to(at, request(&id, 0));
             windows[n as usize / 2] += usize::from(up == "cold");
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         }
@@ -283,7 +283,7 @@
             for action in plays[n].at(now, event) {
                 next += 1;
                 match action {
-                    Action::Post { request, upstream, .. } => {
+                    Action::Attempt { request, upstream, .. } => {
                         let of_it = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, .. }) if *t == request);
                         let copy = due.values().any(|(_, event)| of_it(event));
                         let took = if !copy && next % 20 == 0 { 600 } else { 20 };
@@ -295,13 +295,13 @@
                             sent.push(now);
                         }
                     }
-                    Action::Recall { request, posting } => {
-                        let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, posting: p, .. }) if *t == request && *p == posting);
+                    Action::Recall { request, attempt } => {
+                        let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, attempt: p, .. }) if *t == request && *p == attempt);
                         let out = due.iter().find(|(_, (_, event))| given_up(event)).map(|(key, _)| *key);
                         if let Some((n, Some(Event::Ended { upstream, .. }))) =
                             out.and_then(|key| due.remove(&key))
                         {
-                            let end = ended(&request, posting, &upstream, Outcome::Cancelled, 1);
+                            let end = ended(&request, attempt, &upstream, Outcome::Cancelled, 1);
                             due.insert((now, next), (n, Some(end)));
                         }
                     }
@@ -340,7 +340,7 @@
     let mut play = Play::new(Terms { second_copies: false, ..terms() });
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
-    let up = play.post(now, request("t", 0));
+    let up = play.sent_to(now, request("t", 0));
     play.at(now + 30, []);
     play.at(now + 30, [ended("t", 0, &up, Outcome::TimedOut, 30)]);
     expect![[r#"
@@ -513,7 +513,7 @@
     let mut to_a = [0, 0];
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(n * 10, request(&id, 1));
+        let up = play.sent_to(n * 10, request(&id, 1));
         to_a[usize::from(n >= 100)] += usize::from(up == "a");
         let outcome = if up == "a" || n >= 150 { Outcome::Error } else { Outcome::Ok };
         play.at(n * 10 + 5, [ended(&id, 0, &up, outcome, 5)]);
@@ -528,12 +528,12 @@
 }
 
 #[test]
-fn a_jam_lowers_the_caps_to_one_posting_for_each_upstream() {
+fn a_jam_lowers_the_caps_to_one_attempt_for_each_upstream() {
     let mut play = Play::new(Terms { balancers: 4, ..terms() });
     play.at(0, [list("a b c d")]);
     for n in 0..40 {
         let id = format!("t{n}");
-        let up = play.post(n * 400, request(&id, 1));
+        let up = play.sent_to(n * 400, request(&id, 1));
         play.at(n * 400 + 399, [ended(&id, 0, &up, Outcome::Ok, 399)]);
     }
     play.trace.clear();
@@ -630,7 +630,7 @@
         let keyed = |id: &str, key| Event::Arrived(Arrival { key: Some(key), ..arrival(id, 0) });
         balancer.handle(0, [list("a b c d"), keyed("t5", 5), keyed("t6", 6), keyed("t9", 9)], &mut actions);
         for action in actions {
-            if let Action::Post { request, upstream, .. } = action {
+            if let Action::Attempt { request, upstream, .. } = action {
                 trace += &format!("{request} to {upstream}; ");
             }
         }
@@ -645,7 +645,7 @@
 }
 
 #[test]
-fn what_cannot_be_posted_in_its_sla_time_is_declined_then() {
+fn what_cannot_be_sent_in_its_sla_time_is_declined_then() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     play.at(0, (0..5).map(|n| request(&format!("t{n}"), 1)));
@@ -686,7 +686,7 @@
         let terms = Terms { balancers: 1000, lists: Lists::Asked { within: 10_000 * MS }, ..terms() };
         let mut play = Play::seeded(terms, seed);
         play.at(0, [Event::Listed(Listing::Remembered(fleet(40).into()))]);
-        served += usize::from(!play.post(0, request("t", 0)).is_empty());
+        served += usize::from(!play.sent_to(0, request("t", 0)).is_empty());
         let asked = |ms: &u64| play.at(*ms, []).contains(&Action::Watch { on: true });
         calls[(1..100).map(|n| n * 100).find(asked).unwrap() as usize / 1000] += 1;
     }
@@ -739,7 +739,7 @@
         let mut met = std::collections::BTreeSet::new();
         for n in 0..60 {
             let id = format!("t{n}");
-            let up = play.post(n * 1000, request(&id, 0));
+            let up = play.sent_to(n * 1000, request(&id, 0));
             play.at(n * 1000 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             met.insert(up);
         }
@@ -758,7 +758,7 @@
     let mut to_slow = [0, 0];
     for n in 0..200 {
         let id = format!("t{n}");
-        let up = play.post(n * 1000, request(&id, 0));
+        let up = play.sent_to(n * 1000, request(&id, 0));
         let slow = up[1..].parse::<u32>().unwrap() % 2 == 1;
         to_slow[usize::from(n >= 100)] += usize::from(slow);
         let ms = if slow { 60 } else { fast_ms };
@@ -786,9 +786,8 @@
     let told_by_all = || (0..50).map(|n| told(&format!("u{n}"), Outcome::Ok, 0.0, 0.0));
     for n in 0..24 {
         let id = format!("w{n}");
-        let up = posted_to(
-            &[play.at(n * 2500, [request(&id, 1)]), play.at(n * 2500 + 30, told_by_all())].concat(),
-        );
+        let up =
+            sent_to(&[play.at(n * 2500, [request(&id, 1)]), play.at(n * 2500 + 30, told_by_all())].concat());
         play.at(n * 2500 + 330, [ended(&id, 0, &up, Outcome::Ok, 300)]);
     }
     play.trace.clear();
@@ -878,7 +877,7 @@
         let now = play.warm_up(32);
         for n in 0..spoilt {
             let id = format!("s{n}");
-            play.post(now + n * 10, request(&id, 1));
+            play.sent_to(now + n * 10, request(&id, 1));
             play.at(now + n * 10 + 5, [ended(&id, 0, "a", Outcome::Spoilt, 5)]);
         }
         play.at(now + 200, [list("a b")]);
@@ -896,7 +895,7 @@
 /// The danger is a luckily quick run of answers that makes all later ones a crowd's, to the end of the day.
 #[test]
 fn a_lucky_pace_is_forgotten_after_some_hundred_answers() {
-    let mut posted = String::new();
+    let mut sent = String::new();
     for usual in [64, 600] {
         let mut play = Play::new(terms());
         play.at(0, [list("a")]);
@@ -908,18 +907,18 @@
         }
         play.trace.clear();
         play.at(30_000, (0..6).map(|n| request(&format!("t{n}"), 1)));
-        posted += &format!("{} of 6 after {usual}\n", play.trace.matches("post").count());
+        sent += &format!("{} of 6 after {usual}\n", play.trace.matches("post").count());
     }
     expect![[r#"
         1 of 6 after 64
         6 of 6 after 600
     "#]]
-    .assert_eq(&posted);
+    .assert_eq(&sent);
 }
 
 /// The danger is a far zone that is overdue, and doubted, each time it is met.
 #[test]
-fn a_posting_over_a_long_way_is_overdue_later() {
+fn an_attempt_over_a_long_way_is_overdue_later() {
     let mut play = Play::new(terms());
     let (near, far) = (entry("near", 0), entry("far", 1));
     let whole = |entries: &[Entry]| Event::Listed(Listing::Whole(entries.into()));
@@ -964,23 +963,23 @@
     // Each answer waits too long: a jam, in which this balancer holds one request at a time.
     for n in 0..60 {
         let (id, at) = (format!("j{n}"), n * 350);
-        let up = play.post(at, request(&id, 0));
+        let up = play.sent_to(at, request(&id, 0));
         play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
     }
     play.trace.clear();
-    let mut posted = [0, 0];
+    let mut sent = [0, 0];
     for n in 0..40 {
         let (id, at) = (format!("t{n}"), 21_000 + n * 700);
         let scheme = [0, 1, 1, 0][n as usize % 4];
-        let up = play.post(at, request(&id, scheme));
+        let up = play.sent_to(at, request(&id, scheme));
         if !up.is_empty() {
-            posted[scheme as usize] += 1;
+            sent[scheme as usize] += 1;
             play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
         }
     }
     expect!["of twenty each, 0 of little value and 10 of much were posted"].assert_eq(&format!(
         "of twenty each, {} of little value and {} of much were posted",
-        posted[0], posted[1]
+        sent[0], sent[1]
     ));
 }
 
@@ -998,7 +997,7 @@
     // The slower all answer, the sooner a request is too long.
     for n in 0..64 {
         let (id, at) = (format!("s{n}"), now + 1000 + n * 100);
-        let up = play.post(at, request(&id, 0));
+        let up = play.sent_to(at, request(&id, 0));
         play.at(at + 60, [ended(&id, 0, &up, Outcome::Ok, 60)]);
     }
     play.trace.clear();
@@ -1018,7 +1017,7 @@
         let (id, at, heavy) = (format!("t{n}"), n * 60, n.is_multiple_of(4));
         let took = if heavy { 40 } else { 4 };
         let request = Arrival { cost: Some(took * MS), ..arrival(&id, 0) };
-        let up = play.post(at, Event::Arrived(request));
+        let up = play.sent_to(at, Event::Arrived(request));
         play.at(at + 40, [ended(&id, 0, &up, Outcome::Ok, took)]);
         (heavy, up)
     };
@@ -1069,7 +1068,7 @@
 }
 
 #[test]
-fn long_lists_in_pieces_twice_and_emptied_leave_nothing_posted_to_what_is_gone() {
+fn long_lists_in_pieces_twice_and_emptied_leave_nothing_sent_to_what_is_gone() {
     let mut play = Play::new(Terms { balancers: 100, ..terms() });
     let all = fleet(600);
     play.at(0, [Event::Listed(Listing::Remembered(all.clone().into()))]);
@@ -1080,12 +1079,12 @@
     }
     let gone = |entry: &Entry| Entry { stage: Stage::Gone, ..entry.clone() };
     play.at(2, [Event::Listed(Listing::Changes(all[30..].iter().map(gone).collect()))]);
-    let mut posted = std::collections::BTreeSet::new();
+    let mut sent = std::collections::BTreeSet::new();
     for n in 0..300 {
         let (id, at) = (format!("t{n}"), 100 + n * 50);
-        let up = play.post(at, request(&id, 0));
+        let up = play.sent_to(at, request(&id, 0));
         play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
-        posted.insert(up[1..].parse::<u32>().unwrap());
+        sent.insert(up[1..].parse::<u32>().unwrap());
     }
     play.trace.clear();
     play.at(20_000, [list(""), request("last", 0)]);
@@ -1095,8 +1094,8 @@
     "#]]
     .assert_eq(&format!(
         "{} of 30 are used, the last is u{}\n{}",
-        posted.len(),
-        posted.last().unwrap(),
+        sent.len(),
+        sent.last().unwrap(),
         play.trace
     ));
 }
@@ -1107,7 +1106,7 @@
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
             let (id, at) = (format!("t{from}-{n}"), from + n * 110);
-            let up = play.post(at, request(&id, 0));
+            let up = play.sent_to(at, request(&id, 0));
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             used.insert(up);
         }
@@ -1152,7 +1151,7 @@
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
             let (id, at) = (format!("t{n}"), n * 110);
-            let up = play.post(at, request(&id, 0));
+            let up = play.sent_to(at, request(&id, 0));
             play.at(at + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             used.insert(up[1..].parse::<u32>().unwrap());
         }
@@ -1177,15 +1176,15 @@
     let mut line = String::new();
     for n in 0..480 {
         let (id, cut) = (format!("t{n}"), (40..200).contains(&n));
-        let (mut up, mut at, mut posting) = (play.post(now, request(&id, 1)), now, 0);
+        let (mut up, mut at, mut attempt) = (play.sent_to(now, request(&id, 1)), now, 0);
         line += up.get(..1).unwrap_or("-");
         while up.starts_with('a') && cut {
             at += 100;
-            let actions = play.at(at, [ended(&id, posting, &up, Outcome::ConnectFailed, 100)]);
-            posting += 1;
-            up = posted_to(&actions);
+            let actions = play.at(at, [ended(&id, attempt, &up, Outcome::ConnectFailed, 100)]);
+            attempt += 1;
+            up = sent_to(&actions);
         }
-        play.at(at + 20, [ended(&id, posting, &up, Outcome::Ok, 20)]);
+        play.at(at + 20, [ended(&id, attempt, &up, Outcome::Ok, 20)]);
         now += 400;
     }
     let own =
@@ -1196,16 +1195,16 @@
 }
 
 #[test]
-fn postings_lost_with_their_zone_widen_no_window() {
+fn attempts_lost_with_their_zone_widen_no_window() {
     let (mut play, now) = two_zones();
     // All that is out is lost: nothing has come from either zone since it left.
     let lost: Vec<(String, String)> =
-        (0..32).map(|n| format!("l{n}")).map(|id| (play.post(now, request(&id, 1)), id)).collect();
+        (0..32).map(|n| format!("l{n}")).map(|id| (play.sent_to(now, request(&id, 1)), id)).collect();
     for (up, id) in lost {
         play.at(now + 900, [ended(&id, 0, &up, Outcome::TimedOut, 900)]);
     }
     play.trace.clear();
-    // tp is short as before: a repeatable request is posted again soon.
+    // tp is short as before: a repeatable request is sent again soon.
     play.at(now + 20_000, [request("soon", 0)]);
     play.at(now + 20_060, []);
     expect![[r#"
@@ -1218,7 +1217,7 @@
 /// The danger is a lock: benched for the silence of its connections, an upstream answers nothing that could
 /// calm the doubt, and with few in use most of what comes is declined while all of them idle.
 #[test]
-fn a_posting_on_a_silent_connection_leaves_the_cap_of_an_upstream_that_answers_others() {
+fn an_attempt_on_a_silent_connection_leaves_the_cap_of_an_upstream_that_answers_others() {
     let most_out = |answering: bool, ends: bool| {
         let mut play = Play::new(terms());
         play.at(0, [list("a")]);
@@ -1269,7 +1268,7 @@
             &mut actions,
         );
         for action in std::mem::take(&mut actions) {
-            if let Action::Post { request, upstream, .. } = action {
+            if let Action::Attempt { request, upstream, .. } = action {
                 balancer.handle(
                     now + 20 * MS,
                     [ended(&request, 0, &upstream, Outcome::Ok, 20)],
@@ -1342,7 +1341,7 @@
 }
 
 #[test]
-fn a_long_wait_told_of_is_declined_at_once_and_a_posting_turned_away_tells_of_one() {
+fn a_long_wait_told_of_is_declined_at_once_and_an_attempt_turned_away_tells_of_one() {
     let mut play = Play::new(asking());
     play.at(0, [list("a b")]);
     play.at(200, [request("t", 1)]);
@@ -1377,7 +1376,7 @@
         for (step, outcome) in (0..).zip([Outcome::Error, Outcome::Reset, Outcome::Full]) {
             let (at, id) = (at + 20_000 * step, format!("{name} {outcome:?}"));
             let short = Arrival { left: 30 * MS, cost: Some(MS), ..arrival(&id, n as u32) };
-            assert_eq!(play.post(at, Event::Arrived(short)), "a");
+            assert_eq!(play.sent_to(at, Event::Arrived(short)), "a");
             play.trace.clear();
             play.at(at + 30, [ended(&id, 0, "a", outcome, 30)]);
             trace += &play.trace;
@@ -1490,7 +1489,7 @@
     let mut sent = 0;
     for n in 0..50 {
         let (id, at) = (format!("t{n}"), now + 20 * (n + 1));
-        let up = play.post(at, request(&id, 0));
+        let up = play.sent_to(at, request(&id, 0));
         sent += u32::from(up.starts_with('c'));
         play.at(at + 19, [ended(&id, 0, &up, Outcome::Ok, 19)]);
     }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -27,7 +27,7 @@
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
-        max_postings: 3,
+        max_attempts: 3,
         second_copies: true,
         cancelling: true,
         probing: false,
@@ -53,19 +53,19 @@
     Arrival { request: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
 }
 
-pub fn ended(id: &str, posting: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
+pub fn ended(id: &str, attempt: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
     let (settled, load) = (outcome == Outcome::Ok, Load::default());
     let (request, upstream, took) = (id.into(), upstream.into(), ms * MS);
-    Event::Ended { request, posting, upstream, outcome, took, settled, load }
+    Event::Ended { request, attempt, upstream, outcome, took, settled, load }
 }
 
-/// Where the first posting among them goes; empty where there is none.
-pub fn posted_to(actions: &[Action]) -> String {
-    let posted = actions.iter().find_map(|action| match action {
-        Action::Post { upstream, .. } => Some(upstream.to_string()),
+/// Where the first attempt among them goes; empty where there is none.
+pub fn sent_to(actions: &[Action]) -> String {
+    let sent = actions.iter().find_map(|action| match action {
+        Action::Attempt { upstream, .. } => Some(upstream.to_string()),
         _ => None,
     });
-    posted.unwrap_or_default()
+    sent.unwrap_or_default()
 }
 
 impl Play {
@@ -88,17 +88,17 @@
         actions.retain(|action| !matches!(action, Action::Wake { .. }));
         for action in &actions {
             let line = match action {
-                Action::Post { request, upstream, timeout: None, .. } => {
+                Action::Attempt { request, upstream, timeout: None, .. } => {
                     format!("post {request} to {upstream}")
                 }
-                Action::Post { request, upstream, timeout: Some(t), .. } => {
+                Action::Attempt { request, upstream, timeout: Some(t), .. } => {
                     format!("post {request} to {upstream} for {} ms", t / MS)
                 }
                 Action::Decline { request, cool_down } => {
                     format!("decline {request}{}", if cool_down.is_some() { ", with advice" } else { "" })
                 }
                 Action::Reverse { request } => format!("reverse {request}"),
-                Action::Recall { request, posting } => format!("recall {request}/{posting}"),
+                Action::Recall { request, attempt } => format!("recall {request}/{attempt}"),
                 other => format!("{other:?}"),
             };
             writeln!(self.trace, "{ms}: {line}").unwrap();
@@ -106,16 +106,16 @@
         actions
     }
 
-    /// The upstream that a request was posted to at that time, for tests in which chance picks it.
-    pub fn post(&mut self, ms: Tenths, event: Event) -> String {
-        posted_to(&self.at(ms, [event]))
+    /// The upstream that a request was sent to at that time, for tests in which chance picks it.
+    pub fn sent_to(&mut self, ms: Tenths, event: Event) -> String {
+        sent_to(&self.at(ms, [event]))
     }
 
     /// Answers come in 20 ms for each 20 ms of cost, so that the window is filled and caps have grown.
     pub fn warm_up(&mut self, count: u64) -> Tenths {
         for n in 0..count {
             let id = format!("w{n}");
-            let up = self.post(n * 25, request(&id, 0));
+            let up = self.sent_to(n * 25, request(&id, 0));
             self.at(n * 25 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         }
         self.trace.clear();
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -26,7 +26,7 @@
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
-        max_postings: 1,
+        max_attempts: 1,
         second_copies: false,
         cancelling: true,
         probing: false,
@@ -115,14 +115,14 @@
         let (scheme, tenant, key, repeat, write) = (0, 0, None, false, false);
         Event::Arrived(Arrival { request, scheme, tenant, key, left, cost, repeat, write })
     };
-    let posted = handle(balancer, now, ids.iter().map(arrived).collect());
+    let sent = handle(balancer, now, ids.iter().map(arrived).collect());
     handle(balancer, now, ids.into_iter().map(|request| Event::Left { request }).collect());
     let (mut used, mut over) = (BTreeSet::new(), Vec::new());
-    for action in posted {
-        if let Action::Post { request, upstream, .. } = action {
+    for action in sent {
+        if let Action::Attempt { request, upstream, .. } = action {
             let (outcome, took, settled, load) = (Outcome::Cancelled, 0, true, Load::default());
             used.insert(upstream.to_string());
-            over.push(Event::Ended { request, posting: 0, upstream, outcome, took, settled, load });
+            over.push(Event::Ended { request, attempt: 0, upstream, outcome, took, settled, load });
         }
     }
     handle(balancer, now, over);
