--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -4,7 +4,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use pondlb::{
-    Action, Arrival, Balancer, ColdTerms, Effect, Entry, Event, Listing, Lists, Load, Outcome, Scheme, Stage,
+    Action, Arrival, Balancer, Class, ColdTerms, Effect, Entry, Event, Listing, Lists, Load, Outcome, Stage,
     Tenths, Terms,
 };
 
@@ -27,7 +27,7 @@
         own_number: 7,
         own_zone: 0,
         lists: Lists::Asked { within: 10 * SECOND },
-        schemes: vec![Scheme { sla: 400 * MS, value: 1.0, effect: Effect::Repeatable }],
+        classes: vec![Class { sla: 400 * MS, value: 1.0, effect: Effect::Repeatable }],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
@@ -77,7 +77,7 @@
         self.requests += 1;
         let (request, left, cost) = (format!("r{}", self.requests).into(), SECOND, Some(20 * MS));
         let arrival =
-            Arrival { request, scheme: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
+            Arrival { request, class: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
         self.actions.clear();
         self.balancer.handle(self.now, [Event::Arrived(arrival)], &mut self.actions);
         std::mem::take(&mut self.actions)
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -14,14 +14,14 @@
 pub const PAGES: usize = 16;
 
 /// What the lines of an instance are read by: where in a load report the values stand that the balancer
-/// reads, and how many schemes there are.
+/// reads, and how many classes there are.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reading {
     pub held: Option<usize>,
     pub waiting: Option<usize>,
     pub service: Option<usize>,
     pub values: usize,
-    pub schemes: u32,
+    pub classes: u32,
 }
 
 pub enum Form {
@@ -207,16 +207,16 @@
         let deployment =
             pondlb_terms::decode(fields.word("Config")?).map_err(|fault| format!("Config: {fault}"))?;
         let place = |name| deployment.report.iter().position(|field| field == name);
-        let (schemes, values) = (deployment.terms.schemes.len() as u32, deployment.report.len());
+        let (classes, values) = (deployment.terms.classes.len() as u32, deployment.report.len());
         let reading =
-            Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), values, schemes };
+            Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), values, classes };
         let terms = Box::new(deployment.terms);
         return Ok(Line::Start { who, seed: fields.number("Salt")?, terms, reading });
     }
     let reading = reading(who).ok_or_else(|| unknown(who))?;
     let event = match kind {
         "POWER_OFF" => return Ok(Line::Kill { who }),
-        // No scheme streams its answers.
+        // No class streams its answers.
         "FIRST_BYTE" => return Ok(Line::Unneeded),
         "VIEW" => {
             let form = match fields.word("Form")? {
@@ -231,9 +231,9 @@
         }
         "KNOCK" => Event::Arrived(Arrival {
             request: fields.word("OpId")?.into(),
-            scheme: match fields.number("Priority")? {
-                scheme if scheme < reading.schemes => scheme,
-                scheme => return Err(fields.bad("Priority", &scheme.to_string())),
+            class: match fields.number("Priority")? {
+                class if class < reading.classes => class,
+                class => return Err(fields.bad("Priority", &class.to_string())),
             },
             tenant: fields.optional("Account")?.unwrap_or(0),
             key: match fields.get("PathKey") {
--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -127,8 +127,8 @@
     let mut zones: Vec<String> = scenario.upstreams.iter().map(|m| m.zone.clone()).collect();
     zones.sort();
     zones.dedup();
-    let schemes: Vec<_> = scenario
-        .schemes
+    let classes: Vec<_> = scenario
+        .classes
         .iter()
         .map(|s| {
             let effect = match s.effect {
@@ -156,7 +156,7 @@
         "settings": {
             "Balancers": scenario.balancers, "SelfIndex": number, "MyZone": number as usize % zones.len(),
             "Zones": zones, "MachineTypes": ["m"], "Discovery": "ask", "ExcessValue": 1.0,
-            "Reporting": { "Fields": ["rif", "q"] }, "Limits": limits, "Rules": rules, "Schemes": schemes,
+            "Reporting": { "Fields": ["rif", "q"] }, "Limits": limits, "Rules": rules, "Schemes": classes,
         },
     })
 }
--- a/crates/pondlb-lab/src/compare.rs
+++ b/crates/pondlb-lab/src/compare.rs
@@ -48,13 +48,13 @@
     let sound: Vec<&Pair> =
         pairs.iter().filter(|pair| pair.a.void.is_none() && pair.b.void.is_none()).collect();
     let mut found = vec![difference("value in time", &sound, |report| value_in_time(scenario, report))];
-    for (number, scheme) in scenario.schemes.iter().enumerate() {
-        let name = &scheme.name;
-        found.push(difference(&format!("{name}, p50 ms"), &sound, |report| report.schemes[number].p50));
-        found.push(difference(&format!("{name}, p99 ms"), &sound, |report| report.schemes[number].p99));
+    for (number, class) in scenario.classes.iter().enumerate() {
+        let name = &class.name;
+        found.push(difference(&format!("{name}, p50 ms"), &sound, |report| report.classes[number].p50));
+        found.push(difference(&format!("{name}, p99 ms"), &sound, |report| report.classes[number].p99));
     }
     found.push(difference("postings a txn", &sound, |report| {
-        report.attempts as f64 / report.schemes.iter().map(|f| f.asked).sum::<usize>().max(1) as f64
+        report.attempts as f64 / report.classes.iter().map(|f| f.asked).sum::<usize>().max(1) as f64
     }));
     found
 }
@@ -62,8 +62,8 @@
 /// The part of the value offered that was settled within its SLA time.
 pub fn value_in_time(scenario: &Scenario, report: &Report) -> f64 {
     let sum = |count: fn(&crate::run::Figures) -> usize| {
-        let each = scenario.schemes.iter().zip(&report.schemes);
-        each.map(|(scheme, figures)| scheme.value * count(figures) as f64).sum::<f64>()
+        let each = scenario.classes.iter().zip(&report.classes);
+        each.map(|(class, figures)| class.value * count(figures) as f64).sum::<f64>()
     };
     sum(|f| f.in_time) / sum(|f| f.asked).max(f64::MIN_POSITIVE)
 }
--- a/crates/pondlb-lab/src/compare/tests.rs
+++ b/crates/pondlb-lab/src/compare/tests.rs
@@ -11,7 +11,7 @@
     Report {
         void,
         broken: Vec::new(),
-        schemes: vec![figures],
+        classes: vec![figures],
         attempts: 110,
         probes: 0,
         times: Default::default(),
@@ -21,7 +21,7 @@
 #[test]
 fn a_difference_is_seen_only_where_the_spread_leaves_out_zero() {
     let scenario = Scenario::read(include_str!("../../../../lab/first.toml")).unwrap();
-    let scenario = Scenario { schemes: scenario.schemes[..1].to_vec(), ..scenario };
+    let scenario = Scenario { classes: scenario.classes[..1].to_vec(), ..scenario };
     let mut trace = String::new();
     for sides in
         [vec![(10.0, 20.0)], vec![(10.0, 20.0), (11.0, 20.0), (9.0, 21.0)], vec![(10.0, 9.0), (11.0, 14.0)]]
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -65,10 +65,10 @@
 }
 
 fn of_one(scenario: &Scenario, asked: &Asked, runs: &[&Run], excused: bool) -> Vec<(&'static str, String)> {
-    let scheme = &scenario.schemes[asked.scheme];
+    let class = &scenario.classes[asked.class];
     let mut found = Vec::new();
     let Some(sent) = asked.sent else { return found };
-    let expiry = sent + scheme.expiry_ms * 1000;
+    let expiry = sent + class.expiry_ms * 1000;
     let ran = runs.iter().filter(|run| run.began.is_some()).count();
     let declined = matches!(asked.status, 429 | 503);
     match asked.answered {
@@ -89,14 +89,14 @@
         let late = (run.first_byte - end) / 1000;
         found.push(("1 one answer", format!("posted to upstream {} {late} ms after its end", run.upstream)));
     }
-    if scheme.effect == Effect::OnceOnly && ran > 1 {
+    if class.effect == Effect::OnceOnly && ran > 1 {
         found.push(("2 one effect", format!("ran {ran} times")));
     }
-    if scheme.effect != Effect::Repeatable && ran > 0 && declined {
+    if class.effect != Effect::Repeatable && ran > 0 && declined {
         found.push(("2 one effect", "was declined and had run".into()));
     }
     let group = |run: &&Run| scenario.fleet().get(run.upstream).map(|machine| machine.group);
-    if scheme.effect == Effect::Referenced && runs.windows(2).any(|two| group(&two[0]) != group(&two[1])) {
+    if class.effect == Effect::Referenced && runs.windows(2).any(|two| group(&two[0]) != group(&two[1])) {
         found.push(("2 one effect", "left its group".into()));
     }
     let both = |two: &[&Run]| two[0].ended.is_none_or(|ended| two[1].first_byte + SLACK < ended);
@@ -105,7 +105,7 @@
     }
     // Given up at its SLA time at the latest: what comes later and was never sent was parked.
     let wait = asked.answered.map_or(0, |at| at.saturating_sub(sent));
-    if declined && runs.is_empty() && wait > scheme.sla_ms * 1000 + SLACK {
+    if declined && runs.is_empty() && wait > class.sla_ms * 1000 + SLACK {
         found.push(("parked", format!("declined after {} ms with nothing posted", wait / 1000)));
     }
     found
@@ -124,7 +124,7 @@
         let (mut all, mut in_time) = (0.0, 0.0);
         for asked in of_kind {
             all += 1.0;
-            let sla = scenario.schemes[asked.scheme].sla_ms * 1000;
+            let sla = scenario.classes[asked.class].sla_ms * 1000;
             let timely = asked.answered.is_some_and(|at| at <= asked.intended + sla) && asked.status == 200;
             in_time += if timely { 1.0 } else { 0.0 };
         }
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -7,7 +7,8 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Asked {
     pub id: String,
-    pub scheme: usize,
+    #[serde(rename = "scheme")]
+    pub class: usize,
     pub balancer: u32,
     pub intended: u64,
     /// When its last byte was written; none where no connection came up.
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -86,16 +86,16 @@
 }
 
 async fn ask(scenario: &Scenario, planned: &Planned, door: &Door, book: &Book, intended: u64) -> Asked {
-    let scheme = &scenario.schemes[planned.scheme];
+    let class = &scenario.classes[planned.class];
     let mut asked = Asked {
         id: planned.id.clone(),
-        scheme: planned.scheme,
+        class: planned.class,
         balancer: planned.balancer,
         intended,
         ..Asked::default()
     };
-    let text = request(planned, scheme.effect, &scheme.name, scheme.expiry_ms);
-    let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
+    let text = request(planned, class.effect, &class.name, class.expiry_ms);
+    let most = Duration::from_millis(class.expiry_ms) + BEYOND;
     // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
     for kept in [true, false] {
         let Some(mut connection) = connection(door, book, kept).await else { continue };
@@ -149,9 +149,9 @@
     Some(Connection { wire: Wire::new(stream), kills })
 }
 
-fn request(planned: &Planned, effect: Effect, scheme: &str, expiry_ms: u64) -> String {
+fn request(planned: &Planned, effect: Effect, class: &str, expiry_ms: u64) -> String {
     let head = format!(
-        "Host: lab\r\nReq-Id: {}\r\nReq-Kind: {scheme}\r\nReq-Deadline: {expiry_ms}m\r\nReq-Cost: {}\r\n",
+        "Host: lab\r\nReq-Id: {}\r\nReq-Kind: {class}\r\nReq-Deadline: {expiry_ms}m\r\nReq-Cost: {}\r\n",
         planned.id, planned.work_us
     );
     match effect {
--- a/crates/pondlb-lab/src/report.rs
+++ b/crates/pondlb-lab/src/report.rs
@@ -12,9 +12,9 @@
 /// What happened in each half second.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Times {
-    /// By scheme and half second: settled in time, settled late, declined, reversed or lost.
+    /// By class and half second: settled in time, settled late, declined, reversed or lost.
     pub outcomes: Vec<Vec<[u32; 4]>>,
-    /// By half second, over all schemes: the median and the 99th percentile of what settled, in milliseconds.
+    /// By half second, over all classes: the median and the 99th percentile of what settled, in milliseconds.
     pub latency: Vec<[f64; 2]>,
     /// By upstream and half second: attempts.
     #[serde(rename = "postings")]
@@ -36,10 +36,10 @@
     pub fn of(scenario: &Scenario, ledgers: &Ledgers, from: u64) -> Times {
         let steps = (scenario.seconds * 1e6 / STEP as f64).ceil() as usize;
         let step = |at: u64| ((at.saturating_sub(from) / STEP) as usize).min(steps.saturating_sub(1));
-        let mut outcomes = vec![vec![[0; 4]; steps]; scenario.schemes.len()];
+        let mut outcomes = vec![vec![[0; 4]; steps]; scenario.classes.len()];
         let mut took: Vec<Vec<u64>> = vec![Vec::new(); steps];
         for asked in &ledgers.asked {
-            let sla = scenario.schemes[asked.scheme].sla_ms * 1000;
+            let sla = scenario.classes[asked.class].sla_ms * 1000;
             let which = match (asked.answered, asked.status) {
                 (Some(at), 200) => {
                     let time = at.saturating_sub(asked.intended);
@@ -49,7 +49,7 @@
                 (Some(_), 429 | 503) => 2,
                 _ => 3,
             };
-            outcomes[asked.scheme][step(asked.intended)][which] += 1;
+            outcomes[asked.class][step(asked.intended)][which] += 1;
         }
         let latency = took.into_iter().map(|mut all| {
             all.sort_unstable();
@@ -70,8 +70,8 @@
     );
     for (name, report) in sides {
         page += &format!("<h1>{}</h1><pre>{}</pre>", escaped(name), escaped(&report.table()));
-        for (scheme, outcomes) in scenario.schemes.iter().zip(&report.times.outcomes) {
-            page += &format!("<h2>{}: outcomes in each half second</h2>", escaped(&scheme.name));
+        for (class, outcomes) in scenario.classes.iter().zip(&report.times.outcomes) {
+            page += &format!("<h2>{}: outcomes in each half second</h2>", escaped(&class.name));
             page += &svg(|area| draw_outcomes(area, scenario, outcomes))?;
         }
         page += "<h2>latency of what settled: median and 99th percentile, ms</h2>";
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -25,14 +25,15 @@
     /// Why the run says nothing, if it does not.
     pub void: Option<String>,
     pub broken: Vec<Broken>,
-    pub schemes: Vec<Figures>,
+    #[serde(rename = "schemes")]
+    pub classes: Vec<Figures>,
     #[serde(rename = "postings")]
     pub attempts: usize,
     pub probes: usize,
     pub times: Times,
 }
 
-/// What became of one scheme's requests; times in milliseconds, from the intended send.
+/// What became of one class's requests; times in milliseconds, from the intended send.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Figures {
     pub name: String,
@@ -95,19 +96,19 @@
 }
 
 fn report(scenario: &Scenario, ledgers: &Ledgers, from: u64) -> Report {
-    let schemes = (0..scenario.schemes.len()).map(|n| figures(scenario, ledgers, n)).collect();
+    let classes = (0..scenario.classes.len()).map(|n| figures(scenario, ledgers, n)).collect();
     let (void, broken) = (judge::void(ledgers), judge::judge(scenario, ledgers));
     let times = Times::of(scenario, ledgers, from);
     let (attempts, probes) = (ledgers.runs.len(), ledgers.probes.len());
-    Report { void, broken, schemes, attempts, probes, times }
+    Report { void, broken, classes, attempts, probes, times }
 }
 
 fn figures(scenario: &Scenario, ledgers: &Ledgers, number: usize) -> Figures {
-    let scheme = &scenario.schemes[number];
-    let mut figures = Figures { name: scheme.name.clone(), ..Figures::default() };
+    let class = &scenario.classes[number];
+    let mut figures = Figures { name: class.name.clone(), ..Figures::default() };
     // A minute at most, in microseconds, to three digits.
     let Ok(mut times) = Histogram::<u64>::new_with_bounds(1, 120_000_000, 3) else { return figures };
-    for asked in ledgers.asked.iter().filter(|asked| asked.scheme == number) {
+    for asked in ledgers.asked.iter().filter(|asked| asked.class == number) {
         figures.asked += 1;
         match (asked.answered, asked.status) {
             (None, _) => figures.unanswered += 1,
@@ -115,7 +116,7 @@
                 let took = at.saturating_sub(asked.intended);
                 times.saturating_record(took);
                 figures.settled += 1;
-                figures.in_time += usize::from(took <= scheme.sla_ms * 1000);
+                figures.in_time += usize::from(took <= class.sla_ms * 1000);
             }
             (Some(_), 429 | 503) => figures.declined += 1,
             (Some(_), _) => figures.reversed += 1,
@@ -133,7 +134,7 @@
             "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>11}{:>10}{:>10}\n",
             "scheme", "asked", "settled", "in time", "declined", "reversed", "no answer", "p50 ms", "p99 ms"
         );
-        for f in &self.schemes {
+        for f in &self.classes {
             text += &format!(
                 "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>11}{:>10.1}{:>10.1}\n",
                 f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -16,7 +16,7 @@
 use crate::balancers::{Balancers, Program};
 use crate::fleet::Fleet;
 use crate::ledger::{Asked, Ledgers, Told};
-use crate::scenario::{self as traffic, Effect, Machine, Rules, Scheme};
+use crate::scenario::{self as traffic, Class, Effect, Machine, Rules};
 
 /// Memory that a real balancer may use: the list is longer than that of a common deployment.
 const MEMORY_MB: u32 = 1024;
@@ -115,7 +115,7 @@
 
 fn traffic_scenario(scenario: &Scenario, seed: u64, doors: u32, rate: f64) -> traffic::Scenario {
     let figures = &scenario.traffic;
-    let scheme = |name: &str, effect, rate| Scheme {
+    let scheme = |name: &str, effect, rate| Class {
         name: name.into(),
         effect,
         sla_ms: figures.sla_ms,
@@ -143,7 +143,7 @@
         least_in_time: 0.0,
         rules: Rules::default(),
         upstreams: vec![machine],
-        schemes: vec![
+        classes: vec![
             scheme(TRAFFIC_CLASSES[0], Effect::Repeatable, rate * (1.0 - ORDER_SHARE)),
             scheme(TRAFFIC_CLASSES[1], Effect::OnceOnly, rate * ORDER_SHARE),
         ],
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -26,7 +26,8 @@
     #[serde(default)]
     pub rules: Rules,
     pub upstreams: Vec<Machine>,
-    pub schemes: Vec<Scheme>,
+    #[serde(rename = "schemes")]
+    pub classes: Vec<Class>,
     #[serde(default)]
     pub faults: Vec<Trouble>,
     #[serde(default)]
@@ -107,7 +108,7 @@
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Scheme {
+pub struct Class {
     pub name: String,
     pub effect: Effect,
     pub sla_ms: u64,
@@ -189,7 +190,8 @@
 pub struct Planned {
     pub id: String,
     pub at_us: u64,
-    pub scheme: usize,
+    #[serde(rename = "scheme")]
+    pub class: usize,
     pub balancer: u32,
     pub work_us: u64,
 }
@@ -223,7 +225,7 @@
         check(stranger.is_none(), format!("asking: {stranger:?}: there are {}", self.balancers));
         check(within(self.least_in_time, 0.0, 1.0), format!("least_in_time: {}: 0 to 1", self.least_in_time));
         check(!self.upstreams.is_empty(), "upstreams: the fleet is empty".into());
-        check(!self.schemes.is_empty(), "schemes: there is none".into());
+        check(!self.classes.is_empty(), "schemes: there is none".into());
         let all = self.upstreams.iter().map(|m| u64::from(m.count)).sum::<u64>();
         check(all <= u64::from(MOST_UPSTREAMS), format!("upstreams: {all} in all: {MOST_UPSTREAMS} at most"));
         for (n, m) in self.upstreams.iter().enumerate() {
@@ -235,7 +237,7 @@
                 format!("upstreams[{n}].handshake_ms: {}: 0 to 1000", m.handshake_ms),
             );
         }
-        for (n, s) in self.schemes.iter().enumerate() {
+        for (n, s) in self.classes.iter().enumerate() {
             let key = |key: &str| format!("schemes[{n}].{key}");
             check(s.sla_ms >= 1, format!("{}: 0: 1 at least", key("sla_ms")));
             check(s.expiry_ms <= 60_000, format!("{}: {}: 60000 at most", key("expiry_ms"), s.expiry_ms));
@@ -251,11 +253,11 @@
             check(within(s.heavy, 0.0, 1.0), format!("{}: {}: 0 to 1", key("heavy"), s.heavy));
             check(within(s.value, 0.0, 1e6), format!("{}: {}: 0 to 1000000", key("value"), s.value));
             check(
-                self.schemes[..n].iter().all(|o| o.name != s.name),
+                self.classes[..n].iter().all(|o| o.name != s.name),
                 format!("{}: {:?} is there twice", key("name"), s.name),
             );
         }
-        let requests = self.schemes.iter().map(|s| s.rate).sum::<f64>() * self.seconds * self.most_times();
+        let requests = self.classes.iter().map(|s| s.rate).sum::<f64>() * self.seconds * self.most_times();
         check(requests <= MOST_REQUESTS, format!("schemes: {requests:?} txns in all: 2000000 at most"));
         for (n, b) in self.bursts.iter().enumerate() {
             check(
@@ -298,11 +300,11 @@
     /// scenario and seed give the same, byte for byte.
     pub fn plan(&self) -> Vec<Planned> {
         let mut plan = Vec::new();
-        for (number, scheme) in self.schemes.iter().enumerate().filter(|(_, s)| s.rate > 0.0) {
+        for (number, class) in self.classes.iter().enumerate().filter(|(_, s)| s.rate > 0.0) {
             let mut rng = WyRand::new_seed(self.seed ^ ((number as u64 + 1) << 32));
             let mut at = 0.0;
             loop {
-                at += -(1.0 - rng.generate::<f64>()).ln() / (scheme.rate * self.most_times());
+                at += -(1.0 - rng.generate::<f64>()).ln() / (class.rate * self.most_times());
                 if at >= self.seconds {
                     break;
                 }
@@ -310,14 +312,14 @@
                 if rng.generate::<f64>() * self.most_times() >= self.times(at) {
                     continue;
                 }
-                let heavy = if rng.generate::<f64>() < scheme.heavy { 10.0 } else { 1.0 };
-                let work = scheme.work_ms * 1000.0 * heavy * (0.5 + rng.generate::<f64>());
+                let heavy = if rng.generate::<f64>() < class.heavy { 10.0 } else { 1.0 };
+                let work = class.work_ms * 1000.0 * heavy * (0.5 + rng.generate::<f64>());
                 let balancer = rng.generate_range(0..self.balancers);
                 let (at_us, work_us) = ((at * 1e6) as u64, work as u64);
-                plan.push(Planned { id: String::new(), at_us, scheme: number, balancer, work_us });
+                plan.push(Planned { id: String::new(), at_us, class: number, balancer, work_us });
             }
         }
-        plan.sort_by_key(|p| (p.at_us, p.scheme));
+        plan.sort_by_key(|p| (p.at_us, p.class));
         for (n, planned) in plan.iter_mut().enumerate() {
             planned.id = format!("t{:x}-{n}", self.seed);
         }
--- a/crates/pondlb-server/src/program/mod.rs
+++ b/crates/pondlb-server/src/program/mod.rs
@@ -60,9 +60,9 @@
     let from = |name: &str| file.clone().filter(|_| name == "RELAY_CONFIG").or_else(|| environment(name));
     match Setup::read(from) {
         Ok(setup) => {
-            let schemes = setup.deployment.names.schemes.join(", ");
+            let classes = setup.deployment.names.classes.join(", ");
             println!("{} would listen on {} and {}", setup.name, setup.listen, sources(&setup));
-            println!("upstreams known: {}; schemes: {schemes}", setup.known.targets.len());
+            println!("upstreams known: {}; schemes: {classes}", setup.known.targets.len());
             ExitCode::SUCCESS
         }
         Err(faults) => {
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -111,7 +111,7 @@
         let connections = ConnectionTable::new(setup.budget.clients, links.most_open as usize, memory);
         let front = Rc::new(Front {
             connections: connections.clone(),
-            classes: RefCell::new(numbered(&setup.deployment.names.schemes)),
+            classes: RefCell::new(numbered(&setup.deployment.names.classes)),
             cool_down: Cell::new(cool_down(terms.cool_down)),
             notes: notes_in.clone(),
             phase: phase_seen,
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -101,7 +101,7 @@
         return Err(Fault::Malformed("Req-Id is no id"));
     }
     let kind = head.one("Req-Kind")?.ok_or(Fault::Malformed("no Req-Kind"))?;
-    let scheme = *classes.get(kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
+    let class = *classes.get(kind).ok_or(Fault::Malformed("Req-Kind is unknown"))?;
     let left = head.one("Req-Deadline")?.ok_or(Fault::Malformed("no Req-Deadline"))?;
     let left = span_ns(left).ok_or(Fault::Malformed("Req-Deadline is no time"))?;
     let cost = match head.one("Req-Cost")? {
@@ -110,7 +110,7 @@
     };
     let arrival = Arrival {
         request: id.into(),
-        scheme,
+        class,
         tenant: 0,
         key: None,
         left: floor_from_ns(left),
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -43,7 +43,7 @@
             Wish::Request { arrival: a, message: r } => format!(
                 "{} scheme {} left {} cost {:?} repeat {} write {}: {:?} {}{last}",
                 a.request,
-                a.scheme,
+                a.class,
                 a.left,
                 a.cost,
                 a.repeat,
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -196,7 +196,7 @@
                     return;
                 }
                 let hint = arrival.cost.unwrap_or_default();
-                log::debug!("{} comes: scheme {} cost {hint}", arrival.request, arrival.scheme);
+                log::debug!("{} comes: scheme {} cost {hint}", arrival.request, arrival.class);
                 arrival.left = arrival.left.saturating_sub(self.slack);
                 if let Some(end) = self.end {
                     arrival.left = arrival.left.min(end.saturating_sub(now));
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -106,11 +106,11 @@
         Play { exchange, trace, waiting: Vec::new() }
     }
 
-    fn arrive(&mut self, now: Tenths, name: &'static str, scheme: u32, left: Tenths) {
+    fn arrive(&mut self, now: Tenths, name: &'static str, class: u32, left: Tenths) {
         let (answer, answered) = oneshot::channel();
         let head = Head { first: "GET / HTTP/1.1".into(), fields: Vec::new() };
         let (request, tenant, key, cost) = (name.into(), 0, None, None);
-        let arrival = Arrival { request, scheme, tenant, key, left, cost, repeat: false, write: false };
+        let arrival = Arrival { request, class, tenant, key, left, cost, repeat: false, write: false };
         self.waiting.push((name, answered));
         self.step(now, Some(Note::Arrived { arrival, message: Message { head, body: Vec::new() }, answer }));
     }
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -331,7 +331,7 @@
         };
         let Plan { memory_mb, sockets, idle_ms, list, .. } = self;
         let known = roster(1, true, "active", &self.known);
-        let scheme = |name: &str, effect: &str| {
+        let class = |name: &str, effect: &str| {
             format!(
                 r#"{{"Name":"{name}","Effect":"{effect}","SlaTimeNs":1500000000,"ExpiryNs":2000000000,
             "Value":1.0}}"#
@@ -347,8 +347,8 @@
             "Rules":{{"ColdShare":0.3,"DrainGraceNs":500000000,"FallMultiple":4.0,"FallNs":2000000000,
             "MustAskInNs":10000000000,"WarmWithinNs":8900000000}},
             "Schemes":[{},{}]}}}}"#,
-            scheme("browse", "idempotent"),
-            scheme("order", "at_most_once")
+            class("browse", "idempotent"),
+            class("order", "at_most_once")
         )
     }
 
@@ -415,8 +415,8 @@
     }
 
     /// One request on a connection of its own.
-    pub fn ask(&self, id: &str, scheme: &str) -> Message {
-        self.client().ask(id, scheme)
+    pub fn ask(&self, id: &str, class: &str) -> Message {
+        self.client().ask(id, class)
     }
 
     pub fn health(&self) -> String {
@@ -499,15 +499,15 @@
         read_message(&mut self.0)
     }
 
-    pub fn request(id: &str, scheme: &str, left_ms: u64) -> String {
+    pub fn request(id: &str, class: &str, left_ms: u64) -> String {
         format!(
-            "POST /api?x=1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {scheme}\r\n\
+            "POST /api?x=1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n\
              Req-Deadline: {left_ms}m\r\nContent-Length: 4\r\n\r\nwork"
         )
     }
 
-    pub fn ask(&mut self, id: &str, scheme: &str) -> Message {
-        self.send(&Client::request(id, scheme, 2000));
+    pub fn ask(&mut self, id: &str, class: &str) -> Message {
+        self.send(&Client::request(id, class, 2000));
         self.read().expect("an answer comes")
     }
 
--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Names {
     /// Classes of requests.
-    pub schemes: Vec<String>,
+    pub classes: Vec<String>,
     /// Zones of upstreams.
     pub zones: Vec<String>,
     /// Machine types of upstreams.
@@ -49,7 +49,7 @@
     pub drain_grace: Tenths,
     /// Requests that may be open at once.
     pub most_open: u32,
-    /// The longest that a client waits for its answer; none where a scheme does not say.
+    /// The longest that a client waits for its answer; none where a class does not say.
     pub expiry: Option<Tenths>,
 }
 
--- a/crates/pondlb-terms/src/settings.rs
+++ b/crates/pondlb-terms/src/settings.rs
@@ -3,12 +3,12 @@
 use std::borrow::Cow;
 use std::collections::{HashMap, HashSet};
 
-use pondlb::{Lists, Scheme, Tenant, Terms, TermsChange, floor_from_ns};
+use pondlb::{Class, Lists, Tenant, Terms, TermsChange, floor_from_ns};
 use serde_json::Value;
 
 use crate::table::Table;
 use crate::tunable::{IN_PLACE, Tunables};
-use crate::wire::{Discovery, NO_SCHEMES, Object, Realm, WireScheme, read};
+use crate::wire::{Discovery, NO_CLASSES, Object, Realm, WireClass, read};
 use crate::{Deployment, Fault, Links, Names};
 
 /// A change of one setting, in the form of a record.
@@ -53,23 +53,23 @@
     zones: Vec<String>,
 }
 
-/// A class with the scheme that the decisions know.
+/// A class as the settings name and describe it, and what of it the decisions need.
 #[derive(Clone, PartialEq)]
-struct Class {
-    wire: WireScheme,
-    scheme: Scheme,
+struct NamedClass {
+    wire: WireClass,
+    terms: Class,
 }
 
-impl Class {
+impl NamedClass {
     /// `key` is what faults call the entry.
-    fn of(wire: WireScheme, key: &str) -> Result<Class, Fault> {
-        Ok(Class { scheme: wire.scheme(key)?, wire })
+    fn of(wire: WireClass, key: &str) -> Result<NamedClass, Fault> {
+        Ok(NamedClass { terms: wire.class(key)?, wire })
     }
 }
 
 /// A change that was read, and checked as far as that needs no other setting.
 enum Change {
-    Class(String, Option<Class>),
+    Class(String, Option<NamedClass>),
     Tenant(String, Option<Realm>),
     Limit(&'static str, Option<Value>),
 }
@@ -79,11 +79,11 @@
         let (key, value) = (&*change.key, change.value.as_deref());
         let named = |fault: Fault| format!("{key}: {fault}");
         if let Some(name) = key.strip_prefix("class/") {
-            let wire = value.map(read::<WireScheme>).transpose().map_err(named)?;
+            let wire = value.map(read::<WireClass>).transpose().map_err(named)?;
             if let Some(wire) = wire.as_ref().filter(|wire| wire.name != name) {
                 return Err(format!("{key}.Name: {:?}: the name in the key is accepted", wire.name));
             }
-            let check = |wire: WireScheme| wire.check(key).and_then(|()| Class::of(wire, key));
+            let check = |wire: WireClass| wire.check(key).and_then(|()| NamedClass::of(wire, key));
             Ok(Change::Class(name.into(), wire.map(check).transpose()?))
         } else if let Some(name) = key.strip_prefix("tenant/") {
             let realm = value.map(read::<Realm>).transpose().map_err(named)?;
@@ -124,7 +124,7 @@
     /// As the file says, and as they are in force.
     file: Tunables,
     tunables: Tunables,
-    classes: Table<Class>,
+    classes: Table<NamedClass>,
     tenants: Table<Realm>,
     /// Keys whose values, or whose want of a value that the file has, are by a record: the file does not change them.
     recorded: HashSet<String>,
@@ -146,15 +146,15 @@
         };
         tunables.check()?;
         object.check_asking()?;
-        let keys: Vec<String> = (0..object.schemes.len()).map(|n| format!("Schemes[{n}]")).collect();
-        for (key, scheme) in keys.iter().zip(&object.schemes) {
-            scheme.check(key)?;
+        let keys: Vec<String> = (0..object.classes.len()).map(|n| format!("Schemes[{n}]")).collect();
+        for (key, class) in keys.iter().zip(&object.classes) {
+            class.check(key)?;
         }
         for (n, realm) in object.realms.iter().enumerate() {
             realm.check(&format!("Realms[{n}]"))?;
         }
-        let named = |(key, wire): (&String, WireScheme)| Ok((wire.name.clone(), Class::of(wire, key)?));
-        let classes: Vec<_> = keys.iter().zip(object.schemes).map(named).collect::<Result<_, Fault>>()?;
+        let named = |(key, wire): (&String, WireClass)| Ok((wire.name.clone(), NamedClass::of(wire, key)?));
+        let classes: Vec<_> = keys.iter().zip(object.classes).map(named).collect::<Result<_, Fault>>()?;
         let tenants = object.realms.into_iter().enumerate().map(|(n, realm)| (n.to_string(), realm));
         Ok(Settings {
             fixed: Fixed {
@@ -188,7 +188,7 @@
                 Discovery::Push => Lists::Unasked,
                 Discovery::Ask => Lists::Asked { within: must_ask_in },
             },
-            schemes: self.classes.values().map(|class| class.scheme.clone()).collect(),
+            classes: self.classes.values().map(|class| class.terms.clone()).collect(),
             tenants: self.tenants.values().map(|realm| Tenant { quota: realm.quota_rps }).collect(),
             excess_value,
             warm_keys,
@@ -200,7 +200,7 @@
             cold,
         };
         let names = Names {
-            schemes: self.classes.values().map(|class| class.wire.name.clone()).collect(),
+            classes: self.classes.values().map(|class| class.wire.name.clone()).collect(),
             zones: self.fixed.zones.clone(),
             kinds: self.fixed.machine_types.clone(),
         };
@@ -284,7 +284,7 @@
         let removed =
             after.iter().filter(|(name, stays)| !**stays && self.classes.get(name).is_some()).count();
         let stays = removed < self.classes.len() || after.values().any(|stays| *stays);
-        if stays { Ok(()) } else { Err(NO_SCHEMES.into()) }
+        if stays { Ok(()) } else { Err(NO_CLASSES.into()) }
     }
 
     fn changed_tunables(&self, changes: &[Change]) -> Result<Option<Tunables>, Fault> {
@@ -321,10 +321,10 @@
         for change in changes {
             match change {
                 Change::Class(name, class) => {
-                    let scheme = class.as_ref().map(|class| class.scheme.clone());
+                    let terms = class.as_ref().map(|class| class.terms.clone());
                     let Some(number) = self.classes.set(&name, class, in_file) else { continue };
-                    applied.classes.push((name, scheme.as_ref().map(|_| number)));
-                    applied.terms.push(TermsChange::Class { number, scheme });
+                    applied.classes.push((name, terms.as_ref().map(|_| number)));
+                    applied.terms.push(TermsChange::Class { number, class: terms });
                     applied.changed += 1;
                 }
                 Change::Tenant(name, realm) => {
--- a/crates/pondlb-terms/src/tunable.rs
+++ b/crates/pondlb-terms/src/tunable.rs
@@ -25,7 +25,7 @@
     "Rules.WarmWithinNs",
 ];
 
-/// All scalars beside schemes and tenants, among them the few that take a restart.
+/// All scalars beside classes and tenants, among them the few that take a restart.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Tunables {
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -1,6 +1,6 @@
 //! The settings as their JSON has them. Keys that are not named here are skipped, known or not.
 
-use pondlb::{Effect, Scheme, Scope, floor_from_ns};
+use pondlb::{Class, Effect, Scope, floor_from_ns};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +11,8 @@
 pub struct Object {
     pub balancers: u32,
     pub self_index: u32,
-    pub schemes: Vec<WireScheme>,
+    #[serde(rename = "Schemes")]
+    pub classes: Vec<WireClass>,
     pub discovery: Discovery,
     pub excess_value: f64,
     #[serde(default)]
@@ -29,13 +30,13 @@
 /// An entry of `Schemes`.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "PascalCase")]
-pub struct WireScheme {
+pub struct WireClass {
     pub sla_time_ns: u64,
     pub effect: WireEffect,
     pub dedup_scope: Option<WireScope>,
     pub expiry_ns: Option<u64>,
     pub key_ttl_ns: Option<u64>,
-    /// Nothing is decided by it, yet who gets it wrong will have got the rest of the scheme wrong too.
+    /// Nothing is decided by it, yet who gets it wrong will have got the rest of the entry wrong too.
     pub late_value: Option<f64>,
     pub name: String,
     pub value: f64,
@@ -130,8 +131,8 @@
 
 impl Object {
     pub fn check(&self) -> Result<(), Fault> {
-        if self.schemes.is_empty() {
-            return Err(NO_SCHEMES.into());
+        if self.classes.is_empty() {
+            return Err(NO_CLASSES.into());
         }
         let balancers = f64::from(self.balancers);
         within("Balancers", balancers, 1.0, u32::MAX.into())?;
@@ -150,12 +151,12 @@
     }
 }
 
-/// The fault of settings without a scheme.
-pub const NO_SCHEMES: &str = "Schemes is empty";
+/// The fault of settings without a class.
+pub const NO_CLASSES: &str = "Schemes is empty";
 
-impl WireScheme {
-    /// The scheme that the decisions know. `key` is what faults call the entry.
-    pub fn scheme(&self, key: &str) -> Result<Scheme, Fault> {
+impl WireClass {
+    /// The class that the decisions know. `key` is what faults call the entry.
+    pub fn class(&self, key: &str) -> Result<Class, Fault> {
         let lacks = |field| format!("{key}.{field} is missing, though the scheme is deduplicated");
         let effect = match self.effect {
             WireEffect::Idempotent => Effect::Repeatable,
@@ -169,7 +170,7 @@
                 memory: floor_from_ns(self.key_ttl_ns.ok_or_else(|| lacks("KeyTtlNs"))?),
             },
         };
-        Ok(Scheme { sla: floor_from_ns(self.sla_time_ns), value: self.value, effect })
+        Ok(Class { sla: floor_from_ns(self.sla_time_ns), value: self.value, effect })
     }
 
     pub fn check(&self, key: &str) -> Result<(), Fault> {
--- a/crates/pondlb-terms/tests/settings.rs
+++ b/crates/pondlb-terms/tests/settings.rs
@@ -15,7 +15,7 @@
 #[test]
 fn limits_are_rounded_so_that_none_is_overrun() {
     let Deployment { terms, links, .. } = decode(GOOD).unwrap();
-    let effects: Vec<_> = terms.schemes.iter().map(|s| (s.sla, s.effect)).collect();
+    let effects: Vec<_> = terms.classes.iter().map(|s| (s.sla, s.effect)).collect();
     expect![[r#"
         [(25000, Repeatable), (0, Referenced { scope: Cell, memory: 50000 })]
         ColdTerms { share: 0.3, warm_within: 89001, multiple: 4.0, window: 20001 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -151,8 +151,8 @@
         self.queue.next += 1;
         self.seen.arrivals.add(now, LONG, 1.0);
         let share = self.share(now, arrival.tenant as usize);
-        let class = (arrival.scheme as usize).min(self.terms.schemes.len() - 1);
-        let class = self.terms.schemes[class].clone();
+        let class = (arrival.class as usize).min(self.terms.classes.len() - 1);
+        let class = self.terms.classes[class].clone();
         let rank = (class.value * share).max(0.0).to_bits();
         let deadline = now + class.sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).clamp(1, MOST_COST) as f64;
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -32,7 +32,7 @@
 
 impl Estimate {
     pub fn new(terms: &Terms) -> Self {
-        let tightest = terms.schemes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
+        let tightest = terms.classes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
         // Until answers come, half the tightest SLA time: late for most, early enough for a second try.
         let (tp, took) = ((tightest / 2).max(1), Histogram::new(3, 20).expect("the bins are fixed"));
         Estimate { took, since: 0, halved: 0, tp, wait: 0.0, needed: 1, quick: 0 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub request: RequestId,
-    pub scheme: u32,
+    pub class: u32,
     pub tenant: u32,
     pub key: Option<u64>,
     pub left: Tenths,
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -7,7 +7,7 @@
     pub own_number: u32,
     pub own_zone: u32,
     pub lists: Lists,
-    pub schemes: Vec<Scheme>,
+    pub classes: Vec<Class>,
     pub tenants: Vec<Tenant>,
     /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
@@ -35,7 +35,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Scheme {
+pub struct Class {
     pub sla: Tenths,
     pub value: f64,
     pub effect: Effect,
@@ -87,7 +87,7 @@
     pub cancelling: bool,
 }
 
-/// What of the terms may change while requests are open, apart from schemes and tenants.
+/// What of the terms may change while requests are open, apart from classes and tenants.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
     /// The value of a request beyond its tenant's share, as a fraction.
@@ -103,12 +103,12 @@
 /// A change of the terms. Requests that are open end under what they came with.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TermsChange {
-    /// The scheme of a number is new or another one; without one, the number may be used again.
+    /// The class of a number is new or another one; without one, the number may be used again.
     Class {
-        /// Index among the schemes.
+        /// Index among the classes.
         number: u32,
         /// What holds from now on.
-        scheme: Option<Scheme>,
+        class: Option<Class>,
     },
     /// The same for a tenant.
     Tenant {
@@ -121,8 +121,8 @@
     Limits(Limits),
 }
 
-/// Stands where a scheme was removed: a request of it has no time and no value.
-const NO_SCHEME: Scheme = Scheme { sla: 0, value: 0.0, effect: Effect::OnceOnly };
+/// Stands where a class was removed: a request of it has no time and no value.
+const NO_CLASS: Class = Class { sla: 0, value: 0.0, effect: Effect::OnceOnly };
 /// Stands where a tenant was removed: none of its requests is beyond its share.
 const NO_TENANT: Tenant = Tenant { quota: f64::INFINITY };
 
@@ -130,8 +130,8 @@
     /// Puts a change in force.
     pub fn change(&mut self, change: &TermsChange) {
         match change {
-            TermsChange::Class { number, scheme } => {
-                set(&mut self.schemes, *number, scheme.clone().unwrap_or(NO_SCHEME), NO_SCHEME);
+            TermsChange::Class { number, class } => {
+                set(&mut self.classes, *number, class.clone().unwrap_or(NO_CLASS), NO_CLASS);
             }
             TermsChange::Tenant { number, tenant } => {
                 set(&mut self.tenants, *number, tenant.clone().unwrap_or(NO_TENANT), NO_TENANT);
@@ -146,9 +146,9 @@
         }
     }
 
-    /// The highest value of a scheme.
+    /// The highest value of a class.
     pub fn highest_value(&self) -> f64 {
-        self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max)
+        self.classes.iter().map(|class| class.value).fold(0.0, f64::max)
     }
 
     /// The limits of attempts as they are now.
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -6,12 +6,12 @@
 use helper::*;
 use pondlb::*;
 
-fn class(number: u32, scheme: Option<Scheme>) -> TermsChange {
-    TermsChange::Class { number, scheme }
+fn class_change(number: u32, class: Option<Class>) -> TermsChange {
+    TermsChange::Class { number, class }
 }
 
-fn scheme(sla_ms: Tenths, value: f64, effect: Effect) -> Scheme {
-    Scheme { sla: sla_ms * MS, value, effect }
+fn class(sla_ms: Tenths, value: f64, effect: Effect) -> Class {
+    Class { sla: sla_ms * MS, value, effect }
 }
 
 fn limits(change: impl Fn(&mut Limits)) -> TermsChange {
@@ -42,7 +42,7 @@
 fn a_changed_class_holds_for_requests_that_come_later() {
     let (mut play, now) = served();
     let before = play.sent_to(now, request("before", 0));
-    play.change(&[class(0, Some(scheme(400, 1.0, Effect::OnceOnly)))]);
+    play.change(&[class_change(0, Some(class(400, 1.0, Effect::OnceOnly)))]);
     let after = play.sent_to(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
@@ -63,7 +63,7 @@
     play.at(0, [list("a")]);
     // More than the upstream may have in flight: the last of each kind is held until its time is over.
     play.at(0, (0..5).map(|n| request(&format!("before{n}"), 1)));
-    play.change(&[class(1, Some(scheme(100, 1.0, Effect::OnceOnly)))]);
+    play.change(&[class_change(1, Some(class(100, 1.0, Effect::OnceOnly)))]);
     play.at(1, [request("after", 1)]);
     for ms in [50, 100, 102, 250, 390, 400, 402] {
         play.at(ms, []);
@@ -83,10 +83,10 @@
 fn the_number_of_a_removed_class_is_used_again_while_requests_of_it_are_open() {
     let (mut play, now) = served();
     let before = play.sent_to(now, request("before", 0));
-    play.change(&[class(0, None)]);
+    play.change(&[class_change(0, None)]);
     play.change(&[
-        class(0, Some(scheme(400, 1.0, Effect::OnceOnly))),
-        class(3, Some(scheme(400, 2.0, Effect::Repeatable))),
+        class_change(0, Some(class(400, 1.0, Effect::OnceOnly))),
+        class_change(3, Some(class(400, 2.0, Effect::Repeatable))),
     ]);
     let after = play.sent_to(now + 1, request("after", 0));
     let added = play.sent_to(now + 2, request("added", 3));
@@ -107,7 +107,7 @@
 #[test]
 fn a_request_of_a_removed_class_is_declined_at_once() {
     let (mut play, now) = served();
-    play.change(&[class(1, None)]);
+    play.change(&[class_change(1, None)]);
     play.at(now, [request("removed", 1)]);
     play.at(now + 1, []);
     expect![[r#"
@@ -211,8 +211,8 @@
 
 #[test]
 fn what_a_class_is_worth_counts_against_the_others_while_it_is_there() {
-    let dear = class(3, Some(scheme(400, 8.0, Effect::Repeatable)));
-    let counts = [vec![], vec![dear.clone()], vec![dear, class(3, None)]].map(|changes| {
+    let dear = class_change(3, Some(class(400, 8.0, Effect::Repeatable)));
+    let counts = [vec![], vec![dear.clone()], vec![dear, class_change(3, None)]].map(|changes| {
         let (mut play, now) = served();
         play.change(&changes);
         play.at(now, [long("t", 0)]);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -957,7 +957,7 @@
 #[test]
 fn the_last_of_the_room_is_kept_for_what_is_worth_more() {
     let mut terms = Terms { balancers: 100, ..terms() };
-    terms.schemes[1].value = 8.0;
+    terms.classes[1].value = 8.0;
     let mut play = Play::new(terms);
     play.at(0, [list("a b c d")]);
     // Each answer waits too long: a jam, in which this balancer holds one request at a time.
@@ -970,10 +970,10 @@
     let mut sent = [0, 0];
     for n in 0..40 {
         let (id, at) = (format!("t{n}"), 21_000 + n * 700);
-        let scheme = [0, 1, 1, 0][n as usize % 4];
-        let up = play.sent_to(at, request(&id, scheme));
+        let class = [0, 1, 1, 0][n as usize % 4];
+        let up = play.sent_to(at, request(&id, class));
         if !up.is_empty() {
-            sent[scheme as usize] += 1;
+            sent[class as usize] += 1;
             play.at(at + 340, [ended(&id, 0, &up, Outcome::Ok, 340)]);
         }
     }
@@ -986,11 +986,11 @@
 #[test]
 fn a_long_request_of_little_value_is_declined_on_arrival_and_one_of_much_is_not() {
     let mut terms = terms();
-    terms.schemes[1].value = 8.0;
+    terms.classes[1].value = 8.0;
     let mut play = Play::new(terms);
     play.at(0, [list("a b c d")]);
     let now = play.warm_up(64);
-    let long = |id, scheme, cost| Event::Arrived(Arrival { cost: Some(cost * MS), ..arrival(id, scheme) });
+    let long = |id, class, cost| Event::Arrived(Arrival { cost: Some(cost * MS), ..arrival(id, class) });
     play.at(now, [long("short", 0, 700), long("long", 0, 1800)]);
     play.at(now, [long("dear", 1, 1800)]);
     let first = std::mem::take(&mut play.trace);
@@ -1287,10 +1287,10 @@
 
 /// Once-only and referenced within the cell, no copies, upstreams may be asked.
 fn asking() -> Terms {
-    let scheme = |effect| Scheme { sla: 400 * MS, value: 1.0, effect };
+    let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     let cell = Effect::Referenced { scope: Scope::Cell, memory: 300 * MS };
-    let schemes = vec![scheme(Effect::Repeatable), scheme(Effect::OnceOnly), scheme(cell)];
-    Terms { schemes, second_copies: false, probing: true, balancers: 100, ..terms() }
+    let classes = vec![class(Effect::Repeatable), class(Effect::OnceOnly), class(cell)];
+    Terms { classes, second_copies: false, probing: true, balancers: 100, ..terms() }
 }
 
 fn told(upstream: &str, outcome: Outcome, held: f64, waiting: f64) -> Event {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -14,16 +14,16 @@
     pub trace: String,
 }
 
-/// Scheme 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
+/// Class 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
 pub fn terms() -> Terms {
     let zone = Effect::Referenced { scope: Scope::Zone, memory: 300 * MS };
-    let scheme = |effect| Scheme { sla: 400 * MS, value: 1.0, effect };
+    let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     Terms {
         balancers: 1,
         own_number: 0,
         own_zone: 0,
         lists: Lists::Unasked,
-        schemes: vec![scheme(Effect::Repeatable), scheme(Effect::OnceOnly), scheme(zone)],
+        classes: vec![class(Effect::Repeatable), class(Effect::OnceOnly), class(zone)],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
@@ -44,13 +44,13 @@
     Event::Listed(Listing::Whole(upstreams.split_whitespace().map(|name| entry(name, 0)).collect()))
 }
 
-pub fn request(id: &str, scheme: u32) -> Event {
-    Event::Arrived(arrival(id, scheme))
+pub fn request(id: &str, class: u32) -> Event {
+    Event::Arrived(arrival(id, class))
 }
 
-pub fn arrival(id: &str, scheme: u32) -> Arrival {
+pub fn arrival(id: &str, class: u32) -> Arrival {
     let (tenant, left, cost) = (0, 1000 * MS, Some(20 * MS));
-    Arrival { request: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
+    Arrival { request: id.into(), class, tenant, key: None, left, cost, repeat: false, write: false }
 }
 
 pub fn ended(id: &str, attempt: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -22,7 +22,7 @@
         own_number: OWN_NUMBER,
         own_zone: OWN_ZONE,
         lists: Lists::Unasked,
-        schemes: vec![Scheme { sla: SECOND, value: 1.0, effect: Effect::OnceOnly }],
+        classes: vec![Class { sla: SECOND, value: 1.0, effect: Effect::OnceOnly }],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
@@ -112,8 +112,8 @@
     let ids: Vec<RequestId> = (0..REQUESTS).map(|number| format!("{check}-{number}").into()).collect();
     let arrived = |request: &RequestId| {
         let (request, left, cost) = (request.clone(), SECOND, Some(10));
-        let (scheme, tenant, key, repeat, write) = (0, 0, None, false, false);
-        Event::Arrived(Arrival { request, scheme, tenant, key, left, cost, repeat, write })
+        let (class, tenant, key, repeat, write) = (0, 0, None, false, false);
+        Event::Arrived(Arrival { request, class, tenant, key, left, cost, repeat, write })
     };
     let sent = handle(balancer, now, ids.iter().map(arrived).collect());
     handle(balancer, now, ids.into_iter().map(|request| Event::Left { request }).collect());
