--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -4,7 +4,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use pondlb::{
-    Action, Arrival, Balancer, ColdTerms, Effect, Entry, Event, Listing, Lists, Load, Outcome, Scheme, Stage,
+    Action, Arrival, Balancer, Class, ColdTerms, Effect, Entry, Event, Listing, Lists, Load, Outcome, Stage,
     Tenths, Terms,
 };
 
@@ -27,11 +27,11 @@
         own_number: 7,
         own_zone: 0,
         lists: Lists::Asked { within: 10 * SECOND },
-        schemes: vec![Scheme { sla: 400 * MS, value: 1.0, effect: Effect::Repeatable }],
+        classes: vec![Class { sla: 400 * MS, value: 1.0, effect: Effect::Repeatable }],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
-        max_postings: 3,
+        max_attempts: 3,
         second_copies: true,
         cancelling: true,
         probing: false,
@@ -62,9 +62,9 @@
         serving.handle(Event::Listed(Listing::Whole(entries)));
         while serving.now < WARMED {
             serving.now += SECOND / RATE;
-            let posted = serving.request();
+            let sent = serving.request();
             serving.now += ANSWERED_IN;
-            let answers = posted.into_iter().filter_map(answer);
+            let answers = sent.into_iter().filter_map(answer);
             answers.for_each(|event| serving.handle(event));
         }
         for _ in 0..OPEN {
@@ -75,9 +75,9 @@
 
     fn request(&mut self) -> Vec<Action> {
         self.requests += 1;
-        let (txn, left, cost) = (format!("r{}", self.requests).into(), SECOND, Some(20 * MS));
+        let (request, left, cost) = (format!("r{}", self.requests).into(), SECOND, Some(20 * MS));
         let arrival =
-            Arrival { txn, scheme: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
+            Arrival { request, class: 0, tenant: 0, key: None, left, cost, repeat: false, write: false };
         self.actions.clear();
         self.balancer.handle(self.now, [Event::Arrived(arrival)], &mut self.actions);
         std::mem::take(&mut self.actions)
@@ -91,9 +91,9 @@
 }
 
 fn answer(action: Action) -> Option<Event> {
-    let Action::Post { txn, upstream, .. } = action else { return None };
+    let Action::Attempt { request, upstream, .. } = action else { return None };
     let (outcome, load) = (Outcome::Ok, Load::default());
-    Some(Event::Ended { txn, posting: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
+    Some(Event::Ended { request, attempt: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
 }
 
 fn changes(numbers: impl Iterator<Item = usize>, stage: Stage) -> Event {
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -14,14 +14,14 @@
 pub const PAGES: usize = 16;
 
 /// What the lines of an instance are read by: where in a load report the values stand that the balancer
-/// reads, and how many schemes there are.
+/// reads, and how many classes there are.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Reading {
     pub held: Option<usize>,
     pub waiting: Option<usize>,
     pub service: Option<usize>,
     pub values: usize,
-    pub schemes: u32,
+    pub classes: u32,
 }
 
 pub enum Form {
@@ -207,16 +207,16 @@
         let deployment =
             pondlb_terms::decode(fields.word("Config")?).map_err(|fault| format!("Config: {fault}"))?;
         let place = |name| deployment.report.iter().position(|field| field == name);
-        let (schemes, values) = (deployment.terms.schemes.len() as u32, deployment.report.len());
+        let (classes, values) = (deployment.terms.classes.len() as u32, deployment.report.len());
         let reading =
-            Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), values, schemes };
+            Reading { held: place("rif"), waiting: place("q"), service: place("lat_ms"), values, classes };
         let terms = Box::new(deployment.terms);
         return Ok(Line::Start { who, seed: fields.number("Salt")?, terms, reading });
     }
     let reading = reading(who).ok_or_else(|| unknown(who))?;
     let event = match kind {
         "POWER_OFF" => return Ok(Line::Kill { who }),
-        // No scheme streams its answers.
+        // No class streams its answers.
         "FIRST_BYTE" => return Ok(Line::Unneeded),
         "VIEW" => {
             let form = match fields.word("Form")? {
@@ -230,10 +230,10 @@
             return Ok(Line::View { who, form, page });
         }
         "KNOCK" => Event::Arrived(Arrival {
-            txn: fields.word("OpId")?.into(),
-            scheme: match fields.number("Priority")? {
-                scheme if scheme < reading.schemes => scheme,
-                scheme => return Err(fields.bad("Priority", &scheme.to_string())),
+            request: fields.word("OpId")?.into(),
+            class: match fields.number("Priority")? {
+                class if class < reading.classes => class,
+                class => return Err(fields.bad("Priority", &class.to_string())),
             },
             tenant: fields.optional("Account")?.unwrap_or(0),
             key: match fields.get("PathKey") {
@@ -246,8 +246,8 @@
             write: fields.flag("Write")?,
         }),
         "REPLY" => Event::Ended {
-            txn: fields.word("OpId")?.into(),
-            posting: fields.number("Go")?,
+            request: fields.word("OpId")?.into(),
+            attempt: fields.number("Go")?,
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
             took: fields.took()?,
@@ -255,7 +255,7 @@
             load: fields.load(reading)?,
         },
         "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
-        "ABORTED" => Event::Left { txn: fields.word("OpId")?.into() },
+        "ABORTED" => Event::Left { request: fields.word("OpId")?.into() },
         "HEALTH" => Event::Probed {
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
@@ -281,8 +281,8 @@
 
 pub fn write(out: &mut impl Write, who: u64, action: &Action) -> io::Result<()> {
     match action {
-        Action::Post { txn, upstream, timeout, .. } => {
-            write!(out, "DISPATCH Who={who} OpId={txn} Upstream={upstream}")?;
+        Action::Attempt { request, upstream, timeout, .. } => {
+            write!(out, "DISPATCH Who={who} OpId={request} Upstream={upstream}")?;
             optional(out, "TimeoutNs", *timeout)
         }
         Action::Probe { upstream } => writeln!(out, "TOUCH Who={who} Upstream={upstream}"),
@@ -297,10 +297,12 @@
         }
         Action::Watch { on } => writeln!(out, "KEEP_INFORMED Who={who} Enable={}", u8::from(*on)),
         Action::Refetch => writeln!(out, "REFRESH Who={who}"),
-        Action::Recall { txn, posting } => writeln!(out, "CALL_OFF Who={who} OpId={txn} Go={posting}"),
-        Action::Reverse { txn } => writeln!(out, "RESPOND_ERROR Who={who} OpId={txn}"),
-        Action::Decline { txn, cool_down } => {
-            write!(out, "REJECT Who={who} OpId={txn}")?;
+        Action::Recall { request, attempt } => {
+            writeln!(out, "CALL_OFF Who={who} OpId={request} Go={attempt}")
+        }
+        Action::Reverse { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
+        Action::Decline { request, cool_down } => {
+            write!(out, "REJECT Who={who} OpId={request}")?;
             optional(out, "CoolDownNs", *cool_down)
         }
         Action::CloseIdle { upstream } => writeln!(out, "DROP_CONNS Who={who} Upstream={upstream}"),
--- a/crates/pondlb-lab/src/ledger.rs
+++ b/crates/pondlb-lab/src/ledger.rs
@@ -3,11 +3,12 @@
 
 use serde::Serialize;
 
-/// One txn, as its client saw it.
+/// One request, as its client saw it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Asked {
     pub id: String,
-    pub scheme: usize,
+    #[serde(rename = "scheme")]
+    pub class: usize,
     pub balancer: u32,
     pub intended: u64,
     /// When its last byte was written; none where no connection came up.
@@ -22,7 +23,7 @@
     pub killed: bool,
 }
 
-/// One posting, as its upstream saw it.
+/// One attempt, as its upstream saw it.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Run {
     pub id: String,
--- a/crates/pondlb-lab/src/report.rs
+++ b/crates/pondlb-lab/src/report.rs
@@ -12,12 +12,13 @@
 /// What happened in each half second.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Times {
-    /// By scheme and half second: settled in time, settled late, declined, reversed or lost.
+    /// By class and half second: settled in time, settled late, declined, reversed or lost.
     pub outcomes: Vec<Vec<[u32; 4]>>,
-    /// By half second, over all schemes: the median and the 99th percentile of what settled, in milliseconds.
+    /// By half second, over all classes: the median and the 99th percentile of what settled, in milliseconds.
     pub latency: Vec<[f64; 2]>,
-    /// By upstream and half second: postings.
-    pub postings: Vec<Vec<u32>>,
+    /// By upstream and half second: attempts.
+    #[serde(rename = "postings")]
+    pub attempts: Vec<Vec<u32>>,
 }
 
 const STEP: u64 = 500_000;
@@ -35,10 +36,10 @@
     pub fn of(scenario: &Scenario, ledgers: &Ledgers, from: u64) -> Times {
         let steps = (scenario.seconds * 1e6 / STEP as f64).ceil() as usize;
         let step = |at: u64| ((at.saturating_sub(from) / STEP) as usize).min(steps.saturating_sub(1));
-        let mut outcomes = vec![vec![[0; 4]; steps]; scenario.schemes.len()];
+        let mut outcomes = vec![vec![[0; 4]; steps]; scenario.classes.len()];
         let mut took: Vec<Vec<u64>> = vec![Vec::new(); steps];
         for asked in &ledgers.asked {
-            let sla = scenario.schemes[asked.scheme].sla_ms * 1000;
+            let sla = scenario.classes[asked.class].sla_ms * 1000;
             let which = match (asked.answered, asked.status) {
                 (Some(at), 200) => {
                     let time = at.saturating_sub(asked.intended);
@@ -48,16 +49,16 @@
                 (Some(_), 429 | 503) => 2,
                 _ => 3,
             };
-            outcomes[asked.scheme][step(asked.intended)][which] += 1;
+            outcomes[asked.class][step(asked.intended)][which] += 1;
         }
         let latency = took.into_iter().map(|mut all| {
             all.sort_unstable();
             let at = |part: usize| all.get(all.len() * part / 100).map_or(0.0, |us| *us as f64 / 1000.0);
             [at(50), at(99)]
         });
-        let mut postings = vec![vec![0; steps]; scenario.fleet().len()];
-        ledgers.runs.iter().for_each(|run| postings[run.upstream][step(run.first_byte)] += 1);
-        Times { outcomes, latency: latency.collect(), postings }
+        let mut attempts = vec![vec![0; steps]; scenario.fleet().len()];
+        ledgers.runs.iter().for_each(|run| attempts[run.upstream][step(run.first_byte)] += 1);
+        Times { outcomes, latency: latency.collect(), attempts }
     }
 }
 
@@ -69,8 +70,8 @@
     );
     for (name, report) in sides {
         page += &format!("<h1>{}</h1><pre>{}</pre>", escaped(name), escaped(&report.table()));
-        for (scheme, outcomes) in scenario.schemes.iter().zip(&report.times.outcomes) {
-            page += &format!("<h2>{}: outcomes in each half second</h2>", escaped(&scheme.name));
+        for (class, outcomes) in scenario.classes.iter().zip(&report.times.outcomes) {
+            page += &format!("<h2>{}: outcomes in each half second</h2>", escaped(&class.name));
             page += &svg(|area| draw_outcomes(area, scenario, outcomes))?;
         }
         page += "<h2>latency of what settled: median and 99th percentile, ms</h2>";
@@ -79,7 +80,7 @@
         page += &svg(|area| draw_lines(area, scenario, &lines, &["median", "99th percentile"]))?;
         page += "<h2>postings to each upstream in each half second</h2>";
         let count = |ups: &Vec<u32>| ups.iter().map(|n| f64::from(*n)).collect::<Vec<f64>>();
-        let lines: Vec<Vec<f64>> = report.times.postings.iter().map(count).collect();
+        let lines: Vec<Vec<f64>> = report.times.attempts.iter().map(count).collect();
         let names: Vec<String> = (0..lines.len()).map(|n| format!("upstream {n}")).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         page += &svg(|area| draw_lines(area, scenario, &lines, &names))?;
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -18,7 +18,7 @@
 use crate::protocol::control::setting_change;
 use crate::routing::{Directory, Exchange, Note};
 use crate::transport::{
-    Ask, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool, Postings,
+    Ask, Attempts, Backoff, Clock, ConnectionTable, Follower, Front, ListLimit, Patience, Phase, Pool,
     SettingsUpdate, discover, follow_control, listen, span,
 };
 
@@ -29,7 +29,7 @@
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
     /// the other balancers may just be restarting too.
     leaving: Duration,
-    /// A txn may have more time left than the program has: its answer comes by then, or the kill would lose
+    /// A request may have more time left than the program has: its answer comes by then, or the kill would lose
     /// it.
     answered: Tenths,
     /// However slow a client is with its request, the program is gone before it is killed.
@@ -68,7 +68,7 @@
 pub struct Service {
     phase: watch::Sender<Phase>,
     clock: Clock,
-    exchange: Exchange<Postings>,
+    exchange: Exchange<Attempts>,
     notes: mpsc::UnboundedReceiver<Note>,
     /// From control servers; closed where none are followed.
     settings: mpsc::UnboundedReceiver<SettingsUpdate>,
@@ -111,7 +111,7 @@
         let connections = ConnectionTable::new(setup.budget.clients, links.most_open as usize, memory);
         let front = Rc::new(Front {
             connections: connections.clone(),
-            classes: RefCell::new(numbered(&setup.deployment.names.schemes)),
+            classes: RefCell::new(numbered(&setup.deployment.names.classes)),
             cool_down: Cell::new(cool_down(terms.cool_down)),
             notes: notes_in.clone(),
             phase: phase_seen,
@@ -143,7 +143,7 @@
             spawn_local(follow_control(control, follower, notes_in.clone()));
         }
         let carrier =
-            Postings { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
+            Attempts { pool, clock, memory, notes: notes_in, asks: asks_in.clone(), probing: setup.probing };
         let mut exchange = Exchange::new(balancer, directory, carrier, SLACK);
         if setup.control.is_some() {
             exchange.await_state();
@@ -194,7 +194,7 @@
         Ok(())
     }
 
-    /// Discovery and most of the settings can change while txns are open. A file that can't be used must not end a
+    /// Discovery and most of the settings can change while requests are open. A file that can't be used must not end a
     /// program that serves, so everything stays as it was.
     fn read_anew(&mut self) {
         let setup = match Setup::read(|name| std::env::var(name).ok()) {
@@ -296,7 +296,7 @@
     }
 }
 
-/// A posting that is still connecting when its upstream is told to drain must leave within the grace. With none
+/// An attempt that is still connecting when its upstream is told to drain must leave within the grace. With none
 /// at all, what the limit is longer on sockets is left.
 pub(super) fn connect_within(links: &Links) -> Tenths {
     links.connect_within.min((links.drain_grace + ON_SOCKETS) / 2)
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -1,30 +1,30 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pondlb::{Arrival, Load, Outcome, Tenths, TxnId, UpstreamId};
+use pondlb::{Arrival, Load, Outcome, RequestId, Tenths, UpstreamId};
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
 
-/// The postings of a txn are numbered as they leave.
-pub type PostingId = (TxnId, u32);
+/// The attempts of a request are numbered as they leave.
+pub type AttemptId = (RequestId, u32);
 
-/// A posting to be carried out.
+/// An attempt to be carried out.
 #[derive(Debug)]
 pub struct Order {
-    pub id: PostingId,
+    pub id: AttemptId,
     pub upstream: UpstreamId,
     pub address: SocketAddr,
-    pub request: Rc<Message>,
+    pub message: Rc<Message>,
     /// When the balancer stops waiting for it.
     pub until: Tenths,
     /// Written later than this it would be met as new, though an earlier one may have run.
     pub begin_by: Option<Tenths>,
 }
 
-/// How a posting ended.
+/// How an attempt ended.
 #[derive(Debug)]
 pub struct End {
     pub outcome: Outcome,
@@ -43,14 +43,14 @@
 pub enum Note {
     Arrived {
         arrival: Arrival,
-        request: Message,
+        message: Message,
         answer: oneshot::Sender<Answer>,
     },
     Left {
-        txn: TxnId,
+        request: RequestId,
     },
     Ended {
-        posting: PostingId,
+        attempt: AttemptId,
         end: End,
     },
     Probed {
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -18,7 +18,7 @@
 
 struct Scribe(Trace);
 
-/// Says when it is dropped, as the connection of a posting would close. That of a posting to `dials` never comes up.
+/// Says when it is dropped, as the connection of an attempt would close. That of an attempt to `dials` never comes up.
 struct Held(Trace, String, bool);
 
 impl Hold for Held {
@@ -36,7 +36,7 @@
 impl Carrier for Scribe {
     type Hold = Held;
 
-    fn post(&mut self, order: Order) -> Held {
+    fn send(&mut self, order: Order) -> Held {
         let what = format!("{} {}", order.id.0, order.id.1);
         *self.0.borrow_mut() +=
             &format!("  post {what} to {} at {} until {}\n", order.upstream, order.address, order.until);
@@ -106,31 +106,31 @@
         Play { exchange, trace, waiting: Vec::new() }
     }
 
-    fn arrive(&mut self, now: Tenths, name: &'static str, scheme: u32, left: Tenths) {
+    fn arrive(&mut self, now: Tenths, name: &'static str, class: u32, left: Tenths) {
         let (answer, answered) = oneshot::channel();
         let head = Head { first: "GET / HTTP/1.1".into(), fields: Vec::new() };
-        let (txn, tenant, key, cost) = (name.into(), 0, None, None);
-        let arrival = Arrival { txn, scheme, tenant, key, left, cost, repeat: false, write: false };
+        let (request, tenant, key, cost) = (name.into(), 0, None, None);
+        let arrival = Arrival { request, class, tenant, key, left, cost, repeat: false, write: false };
         self.waiting.push((name, answered));
-        self.step(now, Some(Note::Arrived { arrival, request: Message { head, body: Vec::new() }, answer }));
+        self.step(now, Some(Note::Arrived { arrival, message: Message { head, body: Vec::new() }, answer }));
     }
 
-    fn end(&mut self, now: Tenths, name: &str, posting: u32, outcome: Outcome) {
+    fn end(&mut self, now: Tenths, name: &str, attempt: u32, outcome: Outcome) {
         let mut end = End::from(outcome);
         if outcome == Outcome::Ok {
             let head = Head { first: "HTTP/1.1 200 OK".into(), fields: Vec::new() };
-            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {posting}").into() }));
+            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {attempt}").into() }));
         }
-        self.step(now, Some(Note::Ended { posting: (name.into(), posting), end }));
+        self.step(now, Some(Note::Ended { attempt: (name.into(), attempt), end }));
     }
 
     fn step(&mut self, now: Tenths, note: Option<Note>) {
         let heading = match &note {
             None => "wake".into(),
-            Some(Note::Arrived { arrival, .. }) => format!("{} comes", arrival.txn),
-            Some(Note::Left { txn }) => format!("{txn} leaves"),
-            Some(Note::Ended { posting, end }) => {
-                format!("{} {} ends: {:?}", posting.0, posting.1, end.outcome)
+            Some(Note::Arrived { arrival, .. }) => format!("{} comes", arrival.request),
+            Some(Note::Left { request }) => format!("{request} leaves"),
+            Some(Note::Ended { attempt, end }) => {
+                format!("{} {} ends: {:?}", attempt.0, attempt.1, end.outcome)
             }
             Some(Note::Probed { upstream, outcome, .. }) => format!("{upstream} is asked: {outcome:?}"),
             Some(Note::Listed(_)) => "listed".into(),
@@ -175,7 +175,7 @@
 const TWO: &[(&str, u16, &str, &str, u64)] = &[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)];
 
 #[test]
-fn an_answer_reaches_its_own_txn_and_no_other() {
+fn an_answer_reaches_its_own_request_and_no_other() {
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     play.arrive(20, "t2", REPEATABLE, 20_000);
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn the_posting_that_lost_is_let_go_and_its_late_answer_goes_nowhere() {
+fn the_attempt_that_lost_is_let_go_and_its_late_answer_goes_nowhere() {
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     play.pass(6000);
@@ -222,12 +222,12 @@
 }
 
 #[test]
-fn a_client_that_left_is_owed_nothing_and_its_posting_is_let_go() {
+fn a_client_that_left_is_owed_nothing_and_its_attempt_is_let_go() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 20_000);
-    play.step(20, Some(Note::Left { txn: "t1".into() }));
+    play.step(20, Some(Note::Left { request: "t1".into() }));
     play.end(500, "t1", 0, Outcome::Ok);
-    play.step(510, Some(Note::Left { txn: "t1".into() }));
+    play.step(510, Some(Note::Left { request: "t1".into() }));
     play.ends_with(expect![[r#"
         10: t1 comes
           post t1 0 to u1 at 127.0.0.1:1 until 19960
@@ -259,7 +259,7 @@
 }
 
 #[test]
-fn a_second_txn_of_an_id_in_service_is_no_txn() {
+fn a_second_request_of_an_id_in_service_is_refused() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 20_000);
     play.arrive(20, "t1", ONCE_ONLY, 20_000);
@@ -305,7 +305,7 @@
     let mut play = Play::new(TWO);
     play.arrive(10, "t1", REPEATABLE, 20_000);
     let end = End { outcome: Outcome::Moot, reply: Some(Answer::Unfit), load: Load::default() };
-    play.step(20, Some(Note::Ended { posting: ("t1".into(), 0), end }));
+    play.step(20, Some(Note::Ended { attempt: ("t1".into(), 0), end }));
     play.pass(20_000);
     play.ends_with(expect![[r#"
         10: t1 comes
@@ -340,7 +340,7 @@
 }
 
 #[test]
-fn a_txn_without_an_answer_gets_its_final_one_before_its_expiry() {
+fn a_request_without_an_answer_gets_its_final_one_before_its_expiry() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 5000);
     play.pass(4959);
@@ -357,7 +357,7 @@
 
 /// The danger is the kill that follows: what it finds unanswered is lost.
 #[test]
-fn when_the_program_ends_every_txn_has_its_answer_by_then() {
+fn when_the_program_ends_every_request_has_its_answer_by_then() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 60_000);
     play.exchange.end_by(5000);
@@ -427,7 +427,7 @@
 }
 
 #[test]
-fn a_whole_set_is_replaced_at_its_own_addresses_while_postings_are_out() {
+fn a_whole_set_is_replaced_at_its_own_addresses_while_attempts_are_out() {
     let mut play = Play::new(&[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
     play.arrive(10, "t1", REPEATABLE, 60_000);
     play.step(
@@ -499,7 +499,7 @@
     ));
 }
 
-/// The danger is a balancer that serves with a part of its list, or posts to who has been removed.
+/// The danger is a balancer that serves with a part of its list, or sends to who has been removed.
 #[test]
 fn records_are_in_force_once_told_and_the_first_whole_state_makes_ready() {
     let mut play = Play::new(ONE);
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -8,7 +8,7 @@
 /// The quantile that makes tp, and the reliability that the needed tries aim at: with these two tries do.
 const TP_QUANTILE: f64 = 0.95;
 const RELIABILITY: f64 = 0.99;
-/// A txn is given up when fewer of the pooled answers than this would come within its time left.
+/// A request is given up when fewer of the pooled answers than this would come within its time left.
 const QUICK_QUANTILE: f64 = 0.1;
 pub const WINDOW_OUTCOMES: u32 = 1000;
 const WINDOW: Tenths = 5 * SECOND;
@@ -18,7 +18,7 @@
 const BEST_ANSWERS: u32 = 256;
 pub const REST_PACE: f64 = 2.5;
 
-/// The pooled window: response times of all upstreams together, and the mean wait before first postings.
+/// The pooled window: response times of all upstreams together, and the mean wait before first attempts.
 pub struct Estimate {
     pub took: Histogram,
     pub since: u32,
@@ -32,7 +32,7 @@
 
 impl Estimate {
     pub fn new(terms: &Terms) -> Self {
-        let tightest = terms.schemes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
+        let tightest = terms.classes.iter().map(|s| s.sla).min().unwrap_or(SECOND);
         // Until answers come, half the tightest SLA time: late for most, early enough for a second try.
         let (tp, took) = ((tightest / 2).max(1), Histogram::new(3, 20).expect("the bins are fixed"));
         Estimate { took, since: 0, halved: 0, tp, wait: 0.0, needed: 1, quick: 0 }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -132,7 +132,7 @@
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
         let since = now.saturating_sub(self.dispatcher.terms.cold.warm_within.max(SECOND));
-        let (seen, txns) = (&mut self.dispatcher.seen, &self.dispatcher.queue.txns);
+        let (seen, requests) = (&mut self.dispatcher.seen, &self.dispatcher.queue.requests);
         let mut old: Vec<(UpstreamId, Tenths, usize)> = self
             .gone
             .range(..(since, 0))
@@ -140,9 +140,10 @@
             .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
             .collect();
         if !old.is_empty() {
-            let posted = txns.values().flat_map(|txn| txn.postings.iter().map(|posting| posting.up));
-            let posted: BTreeSet<usize> = posted.collect();
-            old.retain(|(.., up)| !posted.contains(up));
+            let sent =
+                requests.values().flat_map(|request| request.attempts.iter().map(|attempt| attempt.up));
+            let sent: BTreeSet<usize> = sent.collect();
+            old.retain(|(.., up)| !sent.contains(up));
         }
         // By name, so that equal events leave equal places free in equal order.
         old.sort();
@@ -158,10 +159,10 @@
         }
     }
 
-    /// How many upstreams, zones and kinds are remembered, and txns open: for the log.
+    /// How many upstreams, zones and kinds are remembered, and requests open: for the log.
     pub fn sizes(&self) -> [usize; 4] {
         let Seen { names, zones, kinds, .. } = &self.dispatcher.seen;
-        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.txns.len()]
+        [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.requests.len()]
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -3,7 +3,7 @@
 
 use crate::Tenths;
 
-pub type TxnId = Rc<str>;
+pub type RequestId = Rc<str>;
 pub type UpstreamId = Rc<str>;
 
 #[derive(Clone, Debug)]
@@ -11,18 +11,18 @@
     Listed(Listing),
     Arrived(Arrival),
     Ended {
-        txn: TxnId,
-        posting: u32,
+        request: RequestId,
+        attempt: u32,
         upstream: UpstreamId,
         outcome: Outcome,
         took: Tenths,
-        /// The txn has had its final answer, by this outcome or earlier.
+        /// The request has had its final answer, by this outcome or earlier.
         settled: bool,
         load: Load,
     },
     /// The client has left; nothing is owed any more.
     Left {
-        txn: TxnId,
+        request: RequestId,
     },
     Probed {
         upstream: UpstreamId,
@@ -41,8 +41,8 @@
 
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    pub txn: TxnId,
-    pub scheme: u32,
+    pub request: RequestId,
+    pub class: u32,
     pub tenant: u32,
     pub key: Option<u64>,
     pub left: Tenths,
@@ -94,14 +94,14 @@
     TimedOut,
     ConnectFailed,
     Reset,
-    /// What came is no answer; the upstream lives and may have run the txn.
+    /// What came is no answer; the upstream lives and may have run the request.
     Spoilt,
     Cancelled,
     Moot,
 }
 
 impl Outcome {
-    /// Whether the posting is known never to have run.
+    /// Whether the attempt is known never to have run.
     pub const fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
     }
@@ -142,8 +142,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Not to be begun after `begin_by`, whatever it waits for by then.
-    Post {
-        txn: TxnId,
+    Attempt {
+        request: RequestId,
         upstream: UpstreamId,
         timeout: Option<Tenths>,
         begin_by: Option<Tenths>,
@@ -160,14 +160,14 @@
     },
     Refetch,
     Recall {
-        txn: TxnId,
-        posting: u32,
+        request: RequestId,
+        attempt: u32,
     },
     Reverse {
-        txn: TxnId,
+        request: RequestId,
     },
     Decline {
-        txn: TxnId,
+        request: RequestId,
         cool_down: Option<Tenths>,
     },
     CloseIdle {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -7,13 +7,13 @@
     pub own_number: u32,
     pub own_zone: u32,
     pub lists: Lists,
-    pub schemes: Vec<Scheme>,
+    pub classes: Vec<Class>,
     pub tenants: Vec<Tenant>,
-    /// The value of a txn beyond its tenant's share, as a fraction.
+    /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
     /// An upstream that met a key lately has less work with it.
     pub warm_keys: bool,
-    pub max_postings: u32,
+    pub max_attempts: u32,
     pub second_copies: bool,
     pub cancelling: bool,
     /// Upstreams may be asked for their load.
@@ -35,7 +35,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Scheme {
+pub struct Class {
     pub sla: Tenths,
     pub value: f64,
     pub effect: Effect,
@@ -62,7 +62,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
-    /// Txns a second within its share, over all balancers.
+    /// Requests a second within its share, over all balancers.
     pub quota: f64,
 }
 
@@ -76,39 +76,39 @@
     pub window: Tenths,
 }
 
-/// How one txn may be posted.
+/// How one request may be attempted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Attempts {
-    /// Postings in all.
-    pub max_postings: u32,
+pub struct AttemptLimits {
+    /// Attempts in all.
+    pub max_attempts: u32,
     /// Whether two may be out together.
     pub second_copies: bool,
-    /// Whether those still out are recalled once the txn has ended.
+    /// Whether those still out are recalled once the request has ended.
     pub cancelling: bool,
 }
 
-/// What of the terms may change while txns are open, apart from schemes and tenants.
+/// What of the terms may change while requests are open, apart from classes and tenants.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// The value of a txn beyond its tenant's share, as a fraction.
+    /// The value of a request beyond its tenant's share, as a fraction.
     pub excess_value: f64,
-    /// How one txn may be posted.
-    pub attempts: Attempts,
+    /// How one request may be attempted.
+    pub attempt_limits: AttemptLimits,
     /// The longest cool-down that clients heed; none where no advice is passed on.
     pub cool_down: Option<Tenths>,
     /// When cold upstreams fall over.
     pub cold: ColdTerms,
 }
 
-/// A change of the terms. Txns that are open end under what they came with.
+/// A change of the terms. Requests that are open end under what they came with.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TermsChange {
-    /// The scheme of a number is new or another one; without one, the number may be used again.
+    /// The class of a number is new or another one; without one, the number may be used again.
     Class {
-        /// Index among the schemes.
+        /// Index among the classes.
         number: u32,
         /// What holds from now on.
-        scheme: Option<Scheme>,
+        class: Option<Class>,
     },
     /// The same for a tenant.
     Tenant {
@@ -121,40 +121,40 @@
     Limits(Limits),
 }
 
-/// Stands where a scheme was removed: a txn of it has no time and no value.
-const NO_SCHEME: Scheme = Scheme { sla: 0, value: 0.0, effect: Effect::OnceOnly };
-/// Stands where a tenant was removed: none of its txns is beyond its share.
+/// Stands where a class was removed: a request of it has no time and no value.
+const NO_CLASS: Class = Class { sla: 0, value: 0.0, effect: Effect::OnceOnly };
+/// Stands where a tenant was removed: none of its requests is beyond its share.
 const NO_TENANT: Tenant = Tenant { quota: f64::INFINITY };
 
 impl Terms {
     /// Puts a change in force.
     pub fn change(&mut self, change: &TermsChange) {
         match change {
-            TermsChange::Class { number, scheme } => {
-                set(&mut self.schemes, *number, scheme.clone().unwrap_or(NO_SCHEME), NO_SCHEME);
+            TermsChange::Class { number, class } => {
+                set(&mut self.classes, *number, class.clone().unwrap_or(NO_CLASS), NO_CLASS);
             }
             TermsChange::Tenant { number, tenant } => {
                 set(&mut self.tenants, *number, tenant.clone().unwrap_or(NO_TENANT), NO_TENANT);
             }
-            TermsChange::Limits(Limits { excess_value, attempts, cool_down, cold }) => {
+            TermsChange::Limits(Limits { excess_value, attempt_limits, cool_down, cold }) => {
                 (self.excess_value, self.cool_down, self.cold) = (*excess_value, *cool_down, cold.clone());
-                let Attempts { max_postings, second_copies, cancelling } = *attempts;
-                self.max_postings = max_postings;
+                let AttemptLimits { max_attempts, second_copies, cancelling } = *attempt_limits;
+                self.max_attempts = max_attempts;
                 self.second_copies = second_copies;
                 self.cancelling = cancelling;
             }
         }
     }
 
-    /// The highest value of a scheme.
+    /// The highest value of a class.
     pub fn highest_value(&self) -> f64 {
-        self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max)
+        self.classes.iter().map(|class| class.value).fold(0.0, f64::max)
     }
 
     /// The limits of attempts as they are now.
-    pub fn attempts(&self) -> Attempts {
-        let Terms { max_postings, second_copies, cancelling, .. } = *self;
-        Attempts { max_postings, second_copies, cancelling }
+    pub fn attempt_limits(&self) -> AttemptLimits {
+        let Terms { max_attempts, second_copies, cancelling, .. } = *self;
+        AttemptLimits { max_attempts, second_copies, cancelling }
     }
 
     /// This balancer's part of a figure that all balancers together should keep to.
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -14,20 +14,20 @@
     pub trace: String,
 }
 
-/// Scheme 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
+/// Class 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
 pub fn terms() -> Terms {
     let zone = Effect::Referenced { scope: Scope::Zone, memory: 300 * MS };
-    let scheme = |effect| Scheme { sla: 400 * MS, value: 1.0, effect };
+    let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     Terms {
         balancers: 1,
         own_number: 0,
         own_zone: 0,
         lists: Lists::Unasked,
-        schemes: vec![scheme(Effect::Repeatable), scheme(Effect::OnceOnly), scheme(zone)],
+        classes: vec![class(Effect::Repeatable), class(Effect::OnceOnly), class(zone)],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
-        max_postings: 3,
+        max_attempts: 3,
         second_copies: true,
         cancelling: true,
         probing: false,
@@ -44,28 +44,28 @@
     Event::Listed(Listing::Whole(upstreams.split_whitespace().map(|name| entry(name, 0)).collect()))
 }
 
-pub fn txn(id: &str, scheme: u32) -> Event {
-    Event::Arrived(arrival(id, scheme))
+pub fn request(id: &str, class: u32) -> Event {
+    Event::Arrived(arrival(id, class))
 }
 
-pub fn arrival(id: &str, scheme: u32) -> Arrival {
+pub fn arrival(id: &str, class: u32) -> Arrival {
     let (tenant, left, cost) = (0, 1000 * MS, Some(20 * MS));
-    Arrival { txn: id.into(), scheme, tenant, key: None, left, cost, repeat: false, write: false }
+    Arrival { request: id.into(), class, tenant, key: None, left, cost, repeat: false, write: false }
 }
 
-pub fn ended(id: &str, posting: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
+pub fn ended(id: &str, attempt: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
     let (settled, load) = (outcome == Outcome::Ok, Load::default());
-    let (txn, upstream, took) = (id.into(), upstream.into(), ms * MS);
-    Event::Ended { txn, posting, upstream, outcome, took, settled, load }
+    let (request, upstream, took) = (id.into(), upstream.into(), ms * MS);
+    Event::Ended { request, attempt, upstream, outcome, took, settled, load }
 }
 
-/// Where the first posting among them goes; empty where there is none.
-pub fn posted_to(actions: &[Action]) -> String {
-    let posted = actions.iter().find_map(|action| match action {
-        Action::Post { upstream, .. } => Some(upstream.to_string()),
+/// Where the first attempt among them goes; empty where there is none.
+pub fn sent_to(actions: &[Action]) -> String {
+    let sent = actions.iter().find_map(|action| match action {
+        Action::Attempt { upstream, .. } => Some(upstream.to_string()),
         _ => None,
     });
-    posted.unwrap_or_default()
+    sent.unwrap_or_default()
 }
 
 impl Play {
@@ -88,15 +88,17 @@
         actions.retain(|action| !matches!(action, Action::Wake { .. }));
         for action in &actions {
             let line = match action {
-                Action::Post { txn, upstream, timeout: None, .. } => format!("post {txn} to {upstream}"),
-                Action::Post { txn, upstream, timeout: Some(t), .. } => {
-                    format!("post {txn} to {upstream} for {} ms", t / MS)
+                Action::Attempt { request, upstream, timeout: None, .. } => {
+                    format!("post {request} to {upstream}")
                 }
-                Action::Decline { txn, cool_down } => {
-                    format!("decline {txn}{}", if cool_down.is_some() { ", with advice" } else { "" })
+                Action::Attempt { request, upstream, timeout: Some(t), .. } => {
+                    format!("post {request} to {upstream} for {} ms", t / MS)
                 }
-                Action::Reverse { txn } => format!("reverse {txn}"),
-                Action::Recall { txn, posting } => format!("recall {txn}/{posting}"),
+                Action::Decline { request, cool_down } => {
+                    format!("decline {request}{}", if cool_down.is_some() { ", with advice" } else { "" })
+                }
+                Action::Reverse { request } => format!("reverse {request}"),
+                Action::Recall { request, attempt } => format!("recall {request}/{attempt}"),
                 other => format!("{other:?}"),
             };
             writeln!(self.trace, "{ms}: {line}").unwrap();
@@ -104,16 +106,16 @@
         actions
     }
 
-    /// The upstream that a txn was posted to at that time, for tests in which chance picks it.
-    pub fn post(&mut self, ms: Tenths, event: Event) -> String {
-        posted_to(&self.at(ms, [event]))
+    /// The upstream that a request was sent to at that time, for tests in which chance picks it.
+    pub fn sent_to(&mut self, ms: Tenths, event: Event) -> String {
+        sent_to(&self.at(ms, [event]))
     }
 
     /// Answers come in 20 ms for each 20 ms of cost, so that the window is filled and caps have grown.
     pub fn warm_up(&mut self, count: u64) -> Tenths {
         for n in 0..count {
             let id = format!("w{n}");
-            let up = self.post(n * 25, txn(&id, 0));
+            let up = self.sent_to(n * 25, request(&id, 0));
             self.at(n * 25 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
         }
         self.trace.clear();
