Callers of control servers that are lost together spread over all that are left

All callers went on through the other servers in one cyclic order, from starts of their own. Of servers that stand side by side in the list, all callers so came to the next one behind them. A caller's order behind its second server is now drawn by chance; home and second server stay as they were, so that the callers of one lost server still spread exactly evenly, and return home.

With 5 of 15 lost side by side, of 1,500 callers 284 were at the next server and 135 at each other one; now none has 168 or more (150 is even), as the new tests hold.

--- a/crates/pondlb-control/src/rotation.rs
+++ b/crates/pondlb-control/src/rotation.rs
@@ -13,14 +13,13 @@
 /// When a caller that is away from home returns.
 const RETURN_MS: std::ops::RangeInclusive<u64> = 30_000..=90_000;
 
-/// A caller's way through the control servers: its home first, then the others in an order that spreads the callers
-/// of a lost server evenly over the rest.
+/// A caller's way through the control servers: its home first, then the others in an order of its own. Callers of one
+/// home have even parts of the other servers second, and a random order behind that: where many servers are lost
+/// together, their callers spread over all that are left, and do not gather at the next one in line.
 #[derive(Debug)]
 pub struct Rotation {
-    servers: usize,
-    home: usize,
-    /// Which of the other servers comes first after home.
-    first_other: usize,
+    /// All servers in the order of this caller, its home first; never empty.
+    order: Vec<usize>,
     /// How many servers on from home it is.
     position: usize,
     /// How many calls have failed since the last that succeeded.
@@ -31,34 +30,21 @@
 impl Rotation {
     /// The way of the caller of this number, through so many servers. Callers with consecutive numbers spread evenly.
     pub fn new(servers: usize, number: u64, seed: u64) -> Rotation {
-        let servers = servers.max(1);
-        let others = servers.saturating_sub(1).max(1) as u64;
-        let random = WyRand::new_seed(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        Rotation {
-            servers,
-            home: (number % servers as u64) as usize,
-            first_other: (number / servers as u64 % others) as usize,
-            position: 0,
-            failures: 0,
-            random,
-        }
+        let mut random = WyRand::new_seed(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let order = order(servers.max(1), number, &mut random);
+        Rotation { order, position: 0, failures: 0, random }
     }
 
     /// Which server to ask.
     pub fn server(&self) -> usize {
-        if self.position == 0 {
-            return self.home;
-        }
-        let others = self.servers - 1;
-        let step = 1 + (self.first_other + self.position - 1) % others;
-        (self.home + step) % self.servers
+        self.order[self.position]
     }
 
     /// Goes on to the next server after a failed call, and says how long to wait first.
     pub fn failed(&mut self) -> Duration {
-        let rounds = (self.failures / self.servers).min(16) as u32;
+        let rounds = (self.failures / self.order.len()).min(16) as u32;
         self.failures = self.failures.saturating_add(1);
-        self.position = (self.position + 1) % self.servers;
+        self.position = (self.position + 1) % self.order.len();
         let longest = (FIRST_WAIT * 2u32.pow(rounds)).min(LONGEST_WAIT).as_micros() as u64;
         Duration::from_micros(self.random.generate_range(longest / 2..=longest))
     }
@@ -79,3 +65,16 @@
         self.position = 0;
     }
 }
+
+fn order(servers: usize, number: u64, random: &mut WyRand) -> Vec<usize> {
+    let home = (number % servers as u64) as usize;
+    let mut order: Vec<usize> = (0..servers).map(|step| (home + step) % servers).collect();
+    if let [_, others @ ..] = order.as_mut_slice()
+        && !others.is_empty()
+    {
+        let second = (number / servers as u64 % others.len() as u64) as usize;
+        others.swap(0, second);
+        random.shuffle(&mut others[1..]);
+    }
+    order
+}
--- a/crates/pondlb-control/tests/rotation.rs
+++ b/crates/pondlb-control/tests/rotation.rs
@@ -36,6 +36,44 @@
     assert!(load.values().all(|callers| (107..=108).contains(callers)), "{load:?}");
 }
 
+/// Lets every caller go on until it asks a server that is not lost.
+fn lose(callers: &mut [Rotation], lost: &[usize]) {
+    for caller in callers {
+        while lost.contains(&caller.server()) {
+            caller.failed();
+        }
+        caller.succeeded();
+    }
+}
+
+/// A zone's servers may stand side by side or be spread over the list.
+#[test]
+fn the_callers_of_many_lost_servers_spread_over_the_rest() {
+    for lost in
+        [vec![3], vec![3, 4, 5, 6, 7], vec![1, 3, 5, 7, 9], vec![13, 14, 0, 1, 2], vec![0, 5, 6, 12, 13]]
+    {
+        let mut callers = callers();
+        lose(&mut callers, &lost);
+        let load = load(&callers);
+        let left = SERVERS - lost.len();
+        assert_eq!(load.len(), left);
+        let even = CALLERS as usize / left;
+        assert!(load.values().all(|callers| *callers < even + even / 8), "{lost:?}: {load:?}");
+        callers.iter_mut().for_each(Rotation::return_home);
+        assert!(self::load(&callers).values().all(|callers| *callers == 100), "{lost:?}");
+    }
+}
+
+/// The servers of one region, of which most are lost.
+#[test]
+fn few_servers_that_are_left_are_asked_alike() {
+    let mut callers: Vec<_> = (0..750).map(|number| Rotation::new(7, number, 7)).collect();
+    lose(&mut callers, &[2, 3, 4]);
+    let load = load(&callers);
+    assert_eq!(load.len(), 4);
+    assert!(load.values().all(|callers| (167..=207).contains(callers)), "{load:?}");
+}
+
 #[test]
 fn each_round_asks_every_server_once() {
     for number in 0..100 {
