kill-server takes several control servers at once, and tells what the others carry

A zone takes a third of the control machines with it, and the scale run could kill one alone. `servers` names all that are killed together and started again; one that is not there, is named twice, or leaves none is a fault with its key (exit code 2). While they are gone, the counters of all balancers are read twice, with the server that each one calls, and the report has followers, bytes a second and their part of a server's share for each one left.

--- a/crates/pondlb-lab/src/scale/hollow.rs
+++ b/crates/pondlb-lab/src/scale/hollow.rs
@@ -136,7 +136,7 @@
 
     fn bytes(&self) -> Bytes {
         let Counts { received, sent, .. } = self.counts();
-        Bytes { balancer: self.number, received, sent }
+        Bytes { balancer: self.number, received, sent, server: self.status.borrow().server() }
     }
 
     fn state(&self) -> FinalState {
@@ -241,6 +241,10 @@
         while let Some(line) = lines.next_line().await? {
             match serde_json::from_str(&line)? {
                 Order::Restart(group) => self.restart(group),
+                Order::CountServerLoads(phase) => {
+                    let report = Report::ServerLoads(phase, self.traffic());
+                    self.news.borrow_mut().push(report);
+                }
                 Order::Tell => {
                     self.report_bytes();
                     let states = self.balancers.iter().map(|balancer| balancer.state()).collect();
@@ -259,8 +263,12 @@
     }
 
     fn report_bytes(&self) {
+        self.news.borrow_mut().push(Report::Traffic(self.traffic()));
+    }
+
+    fn traffic(&self) -> Traffic {
         let bytes = self.balancers.iter().map(|balancer| balancer.bytes()).collect();
-        self.news.borrow_mut().push(Report::Traffic(Traffic { at_us: clock::now_us(), bytes }));
+        Traffic { at_us: clock::now_us(), bytes }
     }
 
     async fn report_regularly(&self, mut reports: Sender) -> io::Result<()> {
--- a/crates/pondlb-lab/src/scale/hollows.rs
+++ b/crates/pondlb-lab/src/scale/hollows.rs
@@ -16,7 +16,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::measure::ByteLedger;
-use super::message::{Assignment, FinalState, InForce, Order, Report};
+use super::message::{Assignment, FinalState, InForce, Order, Report, Traffic};
 use super::scenario::Scenario;
 use crate::holding::held;
 
@@ -30,6 +30,8 @@
     pub in_force: BTreeMap<u32, Vec<InForce>>,
     /// Bytes by time.
     pub bytes: ByteLedger,
+    /// Readings of counters that were asked for, with the phase that asked for them.
+    pub server_loads: Vec<(usize, Traffic)>,
     /// Failed checks of the order of versions and revisions.
     pub misorders: Vec<String>,
     /// The states at the end, by balancer.
@@ -47,6 +49,7 @@
                 }
             }
             Report::Traffic(traffic) => self.bytes.note(&traffic),
+            Report::ServerLoads(phase, traffic) => self.server_loads.push((phase, traffic)),
             Report::Misorder { balancer, what } => {
                 self.misorders.push(format!("hollow balancer {balancer}: {what}"));
             }
--- a/crates/pondlb-lab/src/scale/message.rs
+++ b/crates/pondlb-lab/src/scale/message.rs
@@ -25,6 +25,8 @@
 pub enum Order {
     /// Those balancers whose number leaves this remainder by ten begin from nothing.
     Restart(u32),
+    /// Tell the counters of all balancers, with [`Report::ServerLoads`], for the phase of that number.
+    CountServerLoads(usize),
     /// Tell the state of all balancers, with [`Report::Final`].
     Tell,
 }
@@ -36,6 +38,8 @@
     InForce(Vec<InForce>),
     /// The counters of all balancers, read at the same moment.
     Traffic(Traffic),
+    /// The answer to [`Order::CountServerLoads`].
+    ServerLoads(usize, Traffic),
     /// A check of a balancer's consumer failed.
     Misorder {
         /// Which balancer.
@@ -82,6 +86,9 @@
     /// To control servers.
     #[serde(rename = "o")]
     pub sent: u64,
+    /// The server that it calls now.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub server: Option<SocketAddr>,
 }
 
 /// A balancer's state and what it went through.
--- a/crates/pondlb-lab/src/scale/mod.rs
+++ b/crates/pondlb-lab/src/scale/mod.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod server_loads;
 pub mod servers;
 pub mod summary;
 pub mod tap;
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -198,6 +198,7 @@
         balancer: number as u32,
         received: heard.received.get(),
         sent: heard.sent.get(),
+        server: heard.server.get(),
     };
     Traffic { at_us: clock::now_us(), bytes: heard.iter().enumerate().map(bytes).collect() }
 }
--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -6,6 +6,7 @@
 
 use super::measure::{Rates, Spread};
 use super::scenario::PhaseKind;
+use super::server_loads::ServerLoads;
 use super::usage::RoleUsage;
 use crate::judge::Broken;
 
@@ -109,6 +110,8 @@
     /// At those of each region.
     pub in_force_regions: Vec<Spread>,
     pub traffic: TrafficReport,
+    /// Of the replica servers that were left while others were lost; none in other phases.
+    pub server_loads: Option<ServerLoads>,
     pub usage: Vec<RoleUsage>,
 }
 
@@ -176,6 +179,7 @@
         self.remarks.iter().try_for_each(|remark| writeln!(to, "- {remark}"))?;
         self.fmt_phases(to)?;
         self.fmt_traffic(to)?;
+        self.fmt_server_loads(to)?;
         self.fmt_costs(to)?;
         self.fmt_end(to)
     }
@@ -224,6 +228,36 @@
         Ok(())
     }
 
+    fn fmt_server_loads(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        for phase in &self.phases {
+            let Some(loads) = &phase.server_loads else { continue };
+            writeln!(
+                to,
+                "\n{}: {} control servers left, counted for {:.1} s; a server's share is {:.0} bytes a second",
+                phase.name,
+                loads.servers.len(),
+                loads.seconds,
+                loads.share_bytes_per_second
+            )?;
+            writeln!(
+                to,
+                "{:<14}{:>7}{:>11}{:>15}{:>10}",
+                "server", "region", "followers", "bytes a second", "of share"
+            )?;
+            for load in &loads.servers {
+                writeln!(
+                    to,
+                    "{:<14}{:>7}{:>11}{:>15.0}{:>10.2}",
+                    load.name, load.region, load.followers, load.bytes_per_second, load.of_share
+                )?;
+            }
+            if loads.without_server > 0 {
+                writeln!(to, "{} balancers called none of them", loads.without_server)?;
+            }
+        }
+        Ok(())
+    }
+
     fn fmt_costs(&self, to: &mut fmt::Formatter) -> fmt::Result {
         writeln!(to, "\nbytes a second of a balancer")?;
         for (name, rates) in
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -12,7 +12,7 @@
 use super::clock;
 use super::hollows::HollowProcesses;
 use super::measure::{ByteLedger, Committed, WINDOW_SECONDS};
-use super::message::Order;
+use super::message::{Order, Traffic};
 use super::real::{RealBalancers, direct, drains_told, take_apart, through_balancers};
 use super::records::Records;
 use super::report::Report;
@@ -75,6 +75,8 @@
     /// Revisions of drains of served upstreams.
     drains: Vec<(u32, u64)>,
     samples: Vec<Sample>,
+    /// Readings of real balancers' counters, with the phase that asked for them.
+    real_loads: Vec<(usize, Traffic)>,
     latest_step_us: u64,
     failures: Vec<String>,
     direct_ids: HashSet<String>,
@@ -120,6 +122,7 @@
             commits: Vec::new(),
             drains: Vec::new(),
             samples: Vec::new(),
+            real_loads: Vec::new(),
             latest_step_us: 0,
             failures: Vec::new(),
             direct_ids: HashSet::new(),
@@ -194,8 +197,9 @@
                 self.drains.extend(self.commits.last().map(|commit| (upstream, commit.last)));
             }
             Action::Restart(group) => self.hollow.order(&Order::Restart(group)).await?,
-            Action::KillServer(replica) => self.servers.kill(replica).await?,
-            Action::StartServer(replica) => self.servers.start_again(replica)?,
+            Action::KillServers(replicas) => self.servers.kill(&replicas).await?,
+            Action::StartServers(replicas) => self.servers.start_again(&replicas)?,
+            Action::CountServerLoads => self.count_server_loads(step.phase).await?,
             Action::Cut => self.servers.cut(),
             Action::Join => self.servers.join(),
             Action::Stop(process) => self.hollow.stop(process)?,
@@ -204,6 +208,12 @@
         Ok(())
     }
 
+    /// Reads the counters of real balancers, and asks hollow processes for theirs.
+    async fn count_server_loads(&mut self, phase: usize) -> io::Result<()> {
+        self.real_loads.push((phase, super::real::traffic(&self.real.heard)));
+        self.hollow.order(&Order::CountServerLoads(phase)).await
+    }
+
     async fn commit(&mut self, phase: usize, changes: Vec<pondlb_control::NewChange>) {
         let (at_us, count) = (clock::now_us(), changes.len() as u64);
         match self.servers.commit(changes).await {
@@ -290,6 +300,7 @@
             + self.scenario.real_balancers as usize
             + 1;
         let reported = self.hollow.reported.take();
+        let replica_servers = self.servers.replica_servers();
         let evidence = Evidence {
             scenario: &self.scenario,
             traffic: &through_balancers(&self.scenario),
@@ -304,6 +315,8 @@
             latest_step_us: self.latest_step_us,
             failures: self.failures,
             samples: &self.samples,
+            real_loads: &self.real_loads,
+            replica_servers: &replica_servers,
             reported: &reported,
             real_series: &real_series,
             real_heard: &self.real.heard,
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -1,5 +1,6 @@
 //! The scenario of a scale run: TOML to a checked description. No I/O.
 
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
@@ -114,9 +115,9 @@
     /// Which zone leaves, counted over all regions.
     #[serde(default)]
     pub zone: u32,
-    /// Which replica server is killed.
+    /// Which replica servers are killed together.
     #[serde(default)]
-    pub server: u32,
+    pub servers: Vec<u32>,
     /// Which hollow process is stopped.
     #[serde(default)]
     pub process: u32,
@@ -137,7 +138,7 @@
     Zone,
     /// Hollow balancers restart from nothing, a tenth at a time.
     Release,
-    /// A replica server is killed, and started again.
+    /// Replica servers are killed together, and started again.
     KillServer,
     /// The replica servers outside the first region lose the origin in silence, and find it again.
     Partition,
@@ -373,6 +374,23 @@
         );
     }
 
+    /// What is wrong with the replica servers that are to be killed together.
+    fn killed_faults(&self, servers: &[u32]) -> impl Iterator<Item = String> {
+        let all = self.replica_servers;
+        let missing = servers.iter().filter(move |server| **server >= all);
+        let missing = missing.map(move |server| format!("{server}: there are {all}"));
+        let mut known = BTreeSet::new();
+        let doubled = servers.iter().filter(move |server| !known.insert(**server));
+        let doubled = doubled.map(|server| format!("{server}: named twice"));
+        let distinct: BTreeSet<_> = servers.iter().collect();
+        let count = match distinct.len() {
+            0 => Some("there is none".to_string()),
+            count if count >= all as usize => Some(format!("all {all} of them: one is left at least")),
+            _ => None,
+        };
+        missing.chain(doubled).chain(count)
+    }
+
     fn check_phase(&self, number: usize, phase: &Phase, faults: &mut Vec<Fault>) {
         let key = |key: &str| format!("phases[{number}].{key}");
         let mut check = |ok: bool, fault: String| faults.extend((!ok).then_some(fault));
@@ -413,10 +431,11 @@
                 (1..=10).contains(&phase.tenths),
                 format!("{}: {}: 1 to 10", key("tenths"), phase.tenths),
             ),
-            PhaseKind::KillServer => check(
-                phase.server < self.replica_servers,
-                format!("{}: {}: there are {}", key("server"), phase.server, self.replica_servers),
-            ),
+            PhaseKind::KillServer => {
+                faults.extend(
+                    self.killed_faults(&phase.servers).map(|told| format!("{}: {told}", key("servers"))),
+                );
+            }
             // The first two are there in any share.
             PhaseKind::Stop => {
                 check(phase.process < 2, format!("{}: {}: 0 or 1", key("process"), phase.process));
--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -53,6 +53,17 @@
     followers: Vec<Follower>,
 }
 
+/// A replica server, as balancers know it.
+#[derive(Clone, Debug)]
+pub struct ReplicaServer {
+    /// Its name in the report.
+    pub name: String,
+    /// Where balancers call it.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: usize,
+}
+
 struct Server {
     name: String,
     address: SocketAddr,
@@ -210,23 +221,42 @@
         Ok(committed.version)
     }
 
-    /// Kills a replica server outright.
+    /// Kills replica servers outright, all before it waits for the end of any.
     ///
     /// # Errors
     /// Where the system refuses that.
-    pub async fn kill(&mut self, replica: u32) -> io::Result<()> {
-        match self.servers[replica as usize + 1].child.take() {
-            Some(mut child) => child.kill().await,
-            None => Ok(()),
+    pub async fn kill(&mut self, replicas: &[u32]) -> io::Result<()> {
+        let mut killed = Vec::new();
+        for replica in replicas {
+            if let Some(mut child) = self.servers[*replica as usize + 1].child.take() {
+                child.start_kill()?;
+                killed.push(child);
+            }
         }
+        for mut child in killed {
+            child.wait().await?;
+        }
+        Ok(())
     }
 
-    /// Starts a killed replica server again, with nothing but its options.
+    /// Starts killed replica servers again, with nothing but their options.
     ///
     /// # Errors
-    /// Where it can't be started.
-    pub fn start_again(&mut self, replica: u32) -> io::Result<()> {
-        self.spawn(replica as usize + 1)
+    /// Where one can't be started.
+    pub fn start_again(&mut self, replicas: &[u32]) -> io::Result<()> {
+        replicas.iter().try_for_each(|replica| self.spawn(*replica as usize + 1))
+    }
+
+    /// The replica servers in the order of their numbers.
+    pub fn replica_servers(&self) -> Vec<ReplicaServer> {
+        let replica_servers = self.servers.iter().skip(1).enumerate();
+        replica_servers
+            .map(|(replica, server)| ReplicaServer {
+                name: server.name.clone(),
+                address: server.address,
+                region: self.region(replica),
+            })
+            .collect()
     }
 
     /// Cuts the other regions off from the origin.
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -9,11 +9,12 @@
 
 use super::hollows::Reported;
 use super::measure::{ByteLedger, Committed, Times};
-use super::message::{FinalState, InForce};
+use super::message::{FinalState, InForce, Traffic};
 use super::real::Ways;
 use super::report::{End, Part, PhaseReport, Report, Sizes, TrafficReport};
 use super::scenario::{PhaseKind, Scenario};
-use super::servers::{Follower, ServerState};
+use super::server_loads::ServerLoads;
+use super::servers::{Follower, ReplicaServer, ServerState};
 use super::tap::Heard;
 use super::timeline::bounds;
 use super::usage::{Role, RoleUsage, Sample};
@@ -24,6 +25,8 @@
 /// The longest answer that is told apart, in microseconds.
 const MOST_ANSWER_US: u64 = 120_000_000;
 const SETTLED: u16 = 200;
+/// What a balancer may take for control, both ways (docs/CAPACITY.md).
+const BALANCER_BYTES_PER_SECOND: f64 = 4000.0;
 
 /// All that a run has gathered.
 pub struct Evidence<'a> {
@@ -49,6 +52,9 @@
     pub failures: Vec<String>,
     /// At the start of each phase, and at the end of the last.
     pub samples: &'a [Sample],
+    /// Readings of real balancers' counters, with the phase that asked for them.
+    pub real_loads: &'a [(usize, Traffic)],
+    pub replica_servers: &'a [ReplicaServer],
     pub reported: &'a Reported,
     /// What came in force at each real balancer.
     pub real_series: &'a [Vec<InForce>],
@@ -178,6 +184,7 @@
         in_force_real: real.spread(),
         in_force_regions: regions.iter().map(Times::spread).collect(),
         traffic: traffic_report(evidence, number),
+        server_loads: server_loads_report(evidence, number),
         usage,
     }
 }
@@ -212,6 +219,25 @@
     }
 }
 
+/// The loads of the servers that a phase has left over.
+fn server_loads_report(evidence: &Evidence, number: usize) -> Option<ServerLoads> {
+    let phase = &evidence.scenario.phases[number];
+    if phase.kind != PhaseKind::KillServer {
+        return None;
+    }
+    let left = evidence.replica_servers.iter().enumerate();
+    let left = left.filter(|(replica, _)| !phase.servers.contains(&(*replica as u32)));
+    let left: Vec<ReplicaServer> = left.map(|(_, server)| server.clone()).collect();
+    let readings = evidence.reported.server_loads.iter().chain(evidence.real_loads);
+    let readings = readings.filter(|(phase, _)| *phase == number).map(|(_, traffic)| traffic);
+    Some(ServerLoads::new(&left, readings, share_bytes_per_second(evidence.scenario)))
+}
+
+/// What each control server has to carry of all balancers' bytes when all are there.
+fn share_bytes_per_second(scenario: &Scenario) -> f64 {
+    BALANCER_BYTES_PER_SECOND * f64::from(scenario.balancers) / f64::from(scenario.replica_servers + 1)
+}
+
 fn is_settled(asked: &Asked) -> bool {
     asked.answered.is_some() && asked.status == SETTLED
 }
--- a/crates/pondlb-lab/src/scale/tap.rs
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -39,6 +39,8 @@
     pub told: RefCell<Vec<Told>>,
     /// The version of the last call. What leads to the digest before is in force without being `told`.
     pub latest: Cell<Option<Version>>,
+    /// The server of the last call.
+    pub server: Cell<Option<SocketAddr>>,
     /// Bytes from control servers to the balancer.
     pub received: Cell<u64>,
     /// Bytes from the balancer to control servers.
@@ -93,6 +95,7 @@
 
 async fn forward(balancer: TcpStream, server: SocketAddr, heard: &Heard) -> io::Result<()> {
     let server = TcpStream::connect(server).await?;
+    heard.server.set(server.peer_addr().ok());
     balancer.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let (balancer_read, balancer_write) = balancer.into_split();
--- a/crates/pondlb-lab/src/scale/timeline.rs
+++ b/crates/pondlb-lab/src/scale/timeline.rs
@@ -11,6 +11,9 @@
 /// The most records of one commit; an event with more of them makes several commits.
 pub const COMMIT_RECORDS: usize = 400;
 const US_PER_SECOND: f64 = 1e6;
+/// After killed servers are lost, how long followers have to find others before the load of those is counted; a third
+/// of the event where it is short.
+const FAILOVER_US: u64 = 1_000_000;
 
 /// Something that the run does at a moment.
 #[derive(Debug)]
@@ -32,10 +35,12 @@
     Drain(u32, Vec<NewChange>),
     /// Restarts those hollow balancers whose number leaves this remainder by ten.
     Restart(u32),
-    /// Kills a replica server.
-    KillServer(u32),
-    /// Starts it again.
-    StartServer(u32),
+    /// Kills replica servers.
+    KillServers(Vec<u32>),
+    /// Starts them again.
+    StartServers(Vec<u32>),
+    /// Has every balancer's counters read, and which server it calls.
+    CountServerLoads,
     /// Cuts the other regions' replica servers off from the origin.
     Cut,
     /// Joins them again.
@@ -111,8 +116,11 @@
                 }
             }
             PhaseKind::KillServer => {
-                step(from, Action::KillServer(phase.server));
-                step(end, Action::StartServer(phase.server));
+                let counted_from = from + (end - from).min(FAILOVER_US * 3) / 3;
+                step(from, Action::KillServers(phase.servers.clone()));
+                step(counted_from, Action::CountServerLoads);
+                step(end, Action::CountServerLoads);
+                step(end, Action::StartServers(phase.servers.clone()));
             }
             PhaseKind::Partition => {
                 step(from, Action::Cut);
--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use expect_test::expect;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const SMALL: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/two-years-small.toml");
 const HELD: i32 = 0;
@@ -88,13 +88,36 @@
         assert!(phase["changes"].as_u64().unwrap() > 0, "{said}");
         assert!(phase["traffic"]["asked"].as_u64().unwrap() > 0, "{said}");
     }
-    assert_eq!(phases.len(), 7);
+    assert_eq!(phases.len(), 8);
     assert!(played.code == HELD || played.code == VOID, "{}: {said}", played.code);
     if played.code == HELD {
         assert_eq!(report["broken"], Value::Array(Vec::new()), "{said}");
     }
 }
 
+/// With two of four servers lost, the one that each region has left carries all balancers of the region.
+fn assert_servers_left(played: &Played) {
+    let (report, said) = (&played.report, &played.said);
+    let phase = report["phases"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|phase| phase["name"] == "two servers killed")
+        .unwrap();
+    let loads = &phase["server_loads"];
+    assert_eq!(loads["without_server"], 0, "{said}");
+    assert_eq!(loads["share_bytes_per_second"], 4000.0 * 34.0 / 5.0, "{said}");
+    let left = loads["servers"].as_array().unwrap();
+    let told = left.iter().map(|load| (&load["name"], &load["region"], &load["followers"]));
+    assert!(
+        told.eq([(&json!("replica-0"), &json!(0), &json!(17)), (&json!("replica-3"), &json!(1), &json!(17))])
+    );
+    for load in left {
+        let of_share = load["of_share"].as_f64().unwrap();
+        assert!(of_share > 0.0 && of_share < 1.0, "{said}");
+    }
+}
+
 #[test]
 fn all_balancers_converge_through_every_event() {
     let folder = tempfile::tempdir().unwrap();
@@ -103,6 +126,9 @@
     // The release has restarted each hollow balancer, and each of them took a snapshot again.
     let snapshots = played.report["end"]["snapshots"].as_u64().unwrap();
     assert!(snapshots >= 2 * played.report["sizes"]["hollow_balancers"].as_u64().unwrap(), "{}", played.said);
+    if played.code == HELD {
+        assert_servers_left(&played);
+    }
 }
 
 #[test]
@@ -207,6 +233,11 @@
         ("zone = 9", "zone = 10"),
         ("kind = \"steady\"", "kind = \"often\""),
         ("event_seconds = 1.5", "event_seconds = 15.0"),
+        ("servers = [1]", "servers = []"),
+        ("servers = [1]", "servers = [4, 1, 1]"),
+        ("servers = [1]", "servers = [3, 2, 1, 0]"),
+        ("servers = [1]", "servers = [-1]"),
+        ("servers = [1]", "server = 1"),
     ] {
         let scenario = folder.path().join("s.toml");
         std::fs::write(&scenario, text.replacen(from, to, 1)).unwrap();
@@ -231,6 +262,11 @@
         /s.toml: phases[2].zone: 10: there are 10
         /s.toml: TOML parse error at line 19, column 8; unknown variant `often`, expected one of `steady`, `rack`, `zone`, `release`, `kill-server`, `partition`, `stop`
         /s.toml: phases[2].event_seconds: 15: above 0, less than seconds
+        /s.toml: phases[3].servers: there is none
+        /s.toml: phases[3].servers: 4: there are 4; /s.toml: phases[3].servers: 1: named twice
+        /s.toml: phases[3].servers: all 4 of them: one is left at least
+        /s.toml: TOML parse error at line 43, column 12; invalid value: integer `-1`, expected u32
+        /s.toml: TOML parse error at line 43, column 1; unknown field `server`, expected one of `name`, `kind`, `seconds`, `changes_per_second`, `event_seconds`, `rack_upstreams`, `zone`, `servers`, `process`, `tenths`
         --share: 0: above 0, 1 at most
     "#]].assert_eq(&trace);
 }
