The scale run changes limits too, and fails where a real balancer refuses a record

Of the settings' records only classes and tenants changed in it. Three limits that change in place have records now, with values that only grow and so do no harm to the traffic; one change in twenty is one of theirs, and the report counts changes by kind. A balancer's digest covers records that its settings refuse too, so its log is looked at as well.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -82,7 +82,7 @@
         let until = Instant::now() + within;
         while Instant::now() < until {
             if let Some(status) = self.children[number].try_wait()? {
-                let log = std::fs::read_to_string(self.file(number as u32, "log")).unwrap_or_default();
+                let log = self.log(number);
                 let said = log.lines().last().unwrap_or_default();
                 return Err(io::Error::other(format!(
                     "balancer {number} ended before it served, {status}: {said}"
@@ -103,6 +103,11 @@
         Ok(())
     }
 
+    /// What a balancer has logged since its first start.
+    pub fn log(&self, number: usize) -> String {
+        std::fs::read_to_string(self.file(number as u32, "log")).unwrap_or_default()
+    }
+
     /// Ids of their processes, of those that run.
     pub fn processes(&self) -> Vec<u32> {
         self.children.iter().filter_map(Child::id).collect()
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -22,6 +22,8 @@
 const MEMORY_MB: u32 = 1024;
 /// A real balancer serves once it has the whole list.
 const READY_WITHIN: Duration = Duration::from_secs(30);
+/// What a balancer logs of a record that its settings do not allow. Its digest is right all the same.
+const REFUSED: &str = "it stays as it was";
 const SOCKETS: u32 = 2048;
 /// The part of the requests that may run once only.
 const ORDER_SHARE: f64 = 0.25;
@@ -91,6 +93,16 @@
         self.heard.iter().enumerate().map(series).collect()
     }
 
+    /// Records that balancers hold and could not put in force, by their logs.
+    pub fn refusals(&self) -> Vec<String> {
+        let refusal = |number: usize| {
+            let log = self.balancers.log(number);
+            let line = log.lines().find(|line| line.contains(REFUSED))?;
+            Some(format!("real balancer {number} did not put a record in force: {line}"))
+        };
+        (0..self.heard.len()).filter_map(refusal).collect()
+    }
+
     /// How many have this revision or a later one in force.
     pub fn with_revision(&self, revision: u64) -> usize {
         let has = |heard: &&Rc<Heard>| {
--- a/crates/pondlb-lab/src/scale/records.rs
+++ b/crates/pondlb-lab/src/scale/records.rs
@@ -12,6 +12,15 @@
 
 /// The classes of the traffic; others are named by their number.
 pub const TRAFFIC_CLASSES: [&str; 2] = ["browse", "order"];
+/// The limits that change, with their first values in the balancers' configuration and the part of it that each further
+/// value adds. Only larger values follow: they do no harm to the traffic.
+const LIMITS: [(&str, u64, u64); 3] = [
+    ("Limits.MaxOpen", 20_000, 10),
+    ("Limits.MaxRetryAfterNs", 2000 * NS_PER_MS, NS_PER_MS),
+    ("Limits.DialTimeoutNs", 250 * NS_PER_MS, NS_PER_MS / 10),
+];
+/// How many limits have a record.
+pub const LIMIT_COUNT: u32 = LIMITS.len() as u32;
 /// The port of listed upstreams that nobody serves.
 const UNSERVED_PORT: u16 = 9;
 const NS_PER_MS: u64 = 1_000_000;
@@ -72,6 +81,8 @@
     Class(u32),
     /// The tenant of that number.
     Tenant(u32),
+    /// The limit of that number.
+    Limit(u32),
 }
 
 impl Records {
@@ -100,7 +111,13 @@
         let upstreams = (0..self.upstreams).map(Record::Upstream);
         let classes = (0..self.classes).map(Record::Class);
         let tenants = (0..self.tenants).map(Record::Tenant);
-        upstreams.chain(classes).chain(tenants).filter_map(|record| self.set(record, 0)).collect()
+        let limits = (0..LIMIT_COUNT).map(Record::Limit);
+        upstreams
+            .chain(classes)
+            .chain(tenants)
+            .chain(limits)
+            .filter_map(|record| self.set(record, 0))
+            .collect()
     }
 
     /// Sets a record to its value of that number; other numbers give other values.
@@ -109,6 +126,10 @@
             Record::Upstream(upstream) => to_raw_value(&self.upstream(upstream, number)),
             Record::Class(class) => to_raw_value(&self.class(class, number)),
             Record::Tenant(_) => to_raw_value(&Tenant { quota_rps: 10.0 + f64::from(number) }),
+            Record::Limit(limit) => {
+                let (_, first, step) = *LIMITS.get(limit as usize)?;
+                to_raw_value(&(first + step * u64::from(number)))
+            }
         };
         Some(NewChange { key: self.key(record)?, value: Some(value.ok()?) })
     }
@@ -131,7 +152,8 @@
         numbers.map(Record::Upstream).collect()
     }
 
-    /// A record that the traffic does not need, for a change: mostly upstreams, some tenants, few classes.
+    /// A record that the traffic does not need, for a change: mostly upstreams, some tenants, few classes and
+    /// limits.
     pub fn draw(&self, rng: &mut WyRand) -> Record {
         let traffic_classes = TRAFFIC_CLASSES.len() as u32;
         match rng.generate_range(0..100_u32) {
@@ -139,6 +161,7 @@
             70..75 if self.classes > traffic_classes => {
                 Record::Class(rng.generate_range(traffic_classes..self.classes))
             }
+            75..80 => Record::Limit(rng.generate_range(0..LIMIT_COUNT)),
             _ => Record::Tenant(rng.generate_range(0..self.tenants)),
         }
     }
@@ -148,6 +171,7 @@
             Record::Upstream(number) => (Kind::Upstream, upstream_name(number)),
             Record::Class(number) => (Kind::Class, class_name(number)),
             Record::Tenant(number) => (Kind::Tenant, format!("tenant-{number}")),
+            Record::Limit(number) => (Kind::Limit, LIMITS.get(number as usize)?.0.to_string()),
         };
         Key::new(kind, &name).ok()
     }
--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::{self, Display};
 
+use pondlb_control::Kind;
 use serde::Serialize;
 
 use super::measure::{Rates, Spread};
@@ -69,6 +70,8 @@
     pub served_upstreams: u32,
     pub classes: u32,
     pub tenants: u32,
+    /// Limits with a record.
+    pub limits: u32,
     /// Processes in all, with the laboratory itself.
     pub processes: usize,
     pub memory_estimate_mb: u64,
@@ -87,6 +90,8 @@
     pub servers_same: usize,
     /// Changes that were committed.
     pub changes: u64,
+    /// Changes that were committed, by what they are of.
+    pub changes_by_kind: ChangesByKind,
     /// Answers that hollow balancers did not take, over all of them.
     pub rejections: u64,
     /// Repairs that hollow balancers went through.
@@ -95,6 +100,27 @@
     pub snapshots: u64,
 }
 
+/// Changes by the kind of record.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ChangesByKind {
+    pub upstreams: u64,
+    pub classes: u64,
+    pub tenants: u64,
+    pub limits: u64,
+}
+
+impl ChangesByKind {
+    /// Counts a change of a record of this kind.
+    pub fn count(&mut self, kind: Kind) {
+        *match kind {
+            Kind::Upstream => &mut self.upstreams,
+            Kind::Class => &mut self.classes,
+            Kind::Tenant => &mut self.tenants,
+            Kind::Limit => &mut self.limits,
+        } += 1;
+    }
+}
+
 /// What one phase has shown.
 #[derive(Clone, Debug, Serialize)]
 pub struct PhaseReport {
@@ -164,7 +190,7 @@
         writeln!(
             to,
             "{} balancers ({} real, {} hollow in {} processes), {} control servers, {} upstreams ({} served), {} \
-             classes, {} tenants, {} processes",
+             classes, {} tenants, {} limits, {} processes",
             sizes.balancers,
             sizes.real_balancers,
             sizes.hollow_balancers,
@@ -174,6 +200,7 @@
             sizes.served_upstreams,
             sizes.classes,
             sizes.tenants,
+            sizes.limits,
             sizes.processes
         )?;
         self.remarks.iter().try_for_each(|remark| writeln!(to, "- {remark}"))?;
@@ -315,6 +342,14 @@
             end.servers_same,
             sizes.control_servers
         )?;
+        writeln!(
+            to,
+            "{} changes of upstreams, {} of classes, {} of tenants, {} of limits",
+            end.changes_by_kind.upstreams,
+            end.changes_by_kind.classes,
+            end.changes_by_kind.tenants,
+            end.changes_by_kind.limits
+        )?;
         writeln!(
             to,
             "{} rejections, {} repairs, {} snapshots at hollow balancers",
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pondlb_control::Kind;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -15,7 +16,7 @@
 use super::message::{Order, Traffic};
 use super::real::{RealBalancers, direct, drains_told, take_apart, through_balancers};
 use super::records::Records;
-use super::report::Report;
+use super::report::{ChangesByKind, Report};
 use super::scenario::Scenario;
 use super::servers::{ControlServers, Follower, ServerState};
 use super::summary::{Evidence, summarize};
@@ -72,6 +73,7 @@
     from_book_us: u64,
     first_revision: u64,
     commits: Vec<Committed>,
+    changes_by_kind: ChangesByKind,
     /// Revisions of drains of served upstreams.
     drains: Vec<(u32, u64)>,
     samples: Vec<Sample>,
@@ -120,6 +122,7 @@
             from_book_us: 0,
             first_revision,
             commits: Vec::new(),
+            changes_by_kind: ChangesByKind::default(),
             drains: Vec::new(),
             samples: Vec::new(),
             real_loads: Vec::new(),
@@ -216,9 +219,11 @@
 
     async fn commit(&mut self, phase: usize, changes: Vec<pondlb_control::NewChange>) {
         let (at_us, count) = (clock::now_us(), changes.len() as u64);
+        let kinds: Vec<Kind> = changes.iter().map(|change| change.key.kind()).collect();
         match self.servers.commit(changes).await {
             Ok(version) => {
                 let last = version.revision;
+                kinds.into_iter().for_each(|kind| self.changes_by_kind.count(kind));
                 self.commits.push(Committed { phase, at_us, first: last + 1 - count.min(last), last });
             }
             Err(error) => self.failures.push(format!("a commit of {count} changes failed: {error}")),
@@ -287,6 +292,7 @@
             self.failures.push(format!("a hollow process can't be asked for its state: {error}"));
         }
         self.wait_for_final_states().await;
+        self.failures.extend(self.real.refusals());
         self.real_bytes_task.abort();
         self.real_bytes.borrow_mut().note(&super::real::traffic(&self.real.heard));
         let real_series = self.real.in_force();
@@ -306,6 +312,7 @@
             traffic: &through_balancers(&self.scenario),
             processes,
             commits: &self.commits,
+            changes_by_kind: self.changes_by_kind,
             first_revision: self.first_revision,
             from_us: self.from_book_us + self.book_start_us,
             from_book_us: self.from_book_us,
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::records::LIMIT_COUNT;
 use super::servers::Layout;
 use crate::scenario::Fault;
 
@@ -267,7 +268,7 @@
 
     /// All records of the initial state.
     pub fn records(&self) -> u64 {
-        u64::from(self.upstreams) + u64::from(self.classes) + u64::from(self.tenants)
+        u64::from(self.upstreams) + u64::from(self.classes) + u64::from(self.tenants) + u64::from(LIMIT_COUNT)
     }
 
     /// How long the phases last together.
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -11,7 +11,8 @@
 use super::measure::{ByteLedger, Committed, Times};
 use super::message::{FinalState, InForce, Traffic};
 use super::real::Ways;
-use super::report::{End, Part, PhaseReport, Report, Sizes, TrafficReport};
+use super::records::LIMIT_COUNT;
+use super::report::{ChangesByKind, End, Part, PhaseReport, Report, Sizes, TrafficReport};
 use super::scenario::{PhaseKind, Scenario};
 use super::server_loads::ServerLoads;
 use super::servers::{Follower, ReplicaServer, ServerState};
@@ -37,6 +38,8 @@
     pub processes: usize,
     /// In the order of their revisions.
     pub commits: &'a [Committed],
+    /// Their changes.
+    pub changes_by_kind: ChangesByKind,
     /// The revision of the initial state.
     pub first_revision: u64,
     /// The start of the first phase, by the machine's clock.
@@ -126,6 +129,7 @@
         served_upstreams: scenario.traffic.served_upstreams,
         classes: scenario.classes,
         tenants: scenario.tenants,
+        limits: LIMIT_COUNT,
         processes: evidence.processes,
         memory_estimate_mb: scenario.memory_estimate() >> 20,
     }
@@ -310,6 +314,7 @@
         balancers_same: same.len() + real,
         servers_same,
         changes: evidence.commits.iter().map(|commit| commit.last + 1 - commit.first).sum(),
+        changes_by_kind: evidence.changes_by_kind,
         rejections: sum(|state| state.rejections),
         repairs: sum(|state| state.repairs),
         snapshots: sum(|state| state.snapshots),
--- a/crates/pondlb-lab/src/scale/timeline.rs
+++ b/crates/pondlb-lab/src/scale/timeline.rs
@@ -168,6 +168,7 @@
             Record::Upstream(number) => (0, number),
             Record::Class(number) => (1, number),
             Record::Tenant(number) => (2, number),
+            Record::Limit(number) => (3, number),
         };
         let value = self.values.entry(id).or_default();
         *value += 1;
--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -82,6 +82,9 @@
     assert_eq!(report["failures"], Value::Array(Vec::new()), "{said}");
     assert_eq!(report["end"]["balancers_same"], report["sizes"]["balancers"], "{said}");
     assert_eq!(report["end"]["servers_same"], report["sizes"]["control_servers"], "{said}");
+    for kind in ["upstreams", "classes", "tenants", "limits"] {
+        assert!(report["end"]["changes_by_kind"][kind].as_u64().unwrap() > 0, "{kind}: {said}");
+    }
     let phases = report["phases"].as_array().unwrap();
     for phase in phases {
         assert_eq!(phase["in_force"]["never"], 0, "{said}");
