--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -2,10 +2,12 @@
 
 use std::fmt::{self, Display};
 
+use pondlb_control::Kind;
 use serde::Serialize;
 
 use super::measure::{Rates, Spread};
 use super::scenario::PhaseKind;
+use super::server_loads::ServerLoads;
 use super::usage::RoleUsage;
 use crate::judge::Broken;
 
@@ -68,6 +70,8 @@
     pub served_upstreams: u32,
     pub classes: u32,
     pub tenants: u32,
+    /// Limits with a record.
+    pub limits: u32,
     /// Processes in all, with the laboratory itself.
     pub processes: usize,
     pub memory_estimate_mb: u64,
@@ -86,6 +90,8 @@
     pub servers_same: usize,
     /// Changes that were committed.
     pub changes: u64,
+    /// Changes that were committed, by what they are of.
+    pub changes_by_kind: ChangesByKind,
     /// Answers that hollow balancers did not take, over all of them.
     pub rejections: u64,
     /// Repairs that hollow balancers went through.
@@ -94,6 +100,27 @@
     pub snapshots: u64,
 }
 
+/// Changes by the kind of record.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ChangesByKind {
+    pub upstreams: u64,
+    pub classes: u64,
+    pub tenants: u64,
+    pub limits: u64,
+}
+
+impl ChangesByKind {
+    /// Counts a change of a record of this kind.
+    pub fn count(&mut self, kind: Kind) {
+        *match kind {
+            Kind::Upstream => &mut self.upstreams,
+            Kind::Class => &mut self.classes,
+            Kind::Tenant => &mut self.tenants,
+            Kind::Limit => &mut self.limits,
+        } += 1;
+    }
+}
+
 /// What one phase has shown.
 #[derive(Clone, Debug, Serialize)]
 pub struct PhaseReport {
@@ -109,6 +136,8 @@
     /// At those of each region.
     pub in_force_regions: Vec<Spread>,
     pub traffic: TrafficReport,
+    /// Of the replica servers that were left while others were lost; none in other phases.
+    pub server_loads: Option<ServerLoads>,
     pub usage: Vec<RoleUsage>,
 }
 
@@ -161,7 +190,7 @@
         writeln!(
             to,
             "{} balancers ({} real, {} hollow in {} processes), {} control servers, {} upstreams ({} served), {} \
-             classes, {} tenants, {} processes",
+             classes, {} tenants, {} limits, {} processes",
             sizes.balancers,
             sizes.real_balancers,
             sizes.hollow_balancers,
@@ -171,11 +200,13 @@
             sizes.served_upstreams,
             sizes.classes,
             sizes.tenants,
+            sizes.limits,
             sizes.processes
         )?;
         self.remarks.iter().try_for_each(|remark| writeln!(to, "- {remark}"))?;
         self.fmt_phases(to)?;
         self.fmt_traffic(to)?;
+        self.fmt_server_loads(to)?;
         self.fmt_costs(to)?;
         self.fmt_end(to)
     }
@@ -224,6 +255,36 @@
         Ok(())
     }
 
+    fn fmt_server_loads(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        for phase in &self.phases {
+            let Some(loads) = &phase.server_loads else { continue };
+            writeln!(
+                to,
+                "\n{}: {} control servers left, counted for {:.1} s; a server's share is {:.0} bytes a second",
+                phase.name,
+                loads.servers.len(),
+                loads.seconds,
+                loads.share_bytes_per_second
+            )?;
+            writeln!(
+                to,
+                "{:<14}{:>7}{:>11}{:>15}{:>10}",
+                "server", "region", "followers", "bytes a second", "of share"
+            )?;
+            for load in &loads.servers {
+                writeln!(
+                    to,
+                    "{:<14}{:>7}{:>11}{:>15.0}{:>10.2}",
+                    load.name, load.region, load.followers, load.bytes_per_second, load.of_share
+                )?;
+            }
+            if loads.without_server > 0 {
+                writeln!(to, "{} balancers called none of them", loads.without_server)?;
+            }
+        }
+        Ok(())
+    }
+
     fn fmt_costs(&self, to: &mut fmt::Formatter) -> fmt::Result {
         writeln!(to, "\nbytes a second of a balancer")?;
         for (name, rates) in
@@ -281,6 +342,14 @@
             end.servers_same,
             sizes.control_servers
         )?;
+        writeln!(
+            to,
+            "{} changes of upstreams, {} of classes, {} of tenants, {} of limits",
+            end.changes_by_kind.upstreams,
+            end.changes_by_kind.classes,
+            end.changes_by_kind.tenants,
+            end.changes_by_kind.limits
+        )?;
         writeln!(
             to,
             "{} rejections, {} repairs, {} snapshots at hollow balancers",
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -6,16 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pondlb_control::Kind;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::clock;
 use super::hollows::HollowProcesses;
 use super::measure::{ByteLedger, Committed, WINDOW_SECONDS};
-use super::message::Order;
+use super::message::{Order, Traffic};
 use super::real::{RealBalancers, direct, drains_told, take_apart, through_balancers};
 use super::records::Records;
-use super::report::Report;
+use super::report::{ChangesByKind, Report};
 use super::scenario::Scenario;
 use super::servers::{ControlServers, Follower, ServerState};
 use super::summary::{Evidence, summarize};
@@ -72,9 +73,12 @@
     from_book_us: u64,
     first_revision: u64,
     commits: Vec<Committed>,
+    changes_by_kind: ChangesByKind,
     /// Revisions of drains of served upstreams.
     drains: Vec<(u32, u64)>,
     samples: Vec<Sample>,
+    /// Readings of real balancers' counters, with the phase that asked for them.
+    real_loads: Vec<(usize, Traffic)>,
     latest_step_us: u64,
     failures: Vec<String>,
     direct_ids: HashSet<String>,
@@ -118,8 +122,10 @@
             from_book_us: 0,
             first_revision,
             commits: Vec::new(),
+            changes_by_kind: ChangesByKind::default(),
             drains: Vec::new(),
             samples: Vec::new(),
+            real_loads: Vec::new(),
             latest_step_us: 0,
             failures: Vec::new(),
             direct_ids: HashSet::new(),
@@ -194,8 +200,9 @@
                 self.drains.extend(self.commits.last().map(|commit| (upstream, commit.last)));
             }
             Action::Restart(group) => self.hollow.order(&Order::Restart(group)).await?,
-            Action::KillServer(replica) => self.servers.kill(replica).await?,
-            Action::StartServer(replica) => self.servers.start_again(replica)?,
+            Action::KillServers(replicas) => self.servers.kill(&replicas).await?,
+            Action::StartServers(replicas) => self.servers.start_again(&replicas)?,
+            Action::CountServerLoads => self.count_server_loads(step.phase).await?,
             Action::Cut => self.servers.cut(),
             Action::Join => self.servers.join(),
             Action::Stop(process) => self.hollow.stop(process)?,
@@ -204,11 +211,19 @@
         Ok(())
     }
 
+    /// Reads the counters of real balancers, and asks hollow processes for theirs.
+    async fn count_server_loads(&mut self, phase: usize) -> io::Result<()> {
+        self.real_loads.push((phase, super::real::traffic(&self.real.heard)));
+        self.hollow.order(&Order::CountServerLoads(phase)).await
+    }
+
     async fn commit(&mut self, phase: usize, changes: Vec<pondlb_control::NewChange>) {
         let (at_us, count) = (clock::now_us(), changes.len() as u64);
+        let kinds: Vec<Kind> = changes.iter().map(|change| change.key.kind()).collect();
         match self.servers.commit(changes).await {
             Ok(version) => {
                 let last = version.revision;
+                kinds.into_iter().for_each(|kind| self.changes_by_kind.count(kind));
                 self.commits.push(Committed { phase, at_us, first: last + 1 - count.min(last), last });
             }
             Err(error) => self.failures.push(format!("a commit of {count} changes failed: {error}")),
@@ -277,6 +292,7 @@
             self.failures.push(format!("a hollow process can't be asked for its state: {error}"));
         }
         self.wait_for_final_states().await;
+        self.failures.extend(self.real.refusals());
         self.real_bytes_task.abort();
         self.real_bytes.borrow_mut().note(&super::real::traffic(&self.real.heard));
         let real_series = self.real.in_force();
@@ -290,11 +306,13 @@
             + self.scenario.real_balancers as usize
             + 1;
         let reported = self.hollow.reported.take();
+        let replica_servers = self.servers.replica_servers();
         let evidence = Evidence {
             scenario: &self.scenario,
             traffic: &through_balancers(&self.scenario),
             processes,
             commits: &self.commits,
+            changes_by_kind: self.changes_by_kind,
             first_revision: self.first_revision,
             from_us: self.from_book_us + self.book_start_us,
             from_book_us: self.from_book_us,
@@ -304,6 +322,8 @@
             latest_step_us: self.latest_step_us,
             failures: self.failures,
             samples: &self.samples,
+            real_loads: &self.real_loads,
+            replica_servers: &replica_servers,
             reported: &reported,
             real_series: &real_series,
             real_heard: &self.real.heard,
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -9,11 +9,13 @@
 
 use super::hollows::Reported;
 use super::measure::{ByteLedger, Committed, Times};
-use super::message::{FinalState, InForce};
+use super::message::{FinalState, InForce, Traffic};
 use super::real::Ways;
-use super::report::{End, Part, PhaseReport, Report, Sizes, TrafficReport};
+use super::records::LIMIT_COUNT;
+use super::report::{ChangesByKind, End, Part, PhaseReport, Report, Sizes, TrafficReport};
 use super::scenario::{PhaseKind, Scenario};
-use super::servers::{Follower, ServerState};
+use super::server_loads::ServerLoads;
+use super::servers::{Follower, ReplicaServer, ServerState};
 use super::tap::Heard;
 use super::timeline::bounds;
 use super::usage::{Role, RoleUsage, Sample};
@@ -24,6 +26,8 @@
 /// The longest answer that is told apart, in microseconds.
 const MOST_ANSWER_US: u64 = 120_000_000;
 const SETTLED: u16 = 200;
+/// What a balancer may take for control, both ways (docs/CAPACITY.md).
+const BALANCER_BYTES_PER_SECOND: f64 = 4000.0;
 
 /// All that a run has gathered.
 pub struct Evidence<'a> {
@@ -34,6 +38,8 @@
     pub processes: usize,
     /// In the order of their revisions.
     pub commits: &'a [Committed],
+    /// Their changes.
+    pub changes_by_kind: ChangesByKind,
     /// The revision of the initial state.
     pub first_revision: u64,
     /// The start of the first phase, by the machine's clock.
@@ -49,6 +55,9 @@
     pub failures: Vec<String>,
     /// At the start of each phase, and at the end of the last.
     pub samples: &'a [Sample],
+    /// Readings of real balancers' counters, with the phase that asked for them.
+    pub real_loads: &'a [(usize, Traffic)],
+    pub replica_servers: &'a [ReplicaServer],
     pub reported: &'a Reported,
     /// What came in force at each real balancer.
     pub real_series: &'a [Vec<InForce>],
@@ -120,6 +129,7 @@
         served_upstreams: scenario.traffic.served_upstreams,
         classes: scenario.classes,
         tenants: scenario.tenants,
+        limits: LIMIT_COUNT,
         processes: evidence.processes,
         memory_estimate_mb: scenario.memory_estimate() >> 20,
     }
@@ -178,6 +188,7 @@
         in_force_real: real.spread(),
         in_force_regions: regions.iter().map(Times::spread).collect(),
         traffic: traffic_report(evidence, number),
+        server_loads: server_loads_report(evidence, number),
         usage,
     }
 }
@@ -212,6 +223,25 @@
     }
 }
 
+/// The loads of the servers that a phase has left over.
+fn server_loads_report(evidence: &Evidence, number: usize) -> Option<ServerLoads> {
+    let phase = &evidence.scenario.phases[number];
+    if phase.kind != PhaseKind::KillServer {
+        return None;
+    }
+    let left = evidence.replica_servers.iter().enumerate();
+    let left = left.filter(|(replica, _)| !phase.servers.contains(&(*replica as u32)));
+    let left: Vec<ReplicaServer> = left.map(|(_, server)| server.clone()).collect();
+    let readings = evidence.reported.server_loads.iter().chain(evidence.real_loads);
+    let readings = readings.filter(|(phase, _)| *phase == number).map(|(_, traffic)| traffic);
+    Some(ServerLoads::new(&left, readings, share_bytes_per_second(evidence.scenario)))
+}
+
+/// What each control server has to carry of all balancers' bytes when all are there.
+fn share_bytes_per_second(scenario: &Scenario) -> f64 {
+    BALANCER_BYTES_PER_SECOND * f64::from(scenario.balancers) / f64::from(scenario.replica_servers + 1)
+}
+
 fn is_settled(asked: &Asked) -> bool {
     asked.answered.is_some() && asked.status == SETTLED
 }
@@ -284,6 +314,7 @@
         balancers_same: same.len() + real,
         servers_same,
         changes: evidence.commits.iter().map(|commit| commit.last + 1 - commit.first).sum(),
+        changes_by_kind: evidence.changes_by_kind,
         rejections: sum(|state| state.rejections),
         repairs: sum(|state| state.repairs),
         snapshots: sum(|state| state.snapshots),
