A key is read from JSON where it stands, in one allocation

Reading made a String of the text, formatted prefix and name into another, and copied that into the key: three allocations and the formatter for each record. A visitor checks the text in place and copies it once; what is a key stays the same.

--- a/crates/pondlb-control/src/key.rs
+++ b/crates/pondlb-control/src/key.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+use serde::de::{self, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::percent;
@@ -57,9 +58,7 @@
     /// # Errors
     /// [`KeyError::BadName`] where the name is empty, longer than [`LONGEST_NAME`] or not printable ASCII.
     pub fn new(kind: Kind, name: &str) -> Result<Key, KeyError> {
-        if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
-            return Err(KeyError::BadName(name.to_string()));
-        }
+        verify_name(name)?;
         Ok(Key(format!("{}{name}", kind.prefix()).into()))
     }
 
@@ -68,9 +67,9 @@
     /// # Errors
     /// [`KeyError`] where it begins with no known kind, or what follows is no name.
     pub fn parse(text: &str) -> Result<Key, KeyError> {
-        let found = Kind::ALL.into_iter().find_map(|kind| Some((kind, text.strip_prefix(kind.prefix())?)));
-        let (kind, name) = found.ok_or_else(|| KeyError::UnknownKind(text.to_string()))?;
-        Key::new(kind, name)
+        let name = Kind::ALL.into_iter().find_map(|kind| text.strip_prefix(kind.prefix()));
+        verify_name(name.ok_or_else(|| KeyError::UnknownKind(text.to_string()))?)?;
+        Ok(Key(text.into()))
     }
 
     /// Reads a key from a parameter of a request's target, where it may be percent-encoded.
@@ -109,6 +108,13 @@
     }
 }
 
+fn verify_name(name: &str) -> Result<(), KeyError> {
+    if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(KeyError::BadName(name.to_string()));
+    }
+    Ok(())
+}
+
 impl fmt::Debug for Key {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         to.write_str(&self.0)
@@ -129,7 +135,21 @@
 
 impl<'de> Deserialize<'de> for Key {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Key, D::Error> {
-        let text = String::deserialize(from)?;
-        Key::parse(&text).map_err(serde::de::Error::custom)
+        from.deserialize_str(KeyVisitor)
+    }
+}
+
+/// Reads a key from the text where it stands, without a copy beside the key's own.
+struct KeyVisitor;
+
+impl Visitor<'_> for KeyVisitor {
+    type Value = Key;
+
+    fn expecting(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        to.write_str("a key")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Key, E> {
+        Key::parse(text).map_err(E::custom)
     }
 }
