The time of the final answer is the deadline: the old word expiry leaves code and pages

The header, the glossary and part of the tests said deadline, the code expiry; and the decisions called the end of the SLA time deadline. Now `deadline` is the time by which the final answer is due (`Links::longest_deadline` for the longest of all classes), and the decisions aim at `sla_end`. The keys `ExpiryNs` and `expiry_ms` stay, by serde renames, and so do the messages.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -137,7 +137,7 @@
                 Effect::OnceOnly => "at_most_once",
             };
             json!({ "Name": s.name, "Effect": effect, "Value": s.value, "SlaTimeNs": s.sla_ms * NS,
-                "ExpiryNs": s.expiry_ms * NS, "DedupScope": "cell", "KeyTtlNs": s.expiry_ms * NS })
+                "ExpiryNs": s.deadline_ms * NS, "DedupScope": "cell", "KeyTtlNs": s.deadline_ms * NS })
         })
         .collect();
     // The settings allow all to ask; who has no `probe` of its own asks nobody all the same.
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -68,13 +68,13 @@
     let class = &scenario.classes[asked.class];
     let mut found = Vec::new();
     let Some(sent) = asked.sent else { return found };
-    let expiry = sent + class.expiry_ms * 1000;
+    let deadline = sent + class.deadline_ms * 1000;
     let ran = runs.iter().filter(|run| run.began.is_some()).count();
     let declined = matches!(asked.status, 429 | 503);
     match asked.answered {
         None if !excused => found.push(("1 one answer", "got none".into())),
-        Some(at) if at > expiry + SLACK => {
-            found.push(("1 one answer", format!("came {} ms after the expiry", (at - expiry) / 1000)));
+        Some(at) if at > deadline + SLACK => {
+            found.push(("1 one answer", format!("came {} ms after the expiry", (at - deadline) / 1000)));
         }
         _ => {}
     }
@@ -84,7 +84,7 @@
     if asked.status == 200 && !runs.iter().any(|run| run.answer.as_deref() == Some(&*asked.body)) {
         found.push(("1 one answer", "its answer was not made for it".into()));
     }
-    let end = asked.answered.unwrap_or(expiry).min(expiry);
+    let end = asked.answered.unwrap_or(deadline).min(deadline);
     if let Some(run) = runs.iter().find(|run| run.first_byte > end + SLACK) {
         let late = (run.first_byte - end) / 1000;
         found.push(("1 one answer", format!("posted to upstream {} {late} ms after its end", run.upstream)));
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -14,7 +14,7 @@
 use crate::ledger::Asked;
 use crate::scenario::{Effect, Planned, Scenario};
 
-/// A client hangs on so long past the expiry, to see what still comes.
+/// A client hangs on so long past the deadline, to see what still comes.
 const BEYOND: Duration = Duration::from_millis(500);
 /// EMFILE, of this process, not of the balancer it speaks to.
 const NO_DESCRIPTOR: i32 = 24;
@@ -94,8 +94,8 @@
         intended,
         ..Asked::default()
     };
-    let text = request(planned, class.effect, &class.name, class.expiry_ms);
-    let most = Duration::from_millis(class.expiry_ms) + BEYOND;
+    let text = request(planned, class.effect, &class.name, class.deadline_ms);
+    let most = Duration::from_millis(class.deadline_ms) + BEYOND;
     // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
     for kept in [true, false] {
         let Some(mut connection) = connection(door, book, kept).await else { continue };
@@ -149,9 +149,9 @@
     Some(Connection { wire: Wire::new(stream), kills })
 }
 
-fn request(planned: &Planned, effect: Effect, class: &str, expiry_ms: u64) -> String {
+fn request(planned: &Planned, effect: Effect, class: &str, deadline_ms: u64) -> String {
     let head = format!(
-        "Host: lab\r\nReq-Id: {}\r\nReq-Kind: {class}\r\nReq-Deadline: {expiry_ms}m\r\nReq-Cost: {}\r\n",
+        "Host: lab\r\nReq-Id: {}\r\nReq-Kind: {class}\r\nReq-Deadline: {deadline_ms}m\r\nReq-Cost: {}\r\n",
         planned.id, planned.work_us
     );
     match effect {
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -119,7 +119,7 @@
         name: name.into(),
         effect,
         sla_ms: figures.sla_ms,
-        expiry_ms: figures.expiry_ms,
+        deadline_ms: figures.expiry_ms,
         value: 1.0,
         rate,
         work_ms: figures.work_ms,
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -112,7 +112,8 @@
     pub name: String,
     pub effect: Effect,
     pub sla_ms: u64,
-    pub expiry_ms: u64,
+    #[serde(rename = "expiry_ms")]
+    pub deadline_ms: u64,
     pub value: f64,
     /// Requests a second over the whole fleet.
     pub rate: f64,
@@ -240,10 +241,10 @@
         for (n, s) in self.classes.iter().enumerate() {
             let key = |key: &str| format!("schemes[{n}].{key}");
             check(s.sla_ms >= 1, format!("{}: 0: 1 at least", key("sla_ms")));
-            check(s.expiry_ms <= 60_000, format!("{}: {}: 60000 at most", key("expiry_ms"), s.expiry_ms));
+            check(s.deadline_ms <= 60_000, format!("{}: {}: 60000 at most", key("expiry_ms"), s.deadline_ms));
             check(
-                s.expiry_ms >= s.sla_ms,
-                format!("{}: {} is less than sla_ms", key("expiry_ms"), s.expiry_ms),
+                s.deadline_ms >= s.sla_ms,
+                format!("{}: {} is less than sla_ms", key("expiry_ms"), s.deadline_ms),
             );
             check(within(s.rate, 0.0, 100_000.0), format!("{}: {:?}: 0 to 100000", key("rate"), s.rate));
             check(
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -23,7 +23,7 @@
 };
 
 /// The steps of an orderly end, each counted from the signal. A planned restart leaves as long as the longest
-/// expiry, 3 s at most, and 0.7 s more until it kills.
+/// deadline, 3 s at most, and 0.7 s more until it kills.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct ShutdownTimeline {
     /// Until then all goes on: clients keep what connections they have for as long as these stay open, and
@@ -37,18 +37,18 @@
 }
 
 impl ShutdownTimeline {
-    pub(super) fn new(expiry: Option<Tenths>) -> Self {
-        let expiry = expiry.map(|expiry| expiry.min(LONGEST_EXPIRY));
-        let killed = expiry.unwrap_or(LONGEST_EXPIRY) + KILL_AFTER;
+    pub(super) fn new(deadline: Option<Tenths>) -> Self {
+        let deadline = deadline.map(|deadline| deadline.min(LONGEST_DEADLINE));
+        let killed = deadline.unwrap_or(LONGEST_DEADLINE) + KILL_AFTER;
         let answered = killed - UNANSWERED;
         // What comes last still has time for a quick answer.
-        let stays = expiry.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
+        let stays = deadline.map_or(0, |_| answered.saturating_sub(LAST_CHANCE));
         let leaving = span(stays.max(LEAVING.min(answered)));
         ShutdownTimeline { leaving, answered, at_most: span(killed - MARGIN) }
     }
 }
 
-const LONGEST_EXPIRY: Tenths = 30_000;
+const LONGEST_DEADLINE: Tenths = 30_000;
 const KILL_AFTER: Tenths = 7000;
 /// So much before the kill.
 const UNANSWERED: Tenths = 4000;
@@ -164,7 +164,7 @@
             given,
             asks: asks_in,
             told_to_end: None,
-            shutdown: ShutdownTimeline::new(links.expiry),
+            shutdown: ShutdownTimeline::new(links.longest_deadline),
         })
     }
 
@@ -260,7 +260,7 @@
     /// An end that has begun keeps its times.
     fn note_links(&mut self) {
         if self.told_to_end.is_none() {
-            self.shutdown = ShutdownTimeline::new(self.configuration.links().expiry);
+            self.shutdown = ShutdownTimeline::new(self.configuration.links().longest_deadline);
         }
     }
 
--- a/crates/pondlb-server/src/program/tests.rs
+++ b/crates/pondlb-server/src/program/tests.rs
@@ -8,8 +8,8 @@
 #[test]
 fn connections_come_up_within_half_the_grace_and_have_time_to_without_one() {
     let waits = [0, 2000, 5000, 600_000].map(|drain_grace| {
-        let (idle, most_open, expiry) = (150_000, 20_000, None);
-        connect_within(&Links { connect_within: 2500, idle, drain_grace, most_open, expiry })
+        let (idle, most_open, longest_deadline) = (150_000, 20_000, None);
+        connect_within(&Links { connect_within: 2500, idle, drain_grace, most_open, longest_deadline })
     });
     expect!["[250, 1250, 2500, 2500]"].assert_eq(&format!("{waits:?}"));
 }
@@ -17,8 +17,8 @@
 #[test]
 fn the_end_comes_before_the_kill_and_no_sooner_than_clients_stay() {
     let mut trace = String::new();
-    for expiry in [None, Some(60_000), Some(20_000), Some(1000)] {
-        trace += &format!("{expiry:?}: {:?}\n", ShutdownTimeline::new(expiry));
+    for deadline in [None, Some(60_000), Some(20_000), Some(1000)] {
+        trace += &format!("{deadline:?}: {:?}\n", ShutdownTimeline::new(deadline));
     }
     expect![[r#"
         None: ShutdownTimeline { leaving: 600ms, answered: 33000, at_most: 3.5s }
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -37,7 +37,7 @@
     message: Rc<Message>,
     /// None once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
-    expiry: Tenths,
+    deadline: Tenths,
     /// How many attempts there have been.
     attempts: u32,
     out: u32,
@@ -90,9 +90,9 @@
     events: Vec<Event>,
     actions: Vec<Action>,
     wake: Option<(Tenths, &'static str)>,
-    /// When every request must have its answer, whatever its expiry: the program is killed soon after.
+    /// When every request must have its answer, whatever its deadline: the program is killed soon after.
     end: Option<Tenths>,
-    /// How much before its expiry a request must have its answer, for a loop that runs late.
+    /// How much before its deadline a request must have its answer, for a loop that runs late.
     slack: Tenths,
     /// The list of upstreams is not whole before control servers have told it.
     awaits_state: bool,
@@ -173,7 +173,7 @@
     pub fn end_by(&mut self, at: Tenths) {
         self.end = Some(at);
         for request in self.requests.values_mut() {
-            request.expiry = request.expiry.min(at);
+            request.deadline = request.deadline.min(at);
         }
     }
 
@@ -201,8 +201,8 @@
                 if let Some(end) = self.end {
                     arrival.left = arrival.left.min(end.saturating_sub(now));
                 }
-                let (message, expiry) = (Rc::new(message), now + arrival.left);
-                let request = Request { message, answer: Some(answer), expiry, attempts: 0, out: 0 };
+                let (message, deadline) = (Rc::new(message), now + arrival.left);
+                let request = Request { message, answer: Some(answer), deadline, attempts: 0, out: 0 };
                 self.requests.insert(arrival.request.clone(), request);
                 self.events.push(Event::Arrived(arrival));
             }
@@ -324,13 +324,13 @@
         let attempt = request.attempts;
         request.attempts += 1;
         let outcome = match self.directory.address(&upstream) {
-            // Nothing leaves after the final answer or the expiry, whoever asks for it.
-            _ if request.answer.is_none() || now >= request.expiry => Outcome::Moot,
+            // Nothing leaves after the final answer or the deadline, whoever asks for it.
+            _ if request.answer.is_none() || now >= request.deadline => Outcome::Moot,
             None => Outcome::ConnectFailed,
             Some(address) => {
                 log::debug!("{id} {attempt} is posted to {upstream}");
                 request.out += 1;
-                let until = timeout.map_or(request.expiry, |span| request.expiry.min(now + span));
+                let until = timeout.map_or(request.deadline, |span| request.deadline.min(now + span));
                 let (message, name) = (request.message.clone(), upstream.clone());
                 let id = (id.clone(), attempt);
                 let order = Order { id: id.clone(), upstream: name, address, message, until, begin_by };
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -340,7 +340,7 @@
 }
 
 #[test]
-fn a_request_without_an_answer_gets_its_final_one_before_its_expiry() {
+fn a_request_without_an_answer_gets_its_final_one_before_its_deadline() {
     let mut play = Play::new(ONE);
     play.arrive(10, "t1", ONCE_ONLY, 5000);
     play.pass(4959);
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -353,8 +353,9 @@
         thread::spawn(move || {
             let upstream = Upstream::start(Habit::Silent);
             let plan = Plan::with(&[&upstream]);
-            let expiry = format!("\"ExpiryNs\":{deadline_ms}000000");
-            let balancer = plan.start_with(&plan.configuration().replace("\"ExpiryNs\":2000000000", &expiry));
+            let deadline = format!("\"ExpiryNs\":{deadline_ms}000000");
+            let balancer =
+                plan.start_with(&plan.configuration().replace("\"ExpiryNs\":2000000000", &deadline));
             let mut resting = balancer.client();
             resting.ask("a0", "order");
             let mut client = balancer.client();
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -158,7 +158,7 @@
 }
 
 #[test]
-fn a_silent_machine_delays_nobody_beyond_the_expiry() {
+fn a_silent_machine_delays_nobody_beyond_the_deadline() {
     let upstream = Upstream::start(Habit::Silent);
     let balancer = Plan::with(&[&upstream]).start();
     let mut client = balancer.client();
--- a/crates/pondlb-terms/src/lib.rs
+++ b/crates/pondlb-terms/src/lib.rs
@@ -50,7 +50,7 @@
     /// Requests that may be open at once.
     pub most_open: u32,
     /// The longest that a client waits for its answer; none where a class does not say.
-    pub expiry: Option<Tenths>,
+    pub longest_deadline: Option<Tenths>,
 }
 
 /// Reads the settings of a file for who does not change them.
--- a/crates/pondlb-terms/src/settings.rs
+++ b/crates/pondlb-terms/src/settings.rs
@@ -209,8 +209,8 @@
 
     /// Limits of connections as they are now.
     pub fn links(&self) -> Links {
-        let expiries: Option<Vec<u64>> = self.classes.values().map(|class| class.wire.expiry_ns).collect();
-        self.tunables.links(expiries.and_then(|all| all.into_iter().max()))
+        let deadlines: Option<Vec<u64>> = self.classes.values().map(|class| class.wire.deadline_ns).collect();
+        self.tunables.links(deadlines.and_then(|all| all.into_iter().max()))
     }
 
     /// What the decisions need of the scalars as they are now.
--- a/crates/pondlb-terms/src/tunable.rs
+++ b/crates/pondlb-terms/src/tunable.rs
@@ -87,15 +87,15 @@
         }
     }
 
-    /// What connections need of them; `expiry_ns` is the longest of all classes.
-    pub fn links(&self, expiry_ns: Option<u64>) -> Links {
+    /// What connections need of them; `longest_deadline_ns` is the longest of all classes.
+    pub fn links(&self, longest_deadline_ns: Option<u64>) -> Links {
         let Tunables { limits, rules, .. } = self;
         Links {
             connect_within: floor_from_ns(limits.dial_timeout_ns),
             idle: floor_from_ns(limits.conn_idle_ns),
             drain_grace: floor_from_ns(rules.drain_grace_ns),
             most_open: limits.max_open,
-            expiry: expiry_ns.map(ceil_from_ns),
+            longest_deadline: longest_deadline_ns.map(ceil_from_ns),
         }
     }
 }
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -34,7 +34,8 @@
     pub sla_time_ns: u64,
     pub effect: WireEffect,
     pub dedup_scope: Option<WireScope>,
-    pub expiry_ns: Option<u64>,
+    #[serde(rename = "ExpiryNs")]
+    pub deadline_ns: Option<u64>,
     pub key_ttl_ns: Option<u64>,
     /// Nothing is decided by it, yet who gets it wrong will have got the rest of the entry wrong too.
     pub late_value: Option<f64>,
--- a/crates/pondlb-terms/tests/changes.rs
+++ b/crates/pondlb-terms/tests/changes.rs
@@ -53,7 +53,7 @@
         vec![change("class/u", CLASS_U), removal("class/unknown")],
     ] {
         trace += &told(&settings.change(&changes).unwrap());
-        writeln!(trace, "expiry {:?}", settings.links().expiry).unwrap();
+        writeln!(trace, "expiry {:?}", settings.links().longest_deadline).unwrap();
     }
     expect![[r#"
         1 changed, classes [("t", Some(1))]
@@ -106,15 +106,15 @@
     expect![[r#"
         2 changed, classes []
         Limits { excess_value: 0.5, attempt_limits: AttemptLimits { max_attempts: 2, second_copies: true, cancelling: true }, cool_down: Some(20000), cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
-        Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000, expiry: Some(30000) }
+        Links { connect_within: 2500, idle: 150000, drain_grace: 5000, most_open: 20000, longest_deadline: Some(30000) }
         2 changed, classes []
-        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, expiry: Some(30000) }
+        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, longest_deadline: Some(30000) }
         2 changed, classes []
         Limits { excess_value: 0.5, attempt_limits: AttemptLimits { max_attempts: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
-        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, expiry: Some(30000) }
+        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 7, longest_deadline: Some(30000) }
         2 changed, classes []
         Limits { excess_value: 0.1, attempt_limits: AttemptLimits { max_attempts: 3, second_copies: true, cancelling: true }, cool_down: None, cold: ColdTerms { share: 0.3, warm_within: 89000, multiple: 4.0, window: 20000 } }
-        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 20000, expiry: Some(30000) }
+        Links { connect_within: 2500, idle: 150000, drain_grace: 0, most_open: 20000, longest_deadline: Some(30000) }
     "#]].assert_eq(&trace);
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -74,7 +74,7 @@
                 let number = self.queue.numbers.get(&request).copied();
                 let request = number.and_then(|n| self.queue.requests.get(&n));
                 let (cost, sla) =
-                    request.map_or((self.seen.mean_cost(), 0), |r| (r.cost, r.deadline - r.arrived));
+                    request.map_or((self.seen.mean_cost(), 0), |r| (r.cost, r.sla_end - r.arrived));
                 self.seen.note_out(now, -1.0);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full) && !lost {
                     let waited = took as f64 - REST_PACE * cost;
@@ -107,7 +107,7 @@
                     return self.failed(now, number, out);
                 }
                 if outcome == Outcome::Ok {
-                    let earned = if now <= request.deadline { EXTRA_SHARE } else { 0.0 };
+                    let earned = if now <= request.sla_end { EXTRA_SHARE } else { 0.0 };
                     self.extra = (self.extra + earned).min(EXTRA_SAVED);
                     self.seen.flow.add(now, LONG, request.cost / (10 * SECOND) as f64);
                 }
@@ -151,20 +151,19 @@
         self.queue.next += 1;
         self.seen.arrivals.add(now, LONG, 1.0);
         let share = self.share(now, arrival.tenant as usize);
-        let class = (arrival.class as usize).min(self.terms.classes.len() - 1);
-        let class = self.terms.classes[class].clone();
+        let class = self.terms.classes[(arrival.class as usize).min(self.terms.classes.len() - 1)].clone();
         let rank = (class.value * share).max(0.0).to_bits();
-        let deadline = now + class.sla.min(arrival.left);
+        let sla_end = now + class.sla.min(arrival.left);
         let cost = arrival.cost.unwrap_or(1).clamp(1, MOST_COST) as f64;
         let (id, key, heavy) = (arrival.request.clone(), arrival.key, self.weigh(cost));
         let (arrived, effect, limits) = (now, class.effect, self.terms.attempt_limits());
         let request =
-            Request { id, effect, limits, cost, key, heavy, arrived, deadline, rank, ..Request::default() };
+            Request { id, effect, limits, cost, key, heavy, arrived, sla_end, rank, ..Request::default() };
         // A long request of little value would make dozens late that are worth more and wait behind it.
         let takes = self.kept(&request) * self.seen.pace.mean() * cost;
         self.queue.numbers.insert(arrival.request, number);
         self.queue.requests.insert(number, request);
-        if !self.terms.probing && takes > (deadline - now) as f64 {
+        if !self.terms.probing && takes > (sla_end - now) as f64 {
             self.give_up(number, out)
         } else {
             self.hold(now, number)
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -68,7 +68,7 @@
 
     /// Whether it is foreseen to be late there, by what is told to be waiting and its own work.
     fn is_late(&self, now: Tenths, request: &Request, up: usize) -> bool {
-        let left = request.deadline.saturating_sub(now) as f64 * self.seen.speed(up);
+        let left = request.sla_end.saturating_sub(now) as f64 * self.seen.speed(up);
         self.terms.probing && self.seen.told(now, up) + request.cost * self.seen.cores.max(1.0) > left
     }
 
@@ -159,7 +159,7 @@
         let key = request.key.filter(|_| self.terms.warm_keys);
         // Twice its time is not left: two drawn at random may both be too slow for it.
         let tight =
-            OVERDUE_PACE * self.seen.pace.mean() * request.cost > request.deadline.saturating_sub(now) as f64;
+            OVERDUE_PACE * self.seen.pace.mean() * request.cost > request.sla_end.saturating_sub(now) as f64;
         // Crossing is for when the own zone is worse: the others get more as it answers more slowly.
         let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
         let rank = |up: usize| {
@@ -207,8 +207,8 @@
 
     fn attempt(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
         let Some(request) = self.queue.requests.get_mut(&number) else { return };
-        let ((_, slot), begin_by) = (self.estimate.plan(now, request.deadline), request.begin_by());
-        let (cost, deadline) = (request.cost, request.deadline);
+        let ((_, slot), begin_by) = (self.estimate.plan(now, request.sla_end), request.begin_by());
+        let (cost, sla_end) = (request.cost, request.sla_end);
         let first = request.attempts.is_empty();
         if first {
             self.estimate.wait += ((now - request.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
@@ -231,7 +231,7 @@
         self.seen.board[up].sent(now, cost, arrives, &self.terms);
         self.queue.alarms.push(Reverse((now + due, number, Some(attempt))));
         self.seen.note_out(now, 1.0);
-        if first && !slot && now < deadline {
+        if first && !slot && now < sla_end {
             self.copy(now, number);
         }
     }
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -58,12 +58,12 @@
     }
 
     /// When to send at the latest for as many tries as are needed, and whether there is time for one at all.
-    pub fn plan(&self, now: Tenths, deadline: Tenths) -> (Tenths, bool) {
+    pub fn plan(&self, now: Tenths, sla_end: Tenths) -> (Tenths, bool) {
         let span = self.wait as Tenths + self.tp;
-        let slots = deadline.saturating_sub(now) / span;
+        let slots = sla_end.saturating_sub(now) / span;
         let tries = slots.min(self.needed);
         let early = if tries == 0 { self.tp } else { tries * span };
-        (deadline.saturating_sub(early), slots > 0)
+        (sla_end.saturating_sub(early), slots > 0)
     }
 }
 
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -27,7 +27,8 @@
     pub key: Option<u64>,
     pub heavy: bool,
     pub arrived: Tenths,
-    pub deadline: Tenths,
+    /// The end of its SLA time, or its deadline where that is sooner.
+    pub sla_end: Tenths,
     pub rank: u64,
     pub held: Option<Tenths>,
     pub attempts: Vec<Attempt>,
@@ -77,9 +78,9 @@
 impl Dispatcher {
     pub fn hold(&mut self, now: Tenths, number: u64) {
         let Some(request) = self.queue.requests.get_mut(&number) else { return };
-        let (send_by, _) = self.estimate.plan(now, request.deadline);
-        let by = request.begin_by().unwrap_or(request.deadline);
-        let last = request.deadline.saturating_sub(self.estimate.quick).min(by).max(now + 1);
+        let (send_by, _) = self.estimate.plan(now, request.sla_end);
+        let by = request.begin_by().unwrap_or(request.sla_end);
+        let last = request.sla_end.saturating_sub(self.estimate.quick).min(by).max(now + 1);
         request.held = Some(send_by);
         self.queue.held.insert((send_by, number));
         self.queue.by_rank.insert((request.rank, Reverse(send_by), number));
@@ -100,7 +101,7 @@
         while let Some(&(_, _, number)) = self.queue.by_rank.first() {
             let request = &self.queue.requests[&number];
             let flow = self.seen.flow.at(now, LONG);
-            let slack = request.deadline.saturating_sub(self.estimate.tp).saturating_sub(now);
+            let slack = request.sla_end.saturating_sub(self.estimate.tp).saturating_sub(now);
             // What only waits for an answer to what it asked is in nobody's way.
             let asks = self.terms.probing && self.has_room(request);
             if GIVE_WAY * self.queue.held_cost <= slack as f64 * flow || flow == 0.0 || asks {
@@ -145,7 +146,7 @@
     }
 
     fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let hopeful = now + self.estimate.quick < self.queue.requests[&number].deadline;
+        let hopeful = now + self.estimate.quick < self.queue.requests[&number].sla_end;
         if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
@@ -166,7 +167,7 @@
                 let Some(&Attempt { up, sent, .. }) = attempt else { continue };
                 self.seen.board[up].overdue(now, sent, &self.terms);
                 self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
-                if now + self.estimate.quick < request.deadline {
+                if now + self.estimate.quick < request.sla_end {
                     self.copy(now, number);
                 }
             } else if request.held.is_some() {
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -58,7 +58,7 @@
 }
 
 #[test]
-fn a_deadline_is_that_of_the_class_at_arrival() {
+fn the_sla_time_is_that_of_the_class_at_arrival() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     // More than the upstream may have in flight: the last of each kind is held until its time is over.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -95,7 +95,7 @@
 }
 
 #[test]
-fn a_time_out_at_the_expiry_still_owes_the_answer_and_nothing_follows_it() {
+fn a_time_out_at_the_deadline_still_owes_the_answer_and_nothing_follows_it() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let up = play.sent_to(0, request("t", 0));
