--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -93,7 +93,7 @@
 fn answer(action: Action) -> Option<Event> {
     let Action::Attempt { request, upstream, .. } = action else { return None };
     let (outcome, load) = (Outcome::Ok, Load::default());
-    Some(Event::Ended { request, attempt: 0, upstream, outcome, took: ANSWERED_IN, settled: true, load })
+    Some(Event::Ended { request, attempt: 0, upstream, outcome, took: ANSWERED_IN, answered: true, load })
 }
 
 fn changes(numbers: impl Iterator<Item = usize>, stage: Stage) -> Event {
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -251,7 +251,7 @@
             upstream: fields.word("Upstream")?.into(),
             outcome: fields.outcome()?,
             took: fields.took()?,
-            settled: fields.flag("Settled")?,
+            answered: fields.flag("Settled")?,
             load: fields.load(reading)?,
         },
         "ELAPSED" => Event::Woke { token: fields.word("Token")?.into() },
@@ -300,8 +300,8 @@
         Action::Recall { request, attempt } => {
             writeln!(out, "CALL_OFF Who={who} OpId={request} Go={attempt}")
         }
-        Action::Reverse { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
-        Action::Decline { request, cool_down } => {
+        Action::Fail { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
+        Action::Reject { request, cool_down } => {
             write!(out, "REJECT Who={who} OpId={request}")?;
             optional(out, "CoolDownNs", *cool_down)
         }
--- a/crates/pondlb-lab/src/compare.rs
+++ b/crates/pondlb-lab/src/compare.rs
@@ -59,7 +59,7 @@
     found
 }
 
-/// The part of the value offered that was settled within its SLA time.
+/// The part of the value offered that was served within its SLA time.
 pub fn value_in_time(scenario: &Scenario, report: &Report) -> f64 {
     let sum = |count: fn(&crate::run::Figures) -> usize| {
         let each = scenario.classes.iter().zip(&report.classes);
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -70,7 +70,7 @@
     let Some(sent) = asked.sent else { return found };
     let deadline = sent + class.deadline_ms * 1000;
     let ran = runs.iter().filter(|run| run.began.is_some()).count();
-    let declined = matches!(asked.status, 429 | 503);
+    let rejected = matches!(asked.status, 429 | 503);
     match asked.answered {
         None if !excused => found.push(("1 one answer", "got none".into())),
         Some(at) if at > deadline + SLACK => {
@@ -92,7 +92,7 @@
     if class.effect == Effect::OnceOnly && ran > 1 {
         found.push(("2 one effect", format!("ran {ran} times")));
     }
-    if class.effect != Effect::Repeatable && ran > 0 && declined {
+    if class.effect != Effect::Repeatable && ran > 0 && rejected {
         found.push(("2 one effect", "was declined and had run".into()));
     }
     let group = |run: &&Run| scenario.fleet().get(run.upstream).map(|machine| machine.group);
@@ -105,7 +105,7 @@
     }
     // Given up at its SLA time at the latest: what comes later and was never sent was parked.
     let wait = asked.answered.map_or(0, |at| at.saturating_sub(sent));
-    if declined && runs.is_empty() && wait > class.sla_ms * 1000 + SLACK {
+    if rejected && runs.is_empty() && wait > class.sla_ms * 1000 + SLACK {
         found.push(("parked", format!("declined after {} ms with nothing posted", wait / 1000)));
     }
     found
--- a/crates/pondlb-lab/src/report.rs
+++ b/crates/pondlb-lab/src/report.rs
@@ -12,9 +12,9 @@
 /// What happened in each half second.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Times {
-    /// By class and half second: settled in time, settled late, declined, reversed or lost.
+    /// By class and half second: served in time, served late, rejected, failed or lost.
     pub outcomes: Vec<Vec<[u32; 4]>>,
-    /// By half second, over all classes: the median and the 99th percentile of what settled, in milliseconds.
+    /// By half second, over all classes: the median and the 99th percentile of what was served, in milliseconds.
     pub latency: Vec<[f64; 2]>,
     /// By upstream and half second: attempts.
     #[serde(rename = "postings")]
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -38,11 +38,14 @@
 pub struct Figures {
     pub name: String,
     pub asked: usize,
-    pub settled: usize,
-    pub declined: usize,
-    pub reversed: usize,
+    #[serde(rename = "settled")]
+    pub served: usize,
+    #[serde(rename = "declined")]
+    pub rejected: usize,
+    #[serde(rename = "reversed")]
+    pub failed: usize,
     pub unanswered: usize,
-    /// Settled within the SLA time.
+    /// Served within the SLA time.
     pub in_time: usize,
     pub p50: f64,
     pub p99: f64,
@@ -115,11 +118,11 @@
             (Some(at), 200) => {
                 let took = at.saturating_sub(asked.intended);
                 times.saturating_record(took);
-                figures.settled += 1;
+                figures.served += 1;
                 figures.in_time += usize::from(took <= class.sla_ms * 1000);
             }
-            (Some(_), 429 | 503) => figures.declined += 1,
-            (Some(_), _) => figures.reversed += 1,
+            (Some(_), 429 | 503) => figures.rejected += 1,
+            (Some(_), _) => figures.failed += 1,
         }
     }
     figures.p50 = times.value_at_quantile(0.5) as f64 / 1000.0;
@@ -137,7 +140,7 @@
         for f in &self.classes {
             text += &format!(
                 "{:<16}{:>8}{:>9}{:>9}{:>9}{:>9}{:>11}{:>10.1}{:>10.1}\n",
-                f.name, f.asked, f.settled, f.in_time, f.declined, f.reversed, f.unanswered, f.p50, f.p99
+                f.name, f.asked, f.served, f.in_time, f.rejected, f.failed, f.unanswered, f.p50, f.p99
             );
         }
         text += &format!("{} postings, {} probes\n", self.attempts, self.probes);
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -20,7 +20,7 @@
     /// others do neither.
     #[serde(default)]
     pub asking: Vec<u32>,
-    /// The part of its requests that either kind of balancers has to settle in time, or it is starved.
+    /// The part of its requests that either kind of balancers has to serve in time, or it is starved.
     #[serde(default)]
     pub least_in_time: f64,
     #[serde(default)]
--- a/crates/pondlb-server/src/protocol/answer.rs
+++ b/crates/pondlb-server/src/protocol/answer.rs
@@ -7,11 +7,11 @@
 /// The final answer of a request.
 #[derive(Debug, PartialEq)]
 pub enum Answer {
-    Settled(Message),
-    Declined {
+    Served(Message),
+    Rejected {
         cool_down: Option<Tenths>,
     },
-    Reversed,
+    Failed,
     /// Upstreams turn it away for what the client sent.
     Unfit,
     /// Its id is that of another request that is being served, or was a moment ago; it is refused.
@@ -22,9 +22,9 @@
     /// For the log.
     pub fn name(&self) -> &'static str {
         match self {
-            Answer::Settled(_) => "settled",
-            Answer::Declined { .. } => "declined",
-            Answer::Reversed => "reversed",
+            Answer::Served(_) => "settled",
+            Answer::Rejected { .. } => "declined",
+            Answer::Failed => "reversed",
             Answer::Unfit => "unfit",
             Answer::Duplicate => "its id is taken",
         }
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -149,17 +149,17 @@
 
 pub fn write_answer(answer: &Answer, last: bool) -> Vec<u8> {
     match answer {
-        Answer::Settled(Message { head, body }) => {
+        Answer::Served(Message { head, body }) => {
             let mut out = b"HTTP/1.1 200 OK\r\n".to_vec();
             head.pass_on(&NOT_PASSED, &mut out);
             write_end(&mut out, body, last);
             out
         }
-        Answer::Declined { cool_down } => {
+        Answer::Rejected { cool_down } => {
             let advice = cool_down.map(|span| format!("Retry-After: {}\r\n", seconds(span)));
             plain("503 Service Unavailable", &advice.unwrap_or_default(), "declined", last)
         }
-        Answer::Reversed => plain("502 Bad Gateway", "", "reversed", last),
+        Answer::Failed => plain("502 Bad Gateway", "", "reversed", last),
         Answer::Unfit => plain("400 Bad Request", "", "no upstream takes this request", last),
         Answer::Duplicate => plain("409 Conflict", "", "this Req-Id is taken", true),
     }
--- a/crates/pondlb-server/src/protocol/tests.rs
+++ b/crates/pondlb-server/src/protocol/tests.rs
@@ -69,7 +69,7 @@
                 load => format!(" {load:?}"),
             };
             let reply = match a.reply {
-                Some(Answer::Settled(reply)) => shown(&reply.body),
+                Some(Answer::Served(reply)) => shown(&reply.body),
                 reply => reply.map_or("-", |answer| answer.name()).into(),
             };
             format!("{:?} {reply} {keep}{load}", a.outcome)
@@ -420,14 +420,14 @@
         ("Srv-Load".into(), b"rif=1".into()),
         ("Transfer-Encoding".into(), b"chunked".into()),
     ];
-    let settled = Answer::Settled(Message { head, body: b"hello".into() });
-    let declined = Answer::Declined { cool_down: Some(12_345) };
+    let served = Answer::Served(Message { head, body: b"hello".into() });
+    let rejected = Answer::Rejected { cool_down: Some(12_345) };
     let mut made = String::new();
     for (answer, last) in [
-        (settled, false),
-        (declined, false),
-        (Answer::Declined { cool_down: None }, true),
-        (Answer::Reversed, false),
+        (served, false),
+        (rejected, false),
+        (Answer::Rejected { cool_down: None }, true),
+        (Answer::Failed, false),
         (Answer::Duplicate, true),
     ] {
         made += &(String::from_utf8(write_answer(&answer, last)).unwrap() + "\n\n");
--- a/crates/pondlb-server/src/protocol/upstream.rs
+++ b/crates/pondlb-server/src/protocol/upstream.rs
@@ -85,10 +85,10 @@
 
 fn answered(message: Message, status: u16, clean: bool) -> Answered {
     let head = &message.head;
-    let declined = head.one("Srv-Declined") == Ok(Some("1"));
+    let rejected = head.one("Srv-Declined") == Ok(Some("1"));
     let outcome = match status {
         200 => Outcome::Ok,
-        503 | 504 if declined => Outcome::Full,
+        503 | 504 if rejected => Outcome::Full,
         // These speak of the moment or of the upstream; any other 4xx is the client's own fault. The next
         // upstream would say the same, and none is the worse for it.
         408 | 409 | 425 | 429 => Outcome::Error,
@@ -98,7 +98,7 @@
     let keep = clean && !head.lists("Connection", "close") && head.first.starts_with("HTTP/1.1");
     let load = load(head);
     let reply = match outcome {
-        Outcome::Ok => Some(Answer::Settled(message)),
+        Outcome::Ok => Some(Answer::Served(message)),
         Outcome::Moot => Some(Answer::Unfit),
         _ => None,
     };
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Without any, whatever came would have to be declined.
+    /// Without any, whatever came would have to be rejected.
     pub fn knows_upstreams(&self) -> bool {
         !self.directory.is_empty() && !self.awaits_state
     }
@@ -257,7 +257,7 @@
         if let Some(reply) = end.reply {
             self.give(&id, reply);
         }
-        let settled = self.requests.get(&id).is_none_or(|request| request.answer.is_none());
+        let answered = self.requests.get(&id).is_none_or(|request| request.answer.is_none());
         self.forget(&id);
         self.events.push(Event::Ended {
             request: id,
@@ -265,7 +265,7 @@
             upstream: out.upstream,
             outcome: end.outcome,
             took: now - out.order,
-            settled,
+            answered,
             load: end.load,
         });
     }
@@ -294,8 +294,8 @@
                 // Dropping what is kept of it closes its connection.
                 self.ended(now, (request, attempt), Outcome::Cancelled.into());
             }
-            Action::Decline { request, cool_down } => self.give(&request, Answer::Declined { cool_down }),
-            Action::Reverse { request } => self.give(&request, Answer::Reversed),
+            Action::Reject { request, cool_down } => self.give(&request, Answer::Rejected { cool_down }),
+            Action::Fail { request } => self.give(&request, Answer::Failed),
             Action::Watch { on } => self.carrier.watch(on),
             Action::Refetch => self.carrier.fetch(),
             Action::CloseIdle { upstream } => self.carrier.close_idle(&upstream),
@@ -339,8 +339,8 @@
                 return;
             }
         };
-        let (settled, took, load) = (request.answer.is_none(), 0, Load::default());
-        self.events.push(Event::Ended { request: id, attempt, upstream, outcome, took, settled, load });
+        let (answered, took, load) = (request.answer.is_none(), 0, Load::default());
+        self.events.push(Event::Ended { request: id, attempt, upstream, outcome, took, answered, load });
     }
 
     /// The first answer is final; a client that has left gets none.
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -119,7 +119,7 @@
         let mut end = End::from(outcome);
         if outcome == Outcome::Ok {
             let head = Head { first: "HTTP/1.1 200 OK".into(), fields: Vec::new() };
-            end.reply = Some(Answer::Settled(Message { head, body: format!("of {name} {attempt}").into() }));
+            end.reply = Some(Answer::Served(Message { head, body: format!("of {name} {attempt}").into() }));
         }
         self.step(now, Some(Note::Ended { attempt: (name.into(), attempt), end }));
     }
@@ -146,7 +146,7 @@
         self.exchange.step(now, note);
         self.waiting.retain_mut(|(name, answered)| {
             let line = match answered.try_recv() {
-                Ok(Answer::Settled(reply)) => format!("settled {}", String::from_utf8_lossy(&reply.body)),
+                Ok(Answer::Served(reply)) => format!("settled {}", String::from_utf8_lossy(&reply.body)),
                 Ok(answer) => format!("{answer:?}"),
                 Err(oneshot::error::TryRecvError::Empty) => return true,
                 Err(oneshot::error::TryRecvError::Closed) => return false,
@@ -253,7 +253,7 @@
           post t1 1 to u1 at 127.0.0.1:1 until 19960
         30: t1 1 ends: Reset
           t1 1 is let go
-          answer to t1: Reversed
+          answer to t1: Failed
         owed: 0
     "#]]);
 }
@@ -330,11 +330,11 @@
     play.arrive(6010, "no-upstream", REPEATABLE, 20_000);
     play.ends_with(expect![[r#"
         10: no-time comes
-          answer to no-time: Declined { cool_down: None }
+          answer to no-time: Rejected { cool_down: None }
         11: wake
         6000: listed
         6010: no-upstream comes
-          answer to no-upstream: Declined { cool_down: None }
+          answer to no-upstream: Rejected { cool_down: None }
         owed: 0
     "#]]);
 }
@@ -350,7 +350,7 @@
           post t1 0 to u1 at 127.0.0.1:1 until 4960
         4960: t1 0 ends: TimedOut
           t1 0 is let go
-          answer to t1: Reversed
+          answer to t1: Failed
         owed: 0
     "#]]);
 }
@@ -372,10 +372,10 @@
         5000: wake
           t1 0 is let go
           t2 0 is let go
-          answer to t1: Reversed
-          answer to t2: Declined { cool_down: None }
+          answer to t1: Failed
+          answer to t2: Rejected { cool_down: None }
         5001: t3 comes
-          answer to t3: Declined { cool_down: None }
+          answer to t3: Rejected { cool_down: None }
         owed: 0
     "#]]);
 }
@@ -445,7 +445,7 @@
           post t1 0 to u2 at 127.0.0.1:2 until 59960
         20: listed
         30: declined comes
-          answer to declined: Declined { cool_down: None }
+          answer to declined: Rejected { cool_down: None }
         40: listed
         50: t2 comes
           post t2 0 to u3 at 127.0.0.1:1 until 60000
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -84,7 +84,7 @@
                 }
                 Next::TooSlow => (write_too_slow(), true),
                 Next::Overloaded => {
-                    (write_answer(&Answer::Declined { cool_down: self.cool_down.get() }, true), true)
+                    (write_answer(&Answer::Rejected { cool_down: self.cool_down.get() }, true), true)
                 }
                 Next::Ends => return linger(&stream, place).await,
                 Next::Over => return,
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -15,7 +15,7 @@
 const MS: Duration = Duration::from_millis(1);
 
 #[test]
-fn a_request_is_settled_and_connections_are_kept() {
+fn a_request_is_served_and_connections_are_kept() {
     let upstream = Upstream::start(HELLO);
     let balancer = Plan::with(&[&upstream]).start();
     assert_eq!(balancer.health(), "200");
@@ -140,8 +140,8 @@
     ] {
         let upstream = Upstream::start(Habit::SayAndClose(answer, 0));
         let balancer = Plan::with(&[&upstream]).start();
-        let settled = balancer.ask("a1", "order");
-        assert_eq!((settled.status(), &*settled.body), ("200", "hello"));
+        let served = balancer.ask("a1", "order");
+        assert_eq!((served.status(), &*served.body), ("200", "hello"));
     }
 }
 
@@ -169,13 +169,13 @@
 }
 
 #[test]
-fn what_is_declined_is_declined_at_once_with_advice() {
+fn what_is_rejected_is_rejected_at_once_with_advice() {
     let full = Habit::Say("HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
     let upstream = Upstream::start(full);
     let balancer = Plan::with(&[&upstream]).start();
-    let declined = balancer.ask("a1", "order");
-    assert_eq!(declined.status(), "503");
-    let advice: f64 = declined.field("Retry-After").expect("advice").parse().unwrap();
+    let rejected = balancer.ask("a1", "order");
+    assert_eq!(rejected.status(), "503");
+    let advice: f64 = rejected.field("Retry-After").expect("advice").parse().unwrap();
     assert!((0.1..=2.0).contains(&advice), "{advice}");
 }
 
@@ -194,13 +194,13 @@
         let _reset = client.0.write_all(&half.as_bytes()[..half.len() - 2]);
     }
     sleep(200 * MS);
-    let declined = slow.iter_mut().filter_map(|client| {
+    let rejected = slow.iter_mut().filter_map(|client| {
         client.0.set_read_timeout(Some(MS)).unwrap();
         client.read().filter(|answer| answer.status() == "503")
     });
-    let declined: Vec<Message> = declined.collect();
-    assert!((5..30).contains(&declined.len()), "{}", declined.len());
-    assert!(declined.iter().all(|d| d.field("Retry-After").is_some()));
+    let rejected: Vec<Message> = rejected.collect();
+    assert!((5..30).contains(&rejected.len()), "{}", rejected.len());
+    assert!(rejected.iter().all(|d| d.field("Retry-After").is_some()));
     sleep(500 * MS);
     assert_eq!(balancer.ask("a3", "order").status(), "200", "those that are still slow give way");
     drop((idle, slow));
@@ -227,7 +227,7 @@
     wait_until("there is room again", || balancer.health() == "200");
 }
 
-/// The danger is declining most of a calm day's requests for bodies that nobody sends.
+/// The danger is rejecting most of a calm day's requests for bodies that nobody sends.
 #[test]
 fn small_requests_are_counted_as_small() {
     let upstream = Upstream::start(Habit::Silent);
@@ -662,7 +662,7 @@
     let start = Instant::now();
     let balancer = plan.start_with(&plan.configuration().replace(&roster(1, true, "active", &[]), &list));
     assert_eq!(balancer.health(), "200");
-    // Nobody who is remembered takes a connection: an order never ran and is declined in its time.
+    // Nobody who is remembered takes a connection: an order never ran and is rejected in its time.
     assert_eq!(balancer.ask("o1", "order").status(), "503");
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
     // One that names each upstream twice is not taken.
@@ -817,7 +817,7 @@
     let changed =
         with_classes(&plan, &[class("order", "idempotent", 1500), class("new", "idempotent", 1500)]);
     reconfigure(&balancer, &changed, "new");
-    // Sent again where it may have run, and declined where it can't be settled.
+    // Sent again where it may have run, and rejected where it can't be served.
     assert_eq!(balancer.ask("a2", "order").status(), "503");
     assert!(requests() > 1);
     balancer.ends_having_said(&["configuration: 3 settings put in force"]);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -31,7 +31,7 @@
 const LEAST_SIZE: f64 = 0.01;
 const MOST_SIZE: f64 = 1e4;
 
-/// Further attempts while one is out, for each request settled in time, and how many may be saved up.
+/// Further attempts while one is out, for each request served in time, and how many may be saved up.
 const EXTRA_SHARE: f64 = 0.1;
 const EXTRA_SAVED: f64 = 4.0;
 
@@ -59,7 +59,7 @@
     fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
-            Event::Ended { request, attempt, upstream, outcome, took, settled, load } => {
+            Event::Ended { request, attempt, upstream, outcome, took, answered, load } => {
                 let Some(&up) = self.seen.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
                     let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
@@ -103,7 +103,7 @@
                 if let Some(a) = request.attempts.get_mut(attempt as usize) {
                     (a.out, a.may_have_run) = (false, !outcome.never_ran());
                 }
-                if !settled {
+                if !answered {
                     return self.failed(now, number, out);
                 }
                 if outcome == Outcome::Ok {
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -186,7 +186,7 @@
         work / self.seen.speed(up) * (1.0 + s.distrust.at(now, FADE))
     }
 
-    /// A cold upstream gets its part of what warm ones bear (settled cost by size) in each window. What is less
+    /// A cold upstream gets its part of what warm ones bear (served cost by size) in each window. What is less
     /// than a request is granted by chance: one from each of many balancers would be hundreds in sum.
     fn cold_room(&self, now: Tenths, up: usize, cost: f64) -> bool {
         let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
+    /// Only as many as what was served in time pays for, against copies feeding the slowdown they should hide.
     pub fn copy(&mut self, now: Tenths, number: u64) {
         let request = &self.queue.requests[&number];
         if request.limits.second_copies && request.may_retry() && self.extra >= 1.0 {
@@ -127,17 +127,17 @@
         if request.may_retry() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
     }
 
-    /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
+    /// The final answer for what cannot be served: a rejection where the rules allow it, else a failure.
     pub fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
         let request = &self.queue.requests[&number];
-        let harmless = match request.effect {
+        let may_reject = match request.effect {
             Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
             Effect::OnceOnly | Effect::Referenced { .. } => request.never_ran(),
         };
         let request = request.id.clone();
-        // Apart from each other, against all those declined coming back in one wave.
+        // Apart from each other, against all those rejected coming back in one wave.
         let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
-        out.push(if harmless { Action::Decline { request, cool_down } } else { Action::Reverse { request } });
+        out.push(if may_reject { Action::Reject { request, cool_down } } else { Action::Fail { request } });
         self.close(number, out);
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -17,7 +17,7 @@
         outcome: Outcome,
         took: Tenths,
         /// The request has had its final answer, by this outcome or earlier.
-        settled: bool,
+        answered: bool,
         load: Load,
     },
     /// The client has left; nothing is owed any more.
@@ -163,10 +163,10 @@
         request: RequestId,
         attempt: u32,
     },
-    Reverse {
+    Fail {
         request: RequestId,
     },
-    Decline {
+    Reject {
         request: RequestId,
         cool_down: Option<Tenths>,
     },
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn a_request_of_a_removed_class_is_declined_at_once() {
+fn a_request_of_a_removed_class_is_rejected_at_once() {
     let (mut play, now) = served();
     play.change(&[class_change(1, None)]);
     play.at(now, [request("removed", 1)]);
@@ -161,12 +161,12 @@
     .assert_eq(&play.trace);
 }
 
-/// A long request is declined on arrival where others are worth much more than it.
+/// A long request is rejected on arrival where others are worth much more than it.
 fn long(id: &str, tenant: u32) -> Event {
     Event::Arrived(Arrival { tenant, cost: Some(1800 * MS), ..arrival(id, 0) })
 }
 
-fn declined(play: &Play) -> usize {
+fn rejected(play: &Play) -> usize {
     play.trace.lines().filter(|line| line.contains("decline")).count()
 }
 
@@ -179,7 +179,7 @@
     play.change(&[TermsChange::Tenant { number: 0, tenant }]);
     // None of the warm-up's are within the last second.
     play.at(now + 10_000, (0..4).map(|n| long(&format!("t{n}"), 0)));
-    declined(&play)
+    rejected(&play)
 }
 
 #[test]
@@ -216,7 +216,7 @@
         let (mut play, now) = served();
         play.change(&changes);
         play.at(now, [long("t", 0)]);
-        declined(&play)
+        rejected(&play)
     });
     expect!["[0, 1, 0]"].assert_eq(&format!("{counts:?}"));
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn drained_and_missing_upstreams_get_nothing_and_an_empty_list_declines_at_once() {
+fn drained_and_missing_upstreams_get_nothing_and_an_empty_list_rejects_at_once() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b c")]);
     let drains = Entry { stage: Stage::Draining, ..entry("a", 0) };
@@ -566,7 +566,7 @@
 }
 
 #[test]
-fn copies_stop_when_little_settles_in_time() {
+fn copies_stop_when_little_is_served_in_time() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b c d e f g h i j k l")]);
     let now = play.warm_up(64);
@@ -645,7 +645,7 @@
 }
 
 #[test]
-fn what_cannot_be_sent_in_its_sla_time_is_declined_then() {
+fn what_cannot_be_sent_in_its_sla_time_is_rejected_then() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     play.at(0, (0..5).map(|n| request(&format!("t{n}"), 1)));
@@ -984,7 +984,7 @@
 }
 
 #[test]
-fn a_long_request_of_little_value_is_declined_on_arrival_and_one_of_much_is_not() {
+fn a_long_request_of_little_value_is_rejected_on_arrival_and_one_of_much_is_not() {
     let mut terms = terms();
     terms.classes[1].value = 8.0;
     let mut play = Play::new(terms);
@@ -1215,7 +1215,7 @@
 }
 
 /// The danger is a lock: benched for the silence of its connections, an upstream answers nothing that could
-/// calm the doubt, and with few in use most of what comes is declined while all of them idle.
+/// calm the doubt, and with few in use most of what comes is rejected while all of them idle.
 #[test]
 fn an_attempt_on_a_silent_connection_leaves_the_cap_of_an_upstream_that_answers_others() {
     let most_out = |answering: bool, ends: bool| {
@@ -1341,7 +1341,7 @@
 }
 
 #[test]
-fn a_long_wait_told_of_is_declined_at_once_and_an_attempt_turned_away_tells_of_one() {
+fn a_long_wait_told_of_is_rejected_at_once_and_an_attempt_turned_away_tells_of_one() {
     let mut play = Play::new(asking());
     play.at(0, [list("a b")]);
     play.at(200, [request("t", 1)]);
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -54,9 +54,9 @@
 }
 
 pub fn ended(id: &str, attempt: u32, upstream: &str, outcome: Outcome, ms: Tenths) -> Event {
-    let (settled, load) = (outcome == Outcome::Ok, Load::default());
+    let (answered, load) = (outcome == Outcome::Ok, Load::default());
     let (request, upstream, took) = (id.into(), upstream.into(), ms * MS);
-    Event::Ended { request, attempt, upstream, outcome, took, settled, load }
+    Event::Ended { request, attempt, upstream, outcome, took, answered, load }
 }
 
 /// Where the first attempt among them goes; empty where there is none.
@@ -94,10 +94,10 @@
                 Action::Attempt { request, upstream, timeout: Some(t), .. } => {
                     format!("post {request} to {upstream} for {} ms", t / MS)
                 }
-                Action::Decline { request, cool_down } => {
+                Action::Reject { request, cool_down } => {
                     format!("decline {request}{}", if cool_down.is_some() { ", with advice" } else { "" })
                 }
-                Action::Reverse { request } => format!("reverse {request}"),
+                Action::Fail { request } => format!("reverse {request}"),
                 Action::Recall { request, attempt } => format!("recall {request}/{attempt}"),
                 other => format!("{other:?}"),
             };
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -120,9 +120,9 @@
     let (mut used, mut over) = (BTreeSet::new(), Vec::new());
     for action in sent {
         if let Action::Attempt { request, upstream, .. } = action {
-            let (outcome, took, settled, load) = (Outcome::Cancelled, 0, true, Load::default());
+            let (outcome, took, answered, load) = (Outcome::Cancelled, 0, true, Load::default());
             used.insert(upstream.to_string());
-            over.push(Event::Ended { request, attempt: 0, upstream, outcome, took, settled, load });
+            over.push(Event::Ended { request, attempt: 0, upstream, outcome, took, answered, load });
         }
     }
     handle(balancer, now, over);
