--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -27,7 +27,8 @@
     pub key: Option<u64>,
     pub heavy: bool,
     pub arrived: Tenths,
-    pub deadline: Tenths,
+    /// The end of its SLA time, or its deadline where that is sooner.
+    pub sla_end: Tenths,
     pub rank: u64,
     pub held: Option<Tenths>,
     pub attempts: Vec<Attempt>,
@@ -77,9 +78,9 @@
 impl Dispatcher {
     pub fn hold(&mut self, now: Tenths, number: u64) {
         let Some(request) = self.queue.requests.get_mut(&number) else { return };
-        let (send_by, _) = self.estimate.plan(now, request.deadline);
-        let by = request.begin_by().unwrap_or(request.deadline);
-        let last = request.deadline.saturating_sub(self.estimate.quick).min(by).max(now + 1);
+        let (send_by, _) = self.estimate.plan(now, request.sla_end);
+        let by = request.begin_by().unwrap_or(request.sla_end);
+        let last = request.sla_end.saturating_sub(self.estimate.quick).min(by).max(now + 1);
         request.held = Some(send_by);
         self.queue.held.insert((send_by, number));
         self.queue.by_rank.insert((request.rank, Reverse(send_by), number));
@@ -100,7 +101,7 @@
         while let Some(&(_, _, number)) = self.queue.by_rank.first() {
             let request = &self.queue.requests[&number];
             let flow = self.seen.flow.at(now, LONG);
-            let slack = request.deadline.saturating_sub(self.estimate.tp).saturating_sub(now);
+            let slack = request.sla_end.saturating_sub(self.estimate.tp).saturating_sub(now);
             // What only waits for an answer to what it asked is in nobody's way.
             let asks = self.terms.probing && self.has_room(request);
             if GIVE_WAY * self.queue.held_cost <= slack as f64 * flow || flow == 0.0 || asks {
@@ -110,7 +111,7 @@
         }
     }
 
-    /// Only as many as what settled in time pays for, against copies feeding the slowdown they should hide.
+    /// Only as many as what was served in time pays for, against copies feeding the slowdown they should hide.
     pub fn copy(&mut self, now: Tenths, number: u64) {
         let request = &self.queue.requests[&number];
         if request.limits.second_copies && request.may_retry() && self.extra >= 1.0 {
@@ -126,17 +127,17 @@
         if request.may_retry() { self.hold_or_give_up(now, number, out) } else { self.give_up(number, out) }
     }
 
-    /// The final answer for what cannot be settled: a decline where the rules allow it, else a reversal.
+    /// The final answer for what cannot be served: a rejection where the rules allow it, else a failure.
     pub fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
         let request = &self.queue.requests[&number];
-        let harmless = match request.effect {
+        let may_reject = match request.effect {
             Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
             Effect::OnceOnly | Effect::Referenced { .. } => request.never_ran(),
         };
         let request = request.id.clone();
-        // Apart from each other, against all those declined coming back in one wave.
+        // Apart from each other, against all those rejected coming back in one wave.
         let cool_down = self.terms.cool_down.map(|l| l / 2 + self.rng.generate_range(0..(l / 2).max(1)));
-        out.push(if harmless { Action::Decline { request, cool_down } } else { Action::Reverse { request } });
+        out.push(if may_reject { Action::Reject { request, cool_down } } else { Action::Fail { request } });
         self.close(number, out);
     }
 
@@ -145,7 +146,7 @@
     }
 
     fn hold_or_give_up(&mut self, now: Tenths, number: u64, out: &mut Vec<Action>) {
-        let hopeful = now + self.estimate.quick < self.queue.requests[&number].deadline;
+        let hopeful = now + self.estimate.quick < self.queue.requests[&number].sla_end;
         if hopeful { self.hold(now, number) } else { self.give_up(number, out) }
     }
 
@@ -166,7 +167,7 @@
                 let Some(&Attempt { up, sent, .. }) = attempt else { continue };
                 self.seen.board[up].overdue(now, sent, &self.terms);
                 self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
-                if now + self.estimate.quick < request.deadline {
+                if now + self.estimate.quick < request.sla_end {
                     self.copy(now, number);
                 }
             } else if request.held.is_some() {
