Records that the settings refuse are tried again, and control servers are told of them

A balancer that was told to remove its last class kept that class and went on as if all were in force: its version and digest said so, nobody saw it, and the removal was never tried again. It took no faulty commit for that: where the class that takes the last one's place comes in the next piece of an answer, or a new epoch begins without any class, the old class stayed for good.

- The origin refuses a commit that removes classes and leaves none (400), so that no follower is asked for what it can't do.
Of the settings as a whole this is the only rule that a single record's check does not see.
- A balancer keeps the records that its settings refuse and tries them again with each change of its settings, by records or by the file.
- Until they are in force its calls for changes have `refused=N`.
`GET /control/followers` shows the number, and that the balancer is not in sync.

--- a/crates/pondlb-control-net/src/check.rs
+++ b/crates/pondlb-control-net/src/check.rs
@@ -1,8 +1,9 @@
 //! Which values of records are taken.
 
 use std::borrow::Cow;
+use std::collections::HashSet;
 
-use pondlb_control::{Key, Kind};
+use pondlb_control::{CommitError, Key, Kind, NewChange, Store};
 use pondlb_terms::{SettingChange, Target};
 
 /// Says whether a value may be taken for a record, or the record be removed, and why not.
@@ -40,3 +41,23 @@
         }),
     }
 }
+
+/// Where a commit removes a class, at least one class must be left: without any no balancer could serve.
+///
+/// # Errors
+/// [`CommitError::Refused`] with the last class that the commit removes.
+pub fn check_classes_left(store: &Store, changes: &[NewChange]) -> Result<(), CommitError> {
+    let classes = || changes.iter().filter(|change| change.key.kind() == Kind::Class);
+    let Some(removal) = classes().rfind(|change| change.value.is_none()) else { return Ok(()) };
+    let mut left: HashSet<&Key> = store.keys(Kind::Class).collect();
+    for NewChange { key, value } in classes() {
+        match value {
+            Some(_) => left.insert(key),
+            None => left.remove(key),
+        };
+    }
+    if !left.is_empty() {
+        return Ok(());
+    }
+    Err(CommitError::Refused { key: removal.key.clone(), reason: "the last class can't be removed".into() })
+}
--- a/crates/pondlb-control-net/src/client/driver.rs
+++ b/crates/pondlb-control-net/src/client/driver.rs
@@ -12,7 +12,7 @@
 use super::failure::{Failure, ToldFailures};
 use super::link::Link;
 use super::status::Status;
-use super::{Delivered, Following};
+use super::{Delivered, Following, REFUSED};
 use crate::options::MOST_PIECE_BYTES;
 
 /// How long a call may take that is answered at once.
@@ -120,7 +120,7 @@
             Call::Changes { hold: Hold::UpTo(hold), .. } => *hold + self.following.late,
             _ => ANSWER_WITHIN,
         };
-        let target = call.target(&self.name);
+        let target = self.target(call);
         log::trace!("control: {server}: {target}");
         let body = timeout(within, self.link.call(server, &target, self.most_content(call), &self.status))
             .await
@@ -128,6 +128,14 @@
         decode(call, &body)
     }
 
+    fn target(&self, call: &Call) -> String {
+        let target = call.target(&self.name);
+        match (call, self.status.counters().refused) {
+            (Call::Changes { .. }, refused @ 1..) => format!("{target}&{REFUSED}={refused}"),
+            _ => target,
+        }
+    }
+
     /// How long the content of an answer may be.
     fn most_content(&self, call: &Call) -> usize {
         match call {
--- a/crates/pondlb-control-net/src/client/mod.rs
+++ b/crates/pondlb-control-net/src/client/mod.rs
@@ -37,6 +37,9 @@
     pub names: Names,
 }
 
+/// The parameter of calls for changes that tells how many records could not be put in force.
+pub(crate) const REFUSED: &str = "refused";
+
 const DEFAULT_HOLD: Duration = Duration::from_secs(1);
 const DEFAULT_LATE: Duration = Duration::from_millis(300);
 
--- a/crates/pondlb-control-net/src/client/status.rs
+++ b/crates/pondlb-control-net/src/client/status.rs
@@ -34,6 +34,8 @@
     pub version: Version,
     /// The last digest compared was right.
     pub in_sync: bool,
+    /// Records of the version in force that the consumer could not put in force.
+    pub refused: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +91,11 @@
         self.heard.get().map_or(self.started.elapsed(), |heard| heard.at.elapsed() + heard.told)
     }
 
+    /// So many records of the version in force could not be put in force; servers are told with each call.
+    pub fn note_refused(&self, refused: u64) {
+        self.count(|counters| counters.refused = refused);
+    }
+
     pub(super) fn count(&self, change: impl FnOnce(&mut Counters)) {
         let mut counters = self.counters.get();
         change(&mut counters);
--- a/crates/pondlb-control-net/src/server/calls.rs
+++ b/crates/pondlb-control-net/src/server/calls.rs
@@ -22,17 +22,17 @@
 
 /// Answers a request in a coding that the caller accepts. It may wait for news.
 pub async fn answer(state: &State, request: Request, accepted: ContentCoding, pace: &mut Pace) -> Response {
-    let (name, call) = match request {
+    let (caller, call) = match request {
         Request::Followers => return Response::json(&state.followers()),
-        Request::Call { name, call } => (name, call),
+        Request::Call { caller, call } => (caller, call),
     };
     if !state.is_ready() {
         return unavailable("this server holds no state yet");
     }
     match call {
         Call::Changes { from, digest, hold } => {
-            if let Some(name) = name {
-                state.note_follower(&name, from, digest);
+            if let Some(caller) = caller {
+                state.note_follower(&caller, from, digest);
             }
             wait_for_news(state, from, digest, hold, pace).await;
             changes(state, from, accepted, pace)
--- a/crates/pondlb-control-net/src/server/followers.rs
+++ b/crates/pondlb-control-net/src/server/followers.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::request::Caller;
+
 /// A follower that has not called for so long is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
@@ -26,8 +28,10 @@
     pub name: String,
     /// What it has in force, as its last call told.
     pub version: Version,
-    /// The digest that it sent was right.
+    /// The digest that it sent was right, and all records are in force.
     pub in_sync: bool,
+    /// How many records it could not put in force: its settings as a whole do not allow them.
+    pub refused: u64,
     /// How long ago its last call came.
     pub seen_ms: u64,
 }
@@ -42,7 +46,8 @@
 #[derive(Debug)]
 struct Row {
     version: Version,
-    in_sync: bool,
+    has_all: bool,
+    refused: u64,
     seen: Instant,
 }
 
@@ -53,9 +58,9 @@
     }
 
     /// A call of a follower has come. A new one is not noted where the table is full of others.
-    pub fn note(&mut self, name: &str, version: Version, in_sync: bool, now: Instant) {
-        let row = Row { version, in_sync, seen: now };
-        if let Some(known) = self.rows.get_mut(name) {
+    pub fn note(&mut self, Caller { name, refused }: &Caller, version: Version, has_all: bool, now: Instant) {
+        let row = Row { version, has_all, refused: *refused, seen: now };
+        if let Some(known) = self.rows.get_mut(name.as_str()) {
             *known = row;
             return;
         }
@@ -63,7 +68,7 @@
             self.forget(now);
         }
         if self.rows.len() < self.most {
-            self.rows.insert(name.to_string(), row);
+            self.rows.insert(name.clone(), row);
         }
     }
 
@@ -73,7 +78,8 @@
         let follower = |(name, row): (&String, &Row)| Follower {
             name: name.clone(),
             version: row.version,
-            in_sync: row.in_sync,
+            in_sync: row.has_all && row.refused == 0,
+            refused: row.refused,
             seen_ms: u64::try_from(now.duration_since(row.seen).as_millis()).unwrap_or(u64::MAX),
         };
         self.rows.iter().map(follower).collect()
--- a/crates/pondlb-control-net/src/server/request.rs
+++ b/crates/pondlb-control-net/src/server/request.rs
@@ -5,6 +5,7 @@
 use pondlb_control::{Call, Digest, Hold, Key, Version};
 use pondlb_http::Head;
 
+use crate::client::REFUSED;
 use crate::http::{Response, Status};
 use crate::options::is_caller_name;
 
@@ -14,10 +15,10 @@
 /// A request of a follower, or of somebody who looks at them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Request {
-    /// A call of the protocol; `name` is the caller's, where the call tells it.
+    /// A call of the protocol.
     Call {
-        /// Who calls.
-        name: Option<String>,
+        /// Who calls, where the call tells it.
+        caller: Option<Caller>,
         /// What is asked.
         call: Call,
     },
@@ -25,6 +26,15 @@
     Followers,
 }
 
+/// What a follower tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// Its name.
+    pub name: String,
+    /// How many records of its version it could not put in force.
+    pub refused: u64,
+}
+
 /// Why a request is not answered.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RequestError {
@@ -81,11 +91,11 @@
         match path {
             "/control/changes" => Request::changes(&Query(query)),
             "/control/snapshot" => Request::snapshot(query),
-            "/control/digests" => Ok(Request::Call { name: None, call: Call::Digests }),
+            "/control/digests" => Ok(Request::Call { caller: None, call: Call::Digests }),
             "/control/bucket" => {
                 let bucket = Query(query).number("bucket")?;
                 let bucket = usize::try_from(bucket).unwrap_or(usize::MAX);
-                Ok(Request::Call { name: None, call: Call::Bucket(bucket) })
+                Ok(Request::Call { caller: None, call: Call::Bucket(bucket) })
             }
             "/control/followers" => Ok(Request::Followers),
             _ => Err(RequestError::Path(path.to_string())),
@@ -103,7 +113,9 @@
             0 => Hold::No,
             hold_ms => Hold::UpTo(Duration::from_millis(hold_ms).min(MOST_HOLD)),
         };
-        Ok(Request::Call { name: Some(name.to_string()), call: Call::Changes { from, digest, hold } })
+        let refused = if query.get(REFUSED).is_some() { query.number(REFUSED)? } else { 0 };
+        let caller = Caller { name: name.to_string(), refused };
+        Ok(Request::Call { caller: Some(caller), call: Call::Changes { from, digest, hold } })
     }
 
     fn snapshot(query: &str) -> Result<Request, RequestError> {
@@ -113,7 +125,7 @@
             None => return Err(bad),
             Some(after) => Some(Key::parse_encoded(after).map_err(|_| bad)?),
         };
-        Ok(Request::Call { name: None, call: Call::Snapshot { after } })
+        Ok(Request::Call { caller: None, call: Call::Snapshot { after } })
     }
 }
 
--- a/crates/pondlb-control-net/src/server/state.rs
+++ b/crates/pondlb-control-net/src/server/state.rs
@@ -10,7 +10,9 @@
 
 use super::answer_cache::{AnswerCache, AnswerKey, Content, EncodedAnswer};
 use super::followers::{FollowerTable, FollowersAnswer};
+use super::request::Caller;
 use super::token_bucket::TokenBucket;
+use crate::check::check_classes_left;
 use crate::client;
 use crate::coding;
 use crate::options::ServerOptions;
@@ -82,6 +84,7 @@
 
     /// Commits changes, all or none.
     pub fn commit(&self, changes: &[NewChange]) -> Result<Version, CommitError> {
+        check_classes_left(&self.store.borrow(), changes)?;
         let version = self.store.borrow_mut().commit(changes, &self.options.check)?;
         self.note_changed(version);
         Ok(version)
@@ -117,9 +120,9 @@
     }
 
     /// A follower has called with this version and digest.
-    pub fn note_follower(&self, name: &str, version: Version, digest: Digest) {
-        let in_sync = version == self.version() && digest == self.digest();
-        self.followers.borrow_mut().note(name, version, in_sync, Instant::now());
+    pub fn note_follower(&self, caller: &Caller, version: Version, digest: Digest) {
+        let has_all = version == self.version() && digest == self.digest();
+        self.followers.borrow_mut().note(caller, version, has_all, Instant::now());
     }
 
     /// The table of followers.
--- a/crates/pondlb-control-net/src/server/tests.rs
+++ b/crates/pondlb-control-net/src/server/tests.rs
@@ -1,18 +1,20 @@
 //! Requests, the table of followers, the rate limit and shared answers, without sockets.
 
+use std::fmt::Write;
 use std::rc::Rc;
 use std::time::Duration;
 
 use expect_test::expect;
-use pondlb_control::{Change, Digest, Key, Kind, Limits, Store, Update, Version};
+use pondlb_control::{Change, Digest, Key, Kind, Limits, NewChange, Store, Update, Version};
 use pondlb_http::Head;
 use tokio::time::Instant;
 
 use super::answer_cache::{AnswerCache, AnswerKey, Content, EncodedAnswer, MOST_ANSWERS, MOST_BYTES};
 use super::followers::FollowerTable;
-use super::request::Request;
+use super::request::{Caller, Request};
 use super::state::State;
 use super::token_bucket::TokenBucket;
+use crate::check::check_shape;
 use crate::coding::ContentCoding;
 use crate::options::{Role, ServerOptions};
 
@@ -30,6 +32,8 @@
     let lines = [
         format!("GET /control/changes?name=b-1&epoch=7&from=9&{digest}&hold_ms=99999999 HTTP/1.1"),
         format!("GET /control/changes?hold_ms=0&{digest}&from=9&epoch=7&name=b-1 HTTP/1.1"),
+        format!("GET /control/changes?hold_ms=0&{digest}&from=9&epoch=7&name=b-1&refused=2 HTTP/1.1"),
+        format!("GET /control/changes?hold_ms=0&{digest}&from=9&epoch=7&name=b-1&refused=-2 HTTP/1.1"),
         "GET /control/snapshot HTTP/1.1".into(),
         "GET /control/snapshot?after=upstream/a%26b%3Dc HTTP/1.1".into(),
         "GET /control/digests HTTP/1.1".into(),
@@ -42,12 +46,14 @@
     ];
     let made: String = lines.iter().map(|line| read(line)).collect();
     expect![[r#"
-        Call { name: Some("b-1"), call: Changes { from: Version { epoch: 7, revision: 9 }, digest: Digest(255), hold: UpTo(60s) } }
-        Call { name: Some("b-1"), call: Changes { from: Version { epoch: 7, revision: 9 }, digest: Digest(255), hold: No } }
-        Call { name: None, call: Snapshot { after: None } }
-        Call { name: None, call: Snapshot { after: Some(upstream/a&b=c) } }
-        Call { name: None, call: Digests }
-        Call { name: None, call: Bucket(3) }
+        Call { caller: Some(Caller { name: "b-1", refused: 0 }), call: Changes { from: Version { epoch: 7, revision: 9 }, digest: Digest(255), hold: UpTo(60s) } }
+        Call { caller: Some(Caller { name: "b-1", refused: 0 }), call: Changes { from: Version { epoch: 7, revision: 9 }, digest: Digest(255), hold: No } }
+        Call { caller: Some(Caller { name: "b-1", refused: 2 }), call: Changes { from: Version { epoch: 7, revision: 9 }, digest: Digest(255), hold: No } }
+        refused: a whole number is accepted
+        Call { caller: None, call: Snapshot { after: None } }
+        Call { caller: None, call: Snapshot { after: Some(upstream/a&b=c) } }
+        Call { caller: None, call: Digests }
+        Call { caller: None, call: Bucket(3) }
         Followers
         POST is not served here
         the first line is no request
@@ -61,20 +67,77 @@
     let now = Instant::now();
     let mut table = FollowerTable::new(2);
     let version = |revision| Version { epoch: 7, revision };
-    table.note("a", version(1), false, now);
-    table.note("b", version(1), true, now + Duration::from_secs(30));
-    table.note("c", version(1), true, now + Duration::from_secs(30));
-    table.note("a", version(2), true, now + Duration::from_secs(31));
+    let caller = |name: &str| Caller { name: name.into(), refused: 0 };
+    table.note(&caller("a"), version(1), false, now);
+    table.note(&caller("b"), version(1), true, now + Duration::from_secs(30));
+    table.note(&caller("c"), version(1), true, now + Duration::from_secs(30));
+    table.note(&caller("a"), version(2), true, now + Duration::from_secs(31));
     let names = |table: &mut FollowerTable, seconds| {
         let rows = table.list(now + Duration::from_secs(seconds));
         rows.iter().map(|row| format!("{}@{}:{} ", row.name, row.version, row.seen_ms)).collect::<String>()
     };
     assert_eq!(names(&mut table, 32), "a@7.2:1000 b@7.1:2000 ");
     assert_eq!(names(&mut table, 90), "a@7.2:59000 ");
-    table.note("c", version(3), true, now + Duration::from_secs(90));
+    table.note(&caller("c"), version(3), true, now + Duration::from_secs(90));
     assert_eq!(names(&mut table, 100), "c@7.3:10000 ");
 }
 
+#[test]
+fn a_follower_that_could_not_put_a_record_in_force_is_not_in_sync() {
+    let now = Instant::now();
+    let mut table = FollowerTable::new(1);
+    for (refused, has_all, in_sync) in [(0, true, true), (1, true, false), (0, false, false), (0, true, true)]
+    {
+        table.note(&Caller { name: "a".into(), refused }, Version { epoch: 7, revision: 1 }, has_all, now);
+        let row = table.list(now).remove(0);
+        assert_eq!((row.refused, row.in_sync), (refused, in_sync));
+    }
+}
+
+fn class_change(name: &str, value: Option<&str>) -> NewChange {
+    let value = value.and_then(|text| serde_json::value::RawValue::from_string(text.into()).ok());
+    NewChange { key: Key::new(Kind::Class, name).expect("a name"), value }
+}
+
+/// The danger is a version that no balancer can put in force: without any class none could serve.
+#[test]
+fn a_commit_that_removes_a_class_leaves_one() {
+    let role = Role::Origin { commit: None, initial: Vec::new(), epoch: 7 };
+    let options =
+        ServerOptions { check: check_shape, ..ServerOptions::new(([127, 0, 0, 1], 0).into(), role) };
+    let state = State::new(options, Store::new(7, Limits::default()), None);
+    let set = |name| class_change(name, Some("{}"));
+    let remove = |name| class_change(name, None);
+    let upstream =
+        NewChange { key: Key::new(Kind::Upstream, "u").expect("a name"), value: set("x").value.clone() };
+    let mut trace = String::new();
+    for changes in [
+        // Of classes that only balancers have in their files the origin knows nothing.
+        vec![upstream.clone(), remove("a")],
+        vec![upstream.clone(), remove("z"), set("a"), set("b")],
+        vec![remove("a")],
+        vec![upstream, remove("b")],
+        vec![set("c"), remove("b"), remove("c")],
+        vec![remove("b"), set("c")],
+        vec![remove("c"), set("c")],
+        vec![remove("c")],
+    ] {
+        let committed = state.commit(&changes).map_or_else(|error| error.to_string(), |v| v.to_string());
+        writeln!(trace, "{committed}").expect("a text");
+    }
+    expect![[r#"
+        class/a: the last class can't be removed
+        7.4
+        7.5
+        class/b: the last class can't be removed
+        class/c: the last class can't be removed
+        7.7
+        7.9
+        class/c: the last class can't be removed
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn tokens_come_at_their_rate_and_are_promised_only_for_soon() {
     let now = Instant::now();
--- a/crates/pondlb-control/src/key.rs
+++ b/crates/pondlb-control/src/key.rs
@@ -1,5 +1,6 @@
 //! Names of records.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::rc::Rc;
 
@@ -26,7 +27,7 @@
 impl Kind {
     const ALL: [Kind; 4] = [Kind::Upstream, Kind::Class, Kind::Tenant, Kind::Limit];
 
-    fn prefix(self) -> &'static str {
+    pub(crate) fn prefix(self) -> &'static str {
         match self {
             Kind::Upstream => "upstream/",
             Kind::Class => "class/",
@@ -109,6 +110,12 @@
     }
 }
 
+impl Borrow<str> for Key {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Debug for Key {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         to.write_str(&self.0)
--- a/crates/pondlb-control/src/store.rs
+++ b/crates/pondlb-control/src/store.rs
@@ -11,7 +11,7 @@
 use crate::json::escaped_len;
 use crate::record_hashes::RecordHashes;
 use crate::{
-    BucketAnswer, Change, ChangesAnswer, Check, Digest, DigestsAnswer, Key, Limits, NewChange,
+    BucketAnswer, Change, ChangesAnswer, Check, Digest, DigestsAnswer, Key, Kind, Limits, NewChange,
     SnapshotAnswer, Update, Version,
 };
 
@@ -77,6 +77,12 @@
         self.records.is_empty()
     }
 
+    /// The keys of all records of one kind.
+    pub fn keys(&self, kind: Kind) -> impl Iterator<Item = &Key> {
+        let records = self.records.range::<str, _>((Bound::Included(kind.prefix()), Bound::Unbounded));
+        records.map(|(key, _)| key).take_while(move |key| key.kind() == kind)
+    }
+
     /// Bytes of all keys and values.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use pondlb::{Balancer, Lists, Tenths};
+use pondlb_control::Change;
+use pondlb_control_net::Status;
 use pondlb_terms::{Fault, Links, SettingChange};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -72,6 +74,9 @@
     notes: mpsc::UnboundedReceiver<Note>,
     /// From control servers; closed where none are followed.
     settings: mpsc::UnboundedReceiver<SettingsUpdate>,
+    /// Records from control servers that the settings as a whole do not allow so far.
+    refused: Vec<Change>,
+    control_status: Rc<Status>,
     connections: Rc<ConnectionTable>,
     configuration: Configuration,
     terminate: Signal,
@@ -131,6 +136,7 @@
                 notes_in.clone(),
             ));
         }
+        let control_status = Rc::new(Status::default());
         if let Some(control) = setup.control.clone() {
             let follower = Follower {
                 name: setup.name.clone(),
@@ -138,6 +144,7 @@
                 seed: setup.seed,
                 state_bytes: memory.most / STATE_SHARE,
                 settings: settings_in,
+                status: control_status.clone(),
                 remembered: setup.known.targets.iter().map(|target| target.upstream.clone()).collect(),
             };
             spawn_local(follow_control(control, follower, notes_in.clone()));
@@ -156,6 +163,8 @@
             exchange,
             notes,
             settings,
+            refused: Vec::new(),
+            control_status,
             connections,
             configuration,
             terminate,
@@ -213,6 +222,7 @@
             return log::error!("configuration: settings: {fault}; the one before stays in force");
         }
         self.note_links();
+        self.retry_refused();
         match given.discovery {
             Some(discovery) => log::info!("configuration read anew: discovery is at {discovery}"),
             None => log::info!("configuration read anew: control servers are followed"),
@@ -236,18 +246,33 @@
 
     /// The records of a settings update together. Where the settings don't allow all of them, each that they do.
     fn put_settings_in_force(&mut self, SettingsUpdate { changes, applied }: SettingsUpdate) {
-        let changes: Vec<SettingChange> = changes.iter().map(setting_change).collect();
-        if let Err(fault) = self.change_settings(&changes) {
+        self.refused.retain(|refused| changes.iter().all(|change| change.key != refused.key));
+        let settings: Vec<SettingChange> = changes.iter().map(setting_change).collect();
+        if let Err(fault) = self.change_settings(&settings) {
             log::error!("control: settings: {fault}; {} changes are tried one by one", changes.len());
-            for change in &changes {
-                if let Err(fault) = self.change_settings(std::slice::from_ref(change)) {
+            for (change, setting) in changes.iter().zip(&settings) {
+                if let Err(fault) = self.change_settings(std::slice::from_ref(setting)) {
                     log::error!("control: {}: {fault}; it stays as it was", change.key);
+                    self.refused.push(change.clone());
                 }
             }
         }
+        self.retry_refused();
         let _ended = applied.send(());
     }
 
+    /// Puts records in force that the settings did not allow before, where they do now. Control servers are told of
+    /// those that are left.
+    fn retry_refused(&mut self) {
+        for change in std::mem::take(&mut self.refused) {
+            match self.change_settings(&[setting_change(&change)]) {
+                Ok(()) => log::info!("control: {}: refused before, in force now", change.key),
+                Err(_) => self.refused.push(change),
+            }
+        }
+        self.control_status.note_refused(self.refused.len() as u64);
+    }
+
     /// Requests that have come already were read with the classes as they were, whose numbers may be used again.
     fn take_what_came(&mut self) {
         let mut come = Vec::new();
--- a/crates/pondlb-server/src/transport/control.rs
+++ b/crates/pondlb-server/src/transport/control.rs
@@ -36,6 +36,8 @@
     pub state_bytes: usize,
     /// Where changes of the settings go.
     pub settings: mpsc::UnboundedSender<SettingsUpdate>,
+    /// What control servers are told of records that can't be put in force.
+    pub status: Rc<Status>,
     /// Upstreams known before the first whole state: what that does not name has been removed.
     pub remembered: BTreeSet<String>,
 }
@@ -50,14 +52,14 @@
 
 /// Follows the control servers for as long as the program runs.
 pub async fn follow_control(control: Control, follower: Follower, notes: mpsc::UnboundedSender<Note>) {
-    let Follower { name, number, seed, state_bytes, settings, remembered } = follower;
+    let Follower { name, number, seed, state_bytes, settings, status, remembered } = follower;
     let limits = Limits { total_bytes: state_bytes, ..Limits::default() };
     let mut following = Following::new(control.servers, &name, number);
     (following.seed, following.hold, following.limits) = (seed, control.hold, limits);
     let (deliver, delivered) = mpsc::unbounded_channel();
     let consumer = Consumer { notes, settings, remembered, logged: None };
     tokio::select! {
-        () = follow(following, check_record, deliver, Rc::new(Status::default())) => {}
+        () = follow(following, check_record, deliver, status) => {}
         () = consumer.run(delivered) => {}
     }
 }
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -137,6 +137,12 @@
         self.seen.recv_timeout(SOON).expect("the upstream sees something soon")
     }
 
+    /// The ids of the requests seen so far, or the heads of those without.
+    pub fn asked(&self) -> Vec<String> {
+        let requests = self.requests().into_iter();
+        requests.map(|request| request.field("Req-Id").unwrap_or(&request.head).into()).collect()
+    }
+
     /// The requests seen so far.
     pub fn requests(&self) -> Vec<Message> {
         let requests = self.seen.try_iter();
