A release in the scale run restarts the real balancers too, under their traffic

Only hollow balancers began anew in a release, so that what a restart does to requests was not played. Real ones are now ended by SIGTERM one after the other, and started again once they have ended; the report has the time to the end, and from the start to serving and to the first state in force. Clients of the scale run check health, and go to the next balancer where one takes no request; what may run once only is never repeated after it was sent. Who restarts has nothing in force again, which the tap tells apart by lives.

--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -1,10 +1,13 @@
 //! Balancers as real processes, started, killed and ended by their own ids.
 
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::time::Duration;
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::net::TcpStream;
@@ -18,6 +21,8 @@
 
 /// How long a balancer with a short list may take until it serves.
 pub const READY_WITHIN: Duration = Duration::from_secs(5);
+/// How long one may take to end after SIGTERM, well beyond the time in which it has answered all.
+const ENDS_WITHIN: Duration = Duration::from_secs(10);
 const NS: u64 = 1_000_000;
 
 /// What is started for each balancer.
@@ -31,7 +36,17 @@
     program: Program,
     folder: TempDir,
     pub addresses: Vec<SocketAddr>,
-    children: Vec<Child>,
+    /// None where one is between its end and its next start.
+    children: RefCell<Vec<Option<Child>>>,
+}
+
+/// A balancer's orderly end and its next start.
+#[derive(Clone, Copy, Debug)]
+pub struct Restart {
+    /// From SIGTERM to its end.
+    pub ending: Duration,
+    /// From its next start until it serves.
+    pub starting: Duration,
 }
 
 impl Balancers {
@@ -44,7 +59,8 @@
         adjust: impl Fn(u32, &mut Value),
     ) -> io::Result<Balancers> {
         let (folder, program) = (tempfile::tempdir()?, program.clone());
-        let mut balancers = Balancers { program, folder, addresses: Vec::new(), children: Vec::new() };
+        let mut balancers =
+            Balancers { program, folder, addresses: Vec::new(), children: RefCell::default() };
         // All are held at once, or one could be given twice.
         let listeners: Vec<TcpListener> =
             (0..scenario.balancers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
@@ -55,7 +71,7 @@
             adjust(number, &mut config);
             std::fs::write(balancers.file(number, "json"), config.to_string())?;
             let child = balancers.spawn(number)?;
-            balancers.children.push(child);
+            balancers.children.get_mut().push(Some(child));
         }
         for (number, address) in balancers.addresses.clone().into_iter().enumerate() {
             balancers.ready(number, address, ready_within).await?;
@@ -78,10 +94,10 @@
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", self.program.path.display())))
     }
 
-    async fn ready(&mut self, number: usize, address: SocketAddr, within: Duration) -> io::Result<()> {
+    async fn ready(&self, number: usize, address: SocketAddr, within: Duration) -> io::Result<()> {
         let until = Instant::now() + within;
         while Instant::now() < until {
-            if let Some(status) = self.children[number].try_wait()? {
+            if let Some(status) = self.status(number)? {
                 let log = self.log(number);
                 let said = log.lines().last().unwrap_or_default();
                 return Err(io::Error::other(format!(
@@ -97,12 +113,61 @@
     }
 
     /// Killed outright, and started again with what it was given first.
-    pub async fn kill_and_start(&mut self, number: usize) -> io::Result<()> {
-        self.children[number].kill().await?;
-        self.children[number] = self.spawn(number as u32)?;
+    pub async fn kill_and_start(&self, number: usize) -> io::Result<()> {
+        self.take(number)?.kill().await?;
+        self.put(number, self.spawn(number as u32)?);
         Ok(())
     }
 
+    /// Told to end by SIGTERM, and started again with what it was given first once it has ended; `ended` is called in
+    /// between. Returns once it serves.
+    ///
+    /// # Errors
+    /// Where it does not end by itself, ends with another status than success, or does not serve again.
+    pub async fn restart(
+        &self,
+        number: usize,
+        ready_within: Duration,
+        ended: impl FnOnce(),
+    ) -> io::Result<Restart> {
+        let mut child = self.take(number)?;
+        let told = Instant::now();
+        terminate(&child)?;
+        let status = timeout(ENDS_WITHIN, child.wait()).await;
+        let Ok(status) = status else {
+            let told = format!("balancer {number} had not ended {ENDS_WITHIN:?} after SIGTERM");
+            return Err(io::Error::other(told));
+        };
+        let status = status?;
+        if !status.success() {
+            return Err(io::Error::other(format!("balancer {number} ended by SIGTERM with {status}")));
+        }
+        let ending = told.elapsed();
+        ended();
+        let started = Instant::now();
+        self.put(number, self.spawn(number as u32)?);
+        self.ready(number, self.addresses[number], ready_within).await?;
+        Ok(Restart { ending, starting: started.elapsed() })
+    }
+
+    fn take(&self, number: usize) -> io::Result<Child> {
+        let child = self.children.borrow_mut().get_mut(number).and_then(Option::take);
+        child.ok_or_else(|| io::Error::other(format!("balancer {number} does not run")))
+    }
+
+    fn put(&self, number: usize, child: Child) {
+        if let Some(place) = self.children.borrow_mut().get_mut(number) {
+            *place = Some(child);
+        }
+    }
+
+    /// How it has ended, if it has.
+    fn status(&self, number: usize) -> io::Result<Option<ExitStatus>> {
+        let mut children = self.children.borrow_mut();
+        let child = children.get_mut(number).and_then(Option::as_mut);
+        child.map_or(Ok(None), Child::try_wait)
+    }
+
     /// What a balancer has logged since its first start.
     pub fn log(&self, number: usize) -> String {
         std::fs::read_to_string(self.file(number as u32, "log")).unwrap_or_default()
@@ -110,16 +175,22 @@
 
     /// Ids of their processes, of those that run.
     pub fn processes(&self) -> Vec<u32> {
-        self.children.iter().filter_map(Child::id).collect()
+        self.children.borrow().iter().flatten().filter_map(Child::id).collect()
     }
 
     /// Which have ended by themselves, and how.
-    pub fn ended(&mut self) -> Vec<(usize, String)> {
-        let ended = self.children.iter_mut().enumerate();
-        ended.filter_map(|(n, child)| Some((n, child.try_wait().ok()??.to_string()))).collect()
+    pub fn ended(&self) -> Vec<(usize, String)> {
+        let count = self.addresses.len();
+        (0..count).filter_map(|number| Some((number, self.status(number).ok()??.to_string()))).collect()
     }
 }
 
+fn terminate(child: &Child) -> io::Result<()> {
+    let id = child.id().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw);
+    kill_process(id.ok_or(io::ErrorKind::NotFound)?, Signal::TERM)?;
+    Ok(())
+}
+
 pub(crate) async fn is_ready(address: SocketAddr) -> io::Result<bool> {
     let mut wire = Wire::new(TcpStream::connect(address).await?);
     wire.write("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n").await?;
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use tokio::net::TcpStream;
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep_until, timeout};
+use tokio::task::{JoinHandle, JoinSet, spawn_local};
+use tokio::time::{sleep, sleep_until, timeout};
 
+use crate::balancers::is_ready;
 use crate::fleet::Book;
 use crate::http::{Message, Wire};
 use crate::ledger::Asked;
@@ -19,6 +20,8 @@
 /// EMFILE, of this process, not of the balancer it speaks to.
 const NO_DESCRIPTOR: i32 = 24;
 const CONNECT: Duration = Duration::from_millis(500);
+/// How often clients check a balancer's health: one that is told to end serves for longer than that.
+const CHECK_EVERY: Duration = Duration::from_millis(300);
 /// How often the clock is looked at: a loop late with its own ticks is late with the fleet's work too.
 const TICK: u64 = 10_000;
 
@@ -26,6 +29,8 @@
 pub struct Door {
     pub address: SocketAddr,
     kills: Cell<u32>,
+    /// The last check of its health was good.
+    is_healthy: Cell<bool>,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -38,13 +43,67 @@
 
 impl Door {
     pub fn new(address: SocketAddr) -> Rc<Door> {
-        Rc::new(Door { address, kills: Cell::new(0), idle: RefCell::default() })
+        Rc::new(Door { address, kills: Cell::new(0), is_healthy: Cell::new(true), idle: RefCell::default() })
     }
 
     /// A request during which the count changes may have been lost with the process.
     pub fn count_kill(&self) {
         self.kills.set(self.kills.get() + 1);
     }
+
+    /// Checks its health again and again, as clients do that choose among balancers. Never returns.
+    async fn check_health(&self) {
+        loop {
+            sleep(CHECK_EVERY).await;
+            let is_healthy = matches!(timeout(CONNECT, is_ready(self.address)).await, Ok(Ok(true)));
+            if !is_healthy {
+                // Nothing more is sent on them, and the balancer need not wait for that.
+                self.idle.borrow_mut().clear();
+            }
+            self.is_healthy.set(is_healthy);
+        }
+    }
+}
+
+/// What a client does where its balancer takes no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failover {
+    /// Leaves it at that.
+    Never,
+    /// Goes to the next balancer: where the last check of health was bad, where no connection comes up, and where one is
+    /// closed without an answer to a request that may be repeated.
+    NextBalancer,
+}
+
+impl Failover {
+    /// Which doors to try in turn, the planned one first.
+    fn candidates(self, planned: usize, doors: &[Rc<Door>]) -> Vec<usize> {
+        if self == Failover::Never {
+            return vec![planned];
+        }
+        let mut candidates: Vec<usize> =
+            (0..doors.len()).map(|step| (planned + step) % doors.len()).collect();
+        // Stable: with no healthy one at all they are tried in this order too.
+        candidates.sort_by_key(|door| !doors[*door].is_healthy.get());
+        candidates
+    }
+}
+
+/// One request and what its client is.
+struct Client<'a> {
+    scenario: &'a Scenario,
+    planned: &'a Planned,
+    book: &'a Book,
+    /// Whether another balancer could take it.
+    failover: Failover,
+}
+
+/// What became of a request at one balancer.
+enum Attempt {
+    /// Answered, or sent with nothing to be done about it.
+    Final,
+    /// Another balancer may be asked.
+    NotTaken,
 }
 
 /// Sends all that is planned, counted from `from`, and returns once the last txn has had its time.
@@ -52,9 +111,18 @@
     scenario: &Rc<Scenario>,
     plan: Vec<Planned>,
     doors: &[Rc<Door>],
+    failover: Failover,
     book: &Rc<Book>,
     from: u64,
 ) {
+    let mut checks = JoinSet::new();
+    if failover == Failover::NextBalancer {
+        for door in doors {
+            let door = door.clone();
+            checks.spawn_local(async move { door.check_health().await });
+        }
+    }
+    let doors: Rc<[Rc<Door>]> = doors.into();
     let mut open: Vec<JoinHandle<()>> = Vec::with_capacity(plan.len());
     let ticks = spawn_local(tick(book.clone()));
     for planned in plan {
@@ -62,9 +130,10 @@
         sleep_until(book.instant(intended)).await;
         book.ledgers.borrow_mut().late.push(book.now().saturating_sub(intended));
         let (scenario, book) = (scenario.clone(), book.clone());
-        let door = doors[planned.balancer as usize].clone();
+        let doors = doors.clone();
         open.push(spawn_local(async move {
-            let asked = ask(&scenario, &planned, &door, &book, intended).await;
+            let client = Client { scenario: &scenario, planned: &planned, book: &book, failover };
+            let asked = client.ask(&doors, intended).await;
             book.ledgers.borrow_mut().asked.push(asked);
         }));
     }
@@ -85,45 +154,61 @@
     }
 }
 
-async fn ask(scenario: &Scenario, planned: &Planned, door: &Door, book: &Book, intended: u64) -> Asked {
-    let scheme = &scenario.schemes[planned.scheme];
-    let mut asked = Asked {
-        id: planned.id.clone(),
-        scheme: planned.scheme,
-        balancer: planned.balancer,
-        intended,
-        ..Asked::default()
-    };
-    let text = request(planned, scheme.effect, &scheme.name, scheme.expiry_ms);
-    let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
-    // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
-    for kept in [true, false] {
-        let Some(mut connection) = connection(door, book, kept).await else { continue };
-        if connection.wire.write(&text).await.is_err() {
-            continue;
-        }
-        asked.sent = Some(book.now());
-        let answer = timeout(most, connection.wire.answer()).await;
-        asked.killed = door.kills.get() != connection.kills;
-        match answer {
-            Ok(Ok(Some(answer))) => {
-                note(&mut asked, answer, book.now());
-                // A second answer may come right behind the first.
-                tokio::task::yield_now().await;
-                asked.answers = 1 + u32::from(connection.wire.has_more());
-                door.idle.borrow_mut().push(connection);
+impl Client<'_> {
+    /// Asks one balancer after the other until one has taken the request.
+    async fn ask(&self, doors: &[Rc<Door>], intended: u64) -> Asked {
+        let mut asked = Asked {
+            id: self.planned.id.clone(),
+            scheme: self.planned.scheme,
+            balancer: self.planned.balancer,
+            intended,
+            ..Asked::default()
+        };
+        for candidate in self.failover.candidates(self.planned.balancer as usize, doors) {
+            (asked.balancer, asked.sent) = (candidate as u32, None);
+            if let Attempt::Final = self.ask_at(&doors[candidate], &mut asked).await {
+                break;
             }
-            // Not where it was killed: it may have taken the request, and another would be the client's own
-            // repeat of an order.
-            Ok(Ok(None)) if kept && !asked.killed => {
-                asked.sent = None;
+        }
+        asked
+    }
+
+    async fn ask_at(&self, door: &Door, asked: &mut Asked) -> Attempt {
+        let scheme = &self.scenario.schemes[self.planned.scheme];
+        let text = request(self.planned, scheme.effect, &scheme.name, scheme.expiry_ms);
+        let most = Duration::from_millis(scheme.expiry_ms) + BEYOND;
+        // A balancer may close a connection between requests: what crosses that is sent once more, on a new one.
+        for kept in [true, false] {
+            let Some(mut connection) = connection(door, self.book, kept).await else { continue };
+            if connection.wire.write(&text).await.is_err() {
                 continue;
             }
-            _ => {}
+            asked.sent = Some(self.book.now());
+            let answer = timeout(most, connection.wire.answer()).await;
+            asked.killed = door.kills.get() != connection.kills;
+            match answer {
+                Ok(Ok(Some(answer))) => {
+                    note(asked, answer, self.book.now());
+                    // A second answer may come right behind the first.
+                    tokio::task::yield_now().await;
+                    asked.answers = 1 + u32::from(connection.wire.has_more());
+                    door.idle.borrow_mut().push(connection);
+                }
+                // Not where it was killed: it may have taken the request, and another would be the client's own
+                // repeat of an order.
+                Ok(Ok(None)) if kept && !asked.killed => {
+                    asked.sent = None;
+                    continue;
+                }
+                Ok(_) if self.failover == Failover::NextBalancer && scheme.effect == Effect::Repeatable => {
+                    return Attempt::NotTaken;
+                }
+                _ => {}
+            }
+            return Attempt::Final;
         }
-        break;
+        Attempt::NotTaken
     }
-    asked
 }
 
 fn note(asked: &mut Asked, answer: Message, now: u64) {
@@ -161,3 +246,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/pondlb-lab/src/run.rs
+++ b/crates/pondlb-lab/src/run.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Book, Fleet};
 use crate::judge::{self, Broken};
 use crate::ledger::{Crash, Ledgers};
-use crate::load::{Door, follow};
+use crate::load::{Door, Failover, follow};
 use crate::report::Times;
 use crate::scenario::{Kind, Scenario};
 
@@ -50,7 +50,7 @@
 pub async fn play(program: &Program, scenario: Scenario) -> io::Result<(Report, Ledgers)> {
     let (scenario, book) = (Rc::new(scenario), Book::open());
     let fleet = Rc::new(Fleet::start(book.clone(), scenario.fleet(), &scenario.rules, scenario.balancers)?);
-    let mut balancers = Balancers::start(program, &scenario, &fleet, READY_WITHIN, |_, _| ()).await?;
+    let balancers = Balancers::start(program, &scenario, &fleet, READY_WITHIN, |_, _| ()).await?;
     let doors: Vec<Rc<Door>> = balancers.addresses.iter().map(|at| Door::new(*at)).collect();
     let from = book.now() + LEAD.as_micros() as u64;
     let mut kills = Vec::new();
@@ -63,7 +63,7 @@
         }
     }
     kills.sort_unstable();
-    let load = follow(&scenario, scenario.plan(), &doors, &book, from);
+    let load = follow(&scenario, scenario.plan(), &doors, Failover::Never, &book, from);
     tokio::pin!(load);
     let mut kills = kills.into_iter().peekable();
     let mut gone = vec![false; doors.len()];
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::time::{Instant, sleep_until};
 
 use super::clock;
 use super::message::{Bytes, InForce, Traffic};
 use super::records::{TRAFFIC_CLASSES, zone_name};
 use super::scenario::Scenario;
 use super::tap::{Heard, Tap};
-use crate::balancers::{Balancers, Program};
+use crate::balancers::{Balancers, Program, Restart};
 use crate::fleet::Fleet;
 use crate::ledger::{Asked, Ledgers, Told};
 use crate::scenario::{self as traffic, Effect, Machine, Rules, Scheme};
@@ -42,6 +43,17 @@
     _taps: Vec<Tap>,
 }
 
+/// A real balancer's restart in a release.
+#[derive(Clone, Copy, Debug)]
+pub struct RealRestart {
+    /// Which balancer.
+    pub balancer: u32,
+    /// When it was started again, by the machine's clock.
+    pub started_us: u64,
+    /// How long its end and its start took.
+    pub took: Restart,
+}
+
 impl RealBalancers {
     /// Starts them, and waits until each serves.
     ///
@@ -93,6 +105,30 @@
         self.heard.iter().enumerate().map(series).collect()
     }
 
+    /// Ends a balancer by SIGTERM and starts it again; returns once it serves.
+    ///
+    /// # Errors
+    /// Where it does not end, or does not serve again.
+    pub async fn restart(&self, number: usize) -> io::Result<RealRestart> {
+        let mut started_us = 0;
+        let ended = || {
+            self.heard[number].begin_life();
+            started_us = clock::now_us();
+        };
+        let took = self.balancers.restart(number, READY_WITHIN, ended).await?;
+        Ok(RealRestart { balancer: number as u32, started_us, took })
+    }
+
+    /// Restarts all of them, one after the other; each at its turn or once the one before serves, which is later.
+    pub async fn release(&self, turns: Vec<Instant>) -> Vec<io::Result<RealRestart>> {
+        let mut restarts = Vec::new();
+        for (number, turn) in turns.into_iter().enumerate() {
+            sleep_until(turn).await;
+            restarts.push(self.restart(number).await);
+        }
+        restarts
+    }
+
     /// Records that balancers hold and could not put in force, by their logs.
     pub fn refusals(&self) -> Vec<String> {
         let refusal = |number: usize| {
@@ -105,9 +141,7 @@
 
     /// How many have this revision or a later one in force.
     pub fn with_revision(&self, revision: u64) -> usize {
-        let has = |heard: &&Rc<Heard>| {
-            heard.told.borrow().last().is_some_and(|told| told.version.revision >= revision)
-        };
+        let has = |heard: &&Rc<Heard>| heard.in_force().is_some_and(|told| told.version.revision >= revision);
         self.heard.iter().filter(has).count()
     }
 }
--- a/crates/pondlb-lab/src/scale/report.rs
+++ b/crates/pondlb-lab/src/scale/report.rs
@@ -138,9 +138,23 @@
     pub traffic: TrafficReport,
     /// Of the replica servers that were left while others were lost; none in other phases.
     pub server_loads: Option<ServerLoads>,
+    /// Of real balancers, in a release.
+    pub restarts: Vec<RestartReport>,
     pub usage: Vec<RoleUsage>,
 }
 
+/// A real balancer's restart.
+#[derive(Clone, Debug, Serialize)]
+pub struct RestartReport {
+    pub balancer: u32,
+    /// From SIGTERM to its end.
+    pub ending_ms: f64,
+    /// From its start until its health was good.
+    pub start_to_serving_ms: f64,
+    /// From its start until a call told the first state in force; none where that never came.
+    pub start_to_in_force_ms: Option<f64>,
+}
+
 /// Times of the real traffic, from the intended send.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct TrafficReport {
@@ -207,6 +221,7 @@
         self.fmt_phases(to)?;
         self.fmt_traffic(to)?;
         self.fmt_server_loads(to)?;
+        self.fmt_restarts(to)?;
         self.fmt_costs(to)?;
         self.fmt_end(to)
     }
@@ -285,6 +300,24 @@
         Ok(())
     }
 
+    fn fmt_restarts(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        for PhaseReport { name, restarts, .. } in
+            self.phases.iter().filter(|phase| !phase.restarts.is_empty())
+        {
+            writeln!(to, "\n{name}: milliseconds of real balancers' restarts")?;
+            writeln!(to, "{:<10}{:>10}{:>12}{:>12}", "balancer", "to its end", "to serving", "to in force")?;
+            for restart in restarts {
+                let in_force = restart.start_to_in_force_ms.map_or("never".into(), |ms| format!("{ms:.0}"));
+                writeln!(
+                    to,
+                    "{:<10}{:>10.0}{:>12.0}{in_force:>12}",
+                    restart.balancer, restart.ending_ms, restart.start_to_serving_ms
+                )?;
+            }
+        }
+        Ok(())
+    }
+
     fn fmt_costs(&self, to: &mut fmt::Formatter) -> fmt::Result {
         writeln!(to, "\nbytes a second of a balancer")?;
         for (name, rates) in
--- a/crates/pondlb-lab/src/scale/run.rs
+++ b/crates/pondlb-lab/src/scale/run.rs
@@ -14,7 +14,7 @@
 use super::hollows::HollowProcesses;
 use super::measure::{ByteLedger, Committed, WINDOW_SECONDS};
 use super::message::{Order, Traffic};
-use super::real::{RealBalancers, direct, drains_told, take_apart, through_balancers};
+use super::real::{RealBalancers, RealRestart, direct, drains_told, take_apart, through_balancers};
 use super::records::Records;
 use super::report::{ChangesByKind, Report};
 use super::scenario::Scenario;
@@ -25,7 +25,7 @@
 use crate::balancers::Program;
 use crate::fleet::{Book, Fleet};
 use crate::ledger::Crash;
-use crate::load::{self, Door};
+use crate::load::{self, Door, Failover};
 
 /// Between the moment when all is ready and the first step.
 const LEAD_US: u64 = 200_000;
@@ -52,8 +52,9 @@
     let mut run = Run::start(programs, scenario).await?;
     let started = run.wait_for_first_state().await?;
     run.play_phases().await?;
+    let restarts = run.finish_releases().await;
     let settled = run.settle().await;
-    run.finish(started, settled).await
+    run.finish(started, settled, &restarts).await
 }
 
 struct Run {
@@ -66,7 +67,9 @@
     steps: Vec<Step>,
     servers: ControlServers,
     hollow: HollowProcesses,
-    real: RealBalancers,
+    real: Rc<RealBalancers>,
+    /// Restarts of real balancers that go on, with their phase.
+    releases: Vec<(usize, JoinHandle<Vec<io::Result<RealRestart>>>)>,
     real_bytes: Rc<RefCell<ByteLedger>>,
     real_bytes_task: JoinHandle<()>,
     /// The start of the first phase, by the book's clock.
@@ -116,7 +119,8 @@
             steps,
             servers,
             hollow,
-            real,
+            real: Rc::new(real),
+            releases: Vec::new(),
             real_bytes,
             real_bytes_task,
             from_book_us: 0,
@@ -166,8 +170,8 @@
             self.fleet.upstreams.iter().map(|upstream| Door::new(upstream.address_of(0))).collect();
         let direct_plan = beside.plan();
         self.direct_ids = direct_plan.iter().map(|planned| planned.id.clone()).collect();
-        let balanced = load::follow(&through, through.plan(), &doors, &book, from);
-        let direct = load::follow(&beside, direct_plan, &straight, &book, from);
+        let balanced = load::follow(&through, through.plan(), &doors, Failover::NextBalancer, &book, from);
+        let direct = load::follow(&beside, direct_plan, &straight, Failover::Never, &book, from);
         let (played, (), ()) = tokio::join!(self.play_steps(), balanced, direct);
         played
     }
@@ -200,6 +204,7 @@
                 self.drains.extend(self.commits.last().map(|commit| (upstream, commit.last)));
             }
             Action::Restart(group) => self.hollow.order(&Order::Restart(group)).await?,
+            Action::Release(interval_us) => self.release(step.phase, interval_us),
             Action::KillServers(replicas) => self.servers.kill(&replicas).await?,
             Action::StartServers(replicas) => self.servers.start_again(&replicas)?,
             Action::CountServerLoads => self.count_server_loads(step.phase).await?,
@@ -211,6 +216,28 @@
         Ok(())
     }
 
+    fn release(&mut self, phase: usize, interval_us: u64) {
+        let first = Instant::now();
+        let turn = |number| first + Duration::from_micros(interval_us * u64::from(number));
+        let turns = (0..self.scenario.real_balancers).map(turn).collect();
+        let real = self.real.clone();
+        self.releases.push((phase, spawn_local(async move { real.release(turns).await })));
+    }
+
+    /// Waits for the restarts that go on; by their phase.
+    async fn finish_releases(&mut self) -> Vec<(usize, RealRestart)> {
+        let mut restarts = Vec::new();
+        for (phase, release) in std::mem::take(&mut self.releases) {
+            for restart in release.await.unwrap_or_default() {
+                match restart {
+                    Ok(restart) => restarts.push((phase, restart)),
+                    Err(error) => self.failures.push(format!("release: {error}")),
+                }
+            }
+        }
+        restarts
+    }
+
     /// Reads the counters of real balancers, and asks hollow processes for theirs.
     async fn count_server_loads(&mut self, phase: usize) -> io::Result<()> {
         self.real_loads.push((phase, super::real::traffic(&self.real.heard)));
@@ -284,7 +311,12 @@
         true
     }
 
-    async fn finish(mut self, started: Duration, settled: Duration) -> io::Result<Report> {
+    async fn finish(
+        mut self,
+        started: Duration,
+        settled: Duration,
+        real_restarts: &[(usize, RealRestart)],
+    ) -> io::Result<Report> {
         self.note_ended();
         let server_states = self.server_states().await;
         let followers = self.followers().await;
@@ -326,6 +358,7 @@
             replica_servers: &replica_servers,
             reported: &reported,
             real_series: &real_series,
+            real_restarts,
             real_heard: &self.real.heard,
             real_bytes: &self.real_bytes.borrow(),
             ways: &ways,
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -137,7 +137,7 @@
     Rack,
     /// A zone's upstreams are removed at once, and come back at once.
     Zone,
-    /// Hollow balancers restart from nothing, a tenth at a time.
+    /// Real balancers are restarted one after the other, and hollow ones from nothing, a tenth at a time.
     Release,
     /// Replica servers are killed together, and started again.
     KillServer,
--- a/crates/pondlb-lab/src/scale/summary.rs
+++ b/crates/pondlb-lab/src/scale/summary.rs
@@ -10,9 +10,9 @@
 use super::hollows::Reported;
 use super::measure::{ByteLedger, Committed, Times};
 use super::message::{FinalState, InForce, Traffic};
-use super::real::Ways;
+use super::real::{RealRestart, Ways};
 use super::records::LIMIT_COUNT;
-use super::report::{ChangesByKind, End, Part, PhaseReport, Report, Sizes, TrafficReport};
+use super::report::{ChangesByKind, End, Part, PhaseReport, Report, RestartReport, Sizes, TrafficReport};
 use super::scenario::{PhaseKind, Scenario};
 use super::server_loads::ServerLoads;
 use super::servers::{Follower, ReplicaServer, ServerState};
@@ -61,6 +61,8 @@
     pub reported: &'a Reported,
     /// What came in force at each real balancer.
     pub real_series: &'a [Vec<InForce>],
+    /// Restarts of real balancers, with their phase.
+    pub real_restarts: &'a [(usize, RealRestart)],
     pub real_heard: &'a [Rc<Heard>],
     pub real_bytes: &'a ByteLedger,
     pub ways: &'a Ways,
@@ -82,7 +84,7 @@
         failures
             .push(format!("{} reports of hollow processes could not be read", evidence.reported.unreadable));
     }
-    failures.extend(backwards(evidence.real_series));
+    failures.extend(backwards(evidence.real_heard));
     let end = end(evidence, &mut failures);
     let ledgers = &evidence.ways.balanced;
     let usage = match (evidence.samples.first(), evidence.samples.last()) {
@@ -140,6 +142,7 @@
         "upstreams that nobody serves are listed as leaving: real balancers hold them and send them nothing".into(),
         "real balancers share the served upstreams among each other only".into(),
         format!("at most {} followers of a hollow process take a first snapshot at once", scenario.starts_at_once),
+        "a change that is committed while a balancer is restarted counts until that has it after its start".into(),
         "a change counts from the moment when its commit was sent; a real balancer's version is in force when its \
          next call says so"
             .into(),
@@ -189,6 +192,7 @@
         in_force_regions: regions.iter().map(Times::spread).collect(),
         traffic: traffic_report(evidence, number),
         server_loads: server_loads_report(evidence, number),
+        restarts: restart_reports(evidence, number),
         usage,
     }
 }
@@ -237,6 +241,23 @@
     Some(ServerLoads::new(&left, readings, share_bytes_per_second(evidence.scenario)))
 }
 
+fn restart_reports(evidence: &Evidence, number: usize) -> Vec<RestartReport> {
+    let restarts = evidence.real_restarts.iter().filter(|(phase, _)| *phase == number);
+    restarts.map(|(_, restart)| restart_report(evidence, restart)).collect()
+}
+
+fn restart_report(evidence: &Evidence, restart: &RealRestart) -> RestartReport {
+    let series = series(evidence, restart.balancer);
+    let first = series.iter().find(|news| news.at_us >= restart.started_us);
+    let milliseconds = |duration: Duration| duration.as_secs_f64() * 1000.0;
+    RestartReport {
+        balancer: restart.balancer,
+        ending_ms: milliseconds(restart.took.ending),
+        start_to_serving_ms: milliseconds(restart.took.starting),
+        start_to_in_force_ms: first.map(|first| (first.at_us - restart.started_us) as f64 / 1000.0),
+    }
+}
+
 /// What each control server has to carry of all balancers' bytes when all are there.
 fn share_bytes_per_second(scenario: &Scenario) -> f64 {
     BALANCER_BYTES_PER_SECOND * f64::from(scenario.balancers) / f64::from(scenario.replica_servers + 1)
@@ -272,13 +293,9 @@
 }
 
 /// Real balancers whose version went down.
-fn backwards(real: &[Vec<InForce>]) -> Vec<String> {
-    let falls = |series: &&Vec<InForce>| series.windows(2).any(|two| two[1].revision < two[0].revision);
-    let told = |series: &Vec<InForce>| {
-        let balancer = series.first().map_or(0, |news| news.balancer);
-        format!("real balancer {balancer} went back to an older version")
-    };
-    real.iter().filter(falls).map(told).collect()
+fn backwards(real: &[Rc<Heard>]) -> Vec<String> {
+    let fell = real.iter().enumerate().filter(|(_, heard)| heard.went_back.get());
+    fell.map(|(balancer, _)| format!("real balancer {balancer} went back to an older version")).collect()
 }
 
 /// Compares all states at the end with the origin's.
@@ -332,7 +349,7 @@
 }
 
 fn real_has(heard: &Heard, origin: &ServerState) -> bool {
-    let told = heard.told.borrow();
-    let last = told.last();
-    last.is_some_and(|last| last.version == origin.version && last.digest == origin.digest.to_string())
+    heard
+        .in_force()
+        .is_some_and(|last| last.version == origin.version && last.digest == origin.digest.to_string())
 }
--- a/crates/pondlb-lab/src/scale/tap.rs
+++ b/crates/pondlb-lab/src/scale/tap.rs
@@ -41,6 +41,12 @@
     pub latest: Cell<Option<Version>>,
     /// The server of the last call.
     pub server: Cell<Option<SocketAddr>>,
+    /// How often the balancer was started again.
+    life: Cell<u32>,
+    /// Where its present life begins in `told`.
+    life_begins: Cell<usize>,
+    /// It told an older version than before in the same life.
+    pub went_back: Cell<bool>,
     /// Bytes from control servers to the balancer.
     pub received: Cell<u64>,
     /// Bytes from the balancer to control servers.
@@ -48,13 +54,31 @@
 }
 
 impl Heard {
-    fn note(&self, told: Told) {
+    /// The balancer has ended, and the one that is started in its place has nothing in force.
+    pub fn begin_life(&self) {
+        self.life.set(self.life.get() + 1);
+        self.life_begins.set(self.told.borrow().len());
+    }
+
+    /// What the balancer has in force since its last start.
+    pub fn in_force(&self) -> Option<Told> {
+        self.told.borrow().get(self.life_begins.get()..)?.last().cloned()
+    }
+
+    /// Notes what was told on a connection of that life.
+    fn note(&self, life: u32, told: Told) {
+        if life != self.life.get() {
+            return;
+        }
         self.latest.set(Some(told.version));
-        let mut all = self.told.borrow_mut();
+        let before = self.in_force();
         // While a snapshot is taken the version is the snapshot's, but the digest is that of what is in force.
-        let in_force = all.last().map_or(NOTHING_IN_FORCE, |last| &last.digest);
+        let in_force = before.as_ref().map_or(NOTHING_IN_FORCE, |before| &before.digest);
         if told.digest != in_force {
-            all.push(told);
+            if before.is_some_and(|before| told.version < before.version) {
+                self.went_back.set(true);
+            }
+            self.told.borrow_mut().push(told);
         }
     }
 }
@@ -108,6 +132,7 @@
 
 async fn requests(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, heard: &Heard) -> io::Result<()> {
     let (mut buffer, mut pending) = (vec![0; BUFFER_BYTES], Vec::new());
+    let life = heard.life.get();
     loop {
         let count = from.read(&mut buffer).await?;
         if count == 0 {
@@ -118,7 +143,7 @@
         pending.extend_from_slice(&buffer[..count]);
         while let Some(head) = next_request(&mut pending) {
             if let Some(told) = told(&head, at_us) {
-                heard.note(told);
+                heard.note(life, told);
             }
         }
         pending.truncate(MOST_REQUEST_BYTES);
--- a/crates/pondlb-lab/src/scale/timeline.rs
+++ b/crates/pondlb-lab/src/scale/timeline.rs
@@ -35,6 +35,8 @@
     Drain(u32, Vec<NewChange>),
     /// Restarts those hollow balancers whose number leaves this remainder by ten.
     Restart(u32),
+    /// Restarts the real balancers one after the other, the first now and each next one so many microseconds later.
+    Release(u64),
     /// Kills replica servers.
     KillServers(Vec<u32>),
     /// Starts them again.
@@ -66,6 +68,7 @@
 pub fn steps(scenario: &Scenario, records: &Records) -> Vec<Step> {
     let mut drawing = Drawing {
         records,
+        real_balancers: scenario.real_balancers,
         rng: WyRand::new_seed(scenario.seed),
         values: BTreeMap::new(),
         next_drained: 0,
@@ -82,6 +85,7 @@
 
 struct Drawing<'a> {
     records: &'a Records,
+    real_balancers: u32,
     rng: WyRand,
     /// How often each record was changed.
     values: BTreeMap<(u8, u32), u32>,
@@ -110,6 +114,7 @@
             PhaseKind::Rack => self.rack(phase_number, phase.rack_upstreams, from),
             PhaseKind::Zone => self.zone(phase_number, phase.zone, from, end),
             PhaseKind::Release => {
+                step(from, Action::Release((to - from) / u64::from(self.real_balancers.max(1))));
                 for tenth in 0..phase.tenths {
                     let at_us = from + (to - from) * u64::from(tenth) / u64::from(phase.tenths);
                     step(at_us, Action::Restart(tenth));
--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -129,11 +129,22 @@
     // The release has restarted each hollow balancer, and each of them took a snapshot again.
     let snapshots = played.report["end"]["snapshots"].as_u64().unwrap();
     assert!(snapshots >= 2 * played.report["sizes"]["hollow_balancers"].as_u64().unwrap(), "{}", played.said);
+    assert_all_real_balancers_restarted(&played);
     if played.code == HELD {
         assert_servers_left(&played);
     }
 }
 
+fn assert_all_real_balancers_restarted(played: &Played) {
+    let phases = played.report["phases"].as_array().unwrap();
+    let release = phases.iter().find(|phase| phase["kind"] == "release").unwrap();
+    let restarts = release["restarts"].as_array().unwrap();
+    assert!(restarts.iter().map(|restart| &restart["balancer"]).eq([0, 1, 2, 3]), "{}", played.said);
+    for restart in restarts {
+        assert!(restart["start_to_in_force_ms"].as_f64().unwrap() > 0.0, "{}", played.said);
+    }
+}
+
 #[test]
 fn a_dropped_change_is_noticed_and_repaired() {
     let folder = tempfile::tempdir().unwrap();
