Slopes of control servers: followers, records, changes a second and starts, each alone

The control server's own side had figures from the scale run only, at one size. 'pondlb-lab slopes control' starts an origin and a replica server, puts real client drivers in hollow processes behind the latter, and measures processor time, memory, descriptors, calls and bytes of the servers along each. Hollow processes tell calls, failed calls and bytes with a balancer's state; their course is as it was. A dimension needs only the programs that it starts.

--- a/crates/pondlb-lab/src/main.rs
+++ b/crates/pondlb-lab/src/main.rs
@@ -71,9 +71,9 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
-    /// Measures what one balancer needs against one dimension of its size at a time
+    /// Measures what one balancer or control server needs against one dimension of its size at a time
     Slopes {
-        /// All but `distribution` where none is named
+        /// All but `distribution` and `control` where none is named
         dimension: Vec<Dimension>,
         /// The balancer's program
         #[arg(long, default_value = "target/release/pondlb-server")]
@@ -84,7 +84,7 @@
         /// The balancer that `distribution` sets before discovery; the same program where nothing is said
         #[arg(long)]
         before: Option<PathBuf>,
-        /// The control server of `distribution`; the one beside the lab's own program where nothing is said
+        /// The control server of `distribution` and `control`; the one beside the lab's own program where nothing is said
         #[arg(long)]
         server: Option<PathBuf>,
         /// A file for the result as JSON, beside the table
--- a/crates/pondlb-lab/src/scale/hollow.rs
+++ b/crates/pondlb-lab/src/scale/hollow.rs
@@ -83,6 +83,8 @@
     rejections: u64,
     repairs: u64,
     snapshots: u64,
+    calls: u64,
+    failures: u64,
 }
 
 impl Counts {
@@ -94,6 +96,8 @@
             rejections: counters.rejections,
             repairs: counters.repairs,
             snapshots: counters.snapshots,
+            calls: counters.calls,
+            failures: counters.failures,
         }
     }
 
@@ -104,6 +108,8 @@
             rejections: self.rejections + other.rejections,
             repairs: self.repairs + other.repairs,
             snapshots: self.snapshots + other.snapshots,
+            calls: self.calls + other.calls,
+            failures: self.failures + other.failures,
         }
     }
 }
@@ -140,7 +146,7 @@
     }
 
     fn state(&self) -> FinalState {
-        let Counts { rejections, repairs, snapshots, .. } = self.counts();
+        let Counts { received, sent, rejections, repairs, snapshots, calls, failures } = self.counts();
         let consumer = self.consumer.borrow();
         FinalState {
             balancer: self.number,
@@ -149,6 +155,10 @@
             rejections,
             repairs,
             snapshots,
+            calls,
+            failures,
+            received,
+            sent,
         }
     }
 }
--- a/crates/pondlb-lab/src/scale/hollows.rs
+++ b/crates/pondlb-lab/src/scale/hollows.rs
@@ -87,8 +87,7 @@
         servers: &[Vec<SocketAddr>],
         arguments: &[String],
     ) -> io::Result<HollowProcesses> {
-        let folder = tempfile::tempdir()?;
-        let mut hollow = HollowProcesses { folder, processes: Vec::new(), reported: Rc::default() };
+        let mut hollow = HollowProcesses::none()?;
         let processes = scenario.hollow_processes();
         let each = scenario.hollow_balancers().div_ceil(processes);
         for number in 0..processes {
@@ -100,13 +99,30 @@
                 hold_ms: scenario.hold_ms,
                 starts_at_once: scenario.starts_at_once,
             };
-            let process = hollow.spawn(number, &assignment, arguments)?;
-            hollow.processes.push(process);
+            hollow.add(&assignment, arguments)?;
         }
         Ok(hollow)
     }
 
-    fn spawn(&self, number: u32, assignment: &Assignment, arguments: &[String]) -> io::Result<Process> {
+    /// None yet.
+    ///
+    /// # Errors
+    /// Where the machine has no folder to give.
+    pub fn none() -> io::Result<HollowProcesses> {
+        Ok(HollowProcesses { folder: tempfile::tempdir()?, processes: Vec::new(), reported: Rc::default() })
+    }
+
+    /// Starts one more; `arguments` are given to it beside its assignment.
+    ///
+    /// # Errors
+    /// Where it can't be started.
+    pub fn add(&mut self, assignment: &Assignment, arguments: &[String]) -> io::Result<()> {
+        let process = self.spawn(self.processes.len(), assignment, arguments)?;
+        self.processes.push(process);
+        Ok(())
+    }
+
+    fn spawn(&self, number: usize, assignment: &Assignment, arguments: &[String]) -> io::Result<Process> {
         let file: PathBuf = self.folder.path().join(format!("{number}.json"));
         std::fs::write(&file, serde_json::to_vec(assignment)?)?;
         let log = File::create(self.folder.path().join(format!("{number}.log")))?;
--- a/crates/pondlb-lab/src/scale/message.rs
+++ b/crates/pondlb-lab/src/scale/message.rs
@@ -97,6 +97,14 @@
     pub rejections: u64,
     /// Repairs that it went through.
     pub repairs: u64,
-    /// Whole snapshots that it took.
+    /// Whole snapshots that it began.
     pub snapshots: u64,
+    /// Calls that it made.
+    pub calls: u64,
+    /// Calls that brought no answer that can be read, as where a server refused one.
+    pub failures: u64,
+    /// Bytes from control servers.
+    pub received: u64,
+    /// Bytes to control servers.
+    pub sent: u64,
 }
--- a/crates/pondlb-lab/src/scale/records.rs
+++ b/crates/pondlb-lab/src/scale/records.rs
@@ -15,6 +15,11 @@
 /// The port of listed upstreams that nobody serves.
 const UNSERVED_PORT: u16 = 9;
 const NS_PER_MS: u64 = 1_000_000;
+/// Of records without a scenario; the same order as in those.
+const UNSERVED_ZONES: u32 = 10;
+const UNSERVED_SLA_MS: u64 = 500;
+const UNSERVED_EXPIRY_MS: u64 = 1000;
+const UNSERVED_CORES: u32 = 4;
 
 /// An upstream as discovery lists it.
 #[derive(Clone, Debug, Serialize)]
@@ -63,6 +68,24 @@
     cores: u32,
 }
 
+/// How many records there are of each kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordCounts {
+    /// Upstreams; one at least, for [`Records::draw`].
+    pub upstreams: u32,
+    /// Classes.
+    pub classes: u32,
+    /// Tenants; one at least, for [`Records::draw`].
+    pub tenants: u32,
+}
+
+impl RecordCounts {
+    /// All together.
+    pub fn sum(&self) -> usize {
+        [self.upstreams, self.classes, self.tenants].map(|count| count as usize).iter().sum()
+    }
+}
+
 /// Which record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Record {
@@ -90,6 +113,21 @@
         }
     }
 
+    /// So many records of upstreams that nobody serves, in zones of one region.
+    pub fn unserved(counts: RecordCounts) -> Records {
+        Records {
+            upstreams: counts.upstreams,
+            classes: counts.classes,
+            tenants: counts.tenants,
+            zones_per_region: UNSERVED_ZONES,
+            zones: UNSERVED_ZONES,
+            sla_ns: UNSERVED_SLA_MS * NS_PER_MS,
+            expiry_ns: UNSERVED_EXPIRY_MS * NS_PER_MS,
+            served: Vec::new(),
+            cores: UNSERVED_CORES,
+        }
+    }
+
     /// How many upstreams are served: those of the lowest numbers.
     pub fn served(&self) -> u32 {
         u32::try_from(self.served.len()).unwrap_or(u32::MAX)
--- a/crates/pondlb-lab/src/scale/scenario.rs
+++ b/crates/pondlb-lab/src/scale/scenario.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::servers::Layout;
+use super::servers::{Layout, UNBOUNDED_SNAPSHOT_PIECES};
 use crate::scenario::Fault;
 
 /// A scale run: how many of everything, and what happens when.
@@ -222,6 +222,7 @@
             replica_servers: self.replica_servers,
             regions: self.regions,
             gather_ms: self.gather_ms,
+            snapshot_pieces_per_second: UNBOUNDED_SNAPSHOT_PIECES,
         }
     }
 
--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -23,8 +23,9 @@
 const POLL: Duration = Duration::from_millis(50);
 const CALL_WITHIN: Duration = Duration::from_secs(5);
 const MEMORY_MB: u64 = 1024;
-/// Snapshots are bounded by the hollow processes, which take few at the same time.
-const SNAPSHOT_PIECES_PER_SECOND: f64 = 100_000.0;
+/// Pieces of snapshots a second that no run comes near: snapshots are bounded by the hollow processes, which take few at
+/// the same time.
+pub const UNBOUNDED_SNAPSHOT_PIECES: f64 = 100_000.0;
 const OK: u16 = 200;
 
 /// The state of a control server, as it tells it.
@@ -71,6 +72,8 @@
     pub regions: u32,
     /// For how long a server gathers changes between two answers to one caller.
     pub gather_ms: u64,
+    /// How many pieces of snapshots a server gives in a second.
+    pub snapshot_pieces_per_second: f64,
 }
 
 /// An origin and its replica servers. All end with it.
@@ -293,8 +296,8 @@
     // Writing to a string can't fail.
     let _written = write!(
         text,
-        "gather_ms = {}\nmemory_mb = {MEMORY_MB}\nsnapshot_pieces_per_second = {SNAPSHOT_PIECES_PER_SECOND:?}\n",
-        layout.gather_ms
+        "gather_ms = {}\nmemory_mb = {MEMORY_MB}\nsnapshot_pieces_per_second = {:?}\n",
+        layout.gather_ms, layout.snapshot_pieces_per_second
     );
     text + role
 }
--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -10,7 +10,6 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::configuration::{First, Size, configuration};
-use super::is_there;
 use super::listing::Listing;
 use super::load::{Latency, Load, Way};
 use super::probe::Scheduled;
@@ -30,7 +29,7 @@
 /// A little longer than a call to discovery waits for news.
 const SETTLE: Duration = Duration::from_millis(1500);
 
-/// Times say nothing of a balancer that waited for a processor for more than this part of the time that it ran.
+/// Times say nothing of a program that waited for a processor for more than this part of the time that it ran.
 const MOST_WAITED: f64 = 0.5;
 
 /// What all measurements of one call share.
@@ -47,7 +46,7 @@
     share: f64,
     started: Cell<u32>,
     loads: Cell<u32>,
-    /// What all balancers were given while they served.
+    /// What all measured programs were given while they served.
     serving: Cell<Scheduled>,
 }
 
@@ -88,9 +87,8 @@
     /// Stand-ins listen; no balancer runs yet.
     ///
     /// # Errors
-    /// The program is missing, or the machine has no port or folder to give.
+    /// The machine has no port or folder to give.
     pub async fn open(program: Program, span: Duration, share: f64) -> io::Result<Bench> {
-        is_there(&program)?;
         Ok(Bench {
             program,
             folder: tempfile::tempdir()?,
@@ -109,9 +107,7 @@
         let Scheduled { ran, waited } = self.serving.take();
         let busy = || {
             let (ran, waited) = (ran.as_millis(), waited.as_millis());
-            format!(
-                "while they served, balancers ran for {ran} ms and waited for a processor for {waited} ms"
-            )
+            format!("while they served, programs ran for {ran} ms and waited for a processor for {waited} ms")
         };
         let late = judge::void(&self.book.ledgers.take());
         late.or_else(|| (waited.as_secs_f64() > MOST_WAITED * ran.as_secs_f64()).then(busy))
@@ -153,7 +149,7 @@
         Running::start(program, self.folder.path(), number, address, &configuration(number, address)).await
     }
 
-    /// Counts what a balancer was given while it served.
+    /// Counts what a measured program was given while it served.
     pub fn note_serving(&self, scheduled: &Scheduled) {
         self.serving.set(self.serving.get().and(scheduled));
     }
--- a/crates/pondlb-lab/src/slopes/distribution.rs
+++ b/crates/pondlb-lab/src/slopes/distribution.rs
@@ -20,7 +20,7 @@
 use super::running::Running;
 use super::series::Series;
 use super::stand_in::Discovery;
-use crate::scale::servers::{ControlServers, Layout};
+use crate::scale::servers::{ControlServers, Layout, UNBOUNDED_SNAPSHOT_PIECES};
 use crate::scale::tap::{Heard, Tap};
 use crate::scale::timeline::COMMIT_RECORDS;
 
@@ -149,7 +149,13 @@
         let discovery = bench.discovery(upstreams).await?;
         let mut initial = records(&discovery, 0..upstreams)?;
         initial.push(record(Kind::Class, &class_name(0), to_raw_value(&class(0))?)?);
-        let layout = Layout { listen: LISTEN, replica_servers: 0, regions: 1, gather_ms: GATHER_MS };
+        let layout = Layout {
+            listen: LISTEN,
+            replica_servers: 0,
+            regions: 1,
+            gather_ms: GATHER_MS,
+            snapshot_pieces_per_second: UNBOUNDED_SNAPSHOT_PIECES,
+        };
         let servers = ControlServers::start(&options.control_server, &layout, initial).await?;
         let origin = servers.processes().first().copied().map(Process);
         let origin = origin.ok_or_else(|| io::Error::other("the origin ended at once"))?;
--- a/crates/pondlb-lab/src/slopes/mod.rs
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -1,10 +1,12 @@
-//! What one balancer needs of state, messages, processor time and memory, measured against one dimension of its size at
-//! a time: points, the line through them, and one point beyond. docs/CAPACITY.md is worked out from these slopes.
+//! What one balancer or control server needs of state, messages, processor time and memory, measured against one
+//! dimension of its size at a time: points, the line through them, and one point beyond. docs/CAPACITY.md is worked out
+//! from these slopes.
 
 mod bench;
 mod callers;
 mod changes;
 mod configuration;
+mod control;
 mod distribution;
 pub mod fit;
 pub mod listing;
@@ -50,6 +52,8 @@
     Balancers,
     /// Discovery's watch beside control servers, against the length of the list; only where it is named
     Distribution,
+    /// Control servers, against followers, records, changes a second and starts; only where it is named
+    Control,
 }
 
 /// What is measured where nothing is named: all that needs a balancer alone.
@@ -70,9 +74,9 @@
     pub program: Program,
     /// The balancer that `Dimension::Distribution` sets before discovery.
     pub before: Program,
-    /// The control server of `Dimension::Distribution`.
+    /// The control server of `Dimension::Distribution` and `Dimension::Control`.
     pub control_server: Program,
-    /// All but `Dimension::Distribution` where none is named.
+    /// All that needs a balancer alone where none is named.
     pub dimensions: Vec<Dimension>,
     /// How long each point is measured.
     pub seconds: f64,
@@ -109,23 +113,35 @@
         }
         Ok(())
     }
+
+    /// What is measured.
+    fn dimensions(&self) -> &[Dimension] {
+        if self.dimensions.is_empty() { &ALONE } else { &self.dimensions }
+    }
+
+    /// The programs that a dimension starts.
+    fn programs(&self, dimension: Dimension) -> Vec<&Program> {
+        match dimension {
+            Dimension::Distribution => vec![&self.program, &self.before, &self.control_server],
+            Dimension::Control => vec![&self.control_server],
+            _ => vec![&self.program],
+        }
+    }
 }
 
 /// Measures one dimension after the other, and tells of each as it is done.
 ///
 /// # Errors
-/// A balancer can't be started, or ends by itself.
+/// A program is missing, can't be started, or ends by itself.
 pub async fn measure(options: &Options, mut done: impl FnMut(&Measured)) -> io::Result<Vec<Measured>> {
     let span = Duration::from_secs_f64(options.seconds);
-    if options.dimensions.contains(&Dimension::Distribution) {
-        is_there(&options.before)?;
-        is_there(&options.control_server)?;
+    for dimension in options.dimensions() {
+        options.programs(*dimension).into_iter().try_for_each(is_there)?;
     }
     let bench = Bench::open(options.program.clone(), span, options.share).await?;
     let ticks = spawn_local(tick(bench.book.clone()));
-    let dimensions = if options.dimensions.is_empty() { &ALONE[..] } else { &options.dimensions };
     let mut results = Vec::new();
-    for dimension in dimensions {
+    for dimension in options.dimensions() {
         let series = along(&bench, options, *dimension).await?;
         let void = bench.void();
         let measured = Measured { dimension: *dimension, void, series };
@@ -152,6 +168,7 @@
         Dimension::Restarts => restarts::measure(bench).await,
         Dimension::Balancers => callers::measure(bench).await,
         Dimension::Distribution => distribution::measure(bench, options).await,
+        Dimension::Control => control::measure(bench, options).await,
     }
 }
 
