--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
 /// Pieces of snapshots a second that no run comes near: snapshots are bounded by the hollow processes, which take few at
 /// the same time.
 pub const UNBOUNDED_SNAPSHOT_PIECES: f64 = 100_000.0;
+/// As a server has it where its options say nothing.
+const DEFAULT_GATHER_MS: u64 = 200;
 const OK: u16 = 200;
 
 /// The state of a control server, as it tells it.
@@ -76,6 +78,20 @@
     pub snapshot_pieces_per_second: f64,
 }
 
+impl Layout {
+    /// On one address of loopback, in one region, with the gather time that a server has where its options say nothing,
+    /// and unbounded snapshots.
+    pub fn local(replica_servers: u32) -> Layout {
+        Layout {
+            listen: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            replica_servers,
+            regions: 1,
+            gather_ms: DEFAULT_GATHER_MS,
+            snapshot_pieces_per_second: UNBOUNDED_SNAPSHOT_PIECES,
+        }
+    }
+}
+
 /// An origin and its replica servers. All end with it.
 pub struct ControlServers {
     program: Program,
--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::configuration::{First, Size, configuration};
 use super::listing::Listing;
 use super::load::{Latency, Load, Way};
+use super::pace::Pace;
 use super::probe::Scheduled;
 use super::running::Running;
 use super::stand_in::{Discovery, Traffic, Upstreams};
@@ -64,7 +65,7 @@
 impl Spent {
     /// Processor time in milliseconds for each second.
     pub fn processor_ms_per_second(&self) -> f64 {
-        self.scheduled.ran.as_secs_f64() * 1000.0 / self.span.as_secs_f64()
+        self.scheduled.ran_ms() / self.span.as_secs_f64()
     }
 }
 
@@ -233,14 +234,12 @@
         Ok(Served { spent, through: through.latency(), direct: direct.latency(), connections, descriptors })
     }
 
-    /// Toggles one entry after another, so many a second, for the span of a measurement.
+    /// Toggles one entry after another, so many a second and one at least, for the span of a measurement.
     pub async fn change(&self, discovery: &Discovery, upstreams: usize, rate: f64) {
-        let count = (rate * self.span.as_secs_f64()).round() as usize;
-        let begun = Instant::now();
-        for number in 0..count {
-            sleep_until(begun + Duration::from_secs_f64(number as f64 / rate)).await;
+        let mut pace = Pace::at_rate(rate, self.span);
+        while let Some(number) = pace.next().await {
             // Each is toggled twice, or all would be leaving in the end.
-            let entry = number / 2 % upstreams;
+            let entry = number as usize / 2 % upstreams;
             discovery.push_changes(entry..entry + 1);
         }
     }
--- a/crates/pondlb-lab/src/slopes/changes.rs
+++ b/crates/pondlb-lab/src/slopes/changes.rs
@@ -74,7 +74,7 @@
         };
         let served = bench.serve(&running, &discovery, &class, REQUESTS_PER_SECOND, changes).await?;
         let quiet_ms = quiet.spent.processor_ms_per_second() * served.spent.span.as_secs_f64();
-        let message_ms = (served.spent.scheduled.ran.as_secs_f64() * 1000.0 - quiet_ms) / messages;
+        let message_ms = (served.spent.scheduled.ran_ms() - quiet_ms) / messages;
         measured.push((entries, (message_ms, served)));
     }
     running.end().await?;
--- a/crates/pondlb-lab/src/slopes/control/deployment.rs
+++ b/crates/pondlb-lab/src/slopes/control/deployment.rs
@@ -1,23 +1,20 @@
 //! An origin, a replica server behind it, and the followers of the replica server.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use nanorand::WyRand;
 use pondlb_control::Version;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::follower_group::FollowerGroup;
 use super::server_sample::ServerSample;
 use crate::balancers::Program;
 use crate::scale::records::{RecordCounts, Records};
 use crate::scale::servers::{ControlServers, Layout};
+use crate::slopes::pace::Pace;
 use crate::slopes::probe::Process;
 
-/// As a control server has it where its options say nothing.
-const GATHER_MS: u64 = 200;
-const LISTEN: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const SEED: u64 = 24;
 const POLL: Duration = Duration::from_millis(10);
 /// For the first snapshots of all followers of one step.
@@ -51,13 +48,7 @@
         snapshot_pieces_per_second: f64,
     ) -> io::Result<Deployment> {
         let records = Records::unserved(counts);
-        let layout = Layout {
-            listen: LISTEN,
-            replica_servers: 1,
-            regions: 1,
-            gather_ms: GATHER_MS,
-            snapshot_pieces_per_second,
-        };
+        let layout = Layout { snapshot_pieces_per_second, ..Layout::local(1) };
         let servers = ControlServers::start(program, &layout, records.initial()).await?;
         let [origin, replica] = servers.processes()[..] else {
             return Err(io::Error::other("a control server ended at once"));
@@ -113,19 +104,17 @@
         Ok(())
     }
 
-    /// Makes so many changes a second for a while, one at least, and tells how many.
+    /// Makes so many changes a second for a while, one at least.
     ///
     /// # Errors
     /// The origin refuses one.
-    pub async fn change_for(&mut self, span: Duration, per_second: usize) -> io::Result<u32> {
-        let count = (per_second as f64 * span.as_secs_f64()).round().max(1.0) as u32;
-        let begun = Instant::now();
-        for number in 0..count {
-            sleep_until(begun + span * number / count).await;
+    pub async fn change_for(&mut self, span: Duration, per_second: usize) -> io::Result<()> {
+        let mut pace = Pace::at_rate(per_second as f64, span);
+        while pace.next().await.is_some() {
             self.change().await?;
         }
-        sleep_until(begun + span).await;
-        Ok(count)
+        pace.end().await;
+        Ok(())
     }
 
     /// How many followers have the last change in force; waits until all have it, but not for longer than that.
--- a/crates/pondlb-lab/src/slopes/control/server_sample.rs
+++ b/crates/pondlb-lab/src/slopes/control/server_sample.rs
@@ -31,7 +31,7 @@
 
     /// Milliseconds on a processor since an earlier sample.
     pub fn processor_ms_since(&self, earlier: &ServerSample) -> f64 {
-        self.scheduled.since(&earlier.scheduled).ran.as_secs_f64() * 1000.0
+        self.scheduled.since(&earlier.scheduled).ran_ms()
     }
 
     /// Memory that it holds.
--- a/crates/pondlb-lab/src/slopes/mod.rs
+++ b/crates/pondlb-lab/src/slopes/mod.rs
@@ -11,6 +11,7 @@
 pub mod fit;
 pub mod listing;
 mod load;
+mod pace;
 pub mod probe;
 mod requests;
 mod restarts;
--- a/crates/pondlb-lab/src/slopes/probe.rs
+++ b/crates/pondlb-lab/src/slopes/probe.rs
@@ -30,6 +30,11 @@
 }
 
 impl Scheduled {
+    /// Milliseconds on a processor.
+    pub fn ran_ms(&self) -> f64 {
+        self.ran.as_secs_f64() * 1000.0
+    }
+
     /// What has come since then.
     pub fn since(&self, before: &Scheduled) -> Scheduled {
         Scheduled {
