A commit after a pause opens its connection anew

A control server closes a connection on which no request comes for 10 s. A connection that has rested for 5 s is no longer used.

--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -22,6 +22,8 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
 const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// A server closes a connection on which no request comes for 10 s.
+const COMMIT_IDLE: Duration = Duration::from_secs(5);
 const MEMORY_MB: u64 = 1024;
 /// Pieces of snapshots a second that no run comes near: snapshots are bounded by the hollow processes, which take few at
 /// the same time.
@@ -100,7 +102,8 @@
     /// The origin first.
     servers: Vec<Server>,
     commit: SocketAddr,
-    commit_wire: Option<Wire>,
+    /// The connection of the last commit, and when its answer came.
+    commit_wire: Option<(Wire, Instant)>,
     /// What the replica servers of the other regions reach the origin by.
     between_regions: Proxy,
 }
@@ -219,12 +222,13 @@
             "POST /control/commit HTTP/1.1\r\nHost: lab\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
-        let mut wire = match self.commit_wire.take() {
-            Some(wire) => wire,
+        let kept = self.commit_wire.take().filter(|(_, used)| used.elapsed() < COMMIT_IDLE);
+        let mut wire = match kept {
+            Some((wire, _)) => wire,
             None => Wire::new(TcpStream::connect(self.commit).await?),
         };
         let answer = call(&mut wire, &request).await?;
-        self.commit_wire = Some(wire);
+        self.commit_wire = Some((wire, Instant::now()));
         let committed: Committed = serde_json::from_str(&answer.body)?;
         Ok(committed.version)
     }
