--- a/crates/pondlb-lab/tests/slopes.rs
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -1,7 +1,6 @@
 //! Slopes: the line, what is read of a process, and a small run from the command line.
 
 use std::path::Path;
-use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -17,11 +16,9 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-const VOID: i32 = 3;
+use slopes_support::{VOID, program, series, sizes, slopes, values};
 
-fn slopes(line: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).arg("slopes").args(line).output().unwrap()
-}
+mod slopes_support;
 
 #[test]
 fn a_line_goes_through_exact_points_and_between_others() {
@@ -164,23 +161,6 @@
     serde_json::from_str(&std::fs::read_to_string(json).unwrap()).unwrap()
 }
 
-fn series<'a>(result: &'a Value, quantity: &str) -> &'a Value {
-    let all = result["series"].as_array().unwrap();
-    all.iter().find(|series| series["quantity"] == quantity).unwrap_or_else(|| panic!("no {quantity}"))
-}
-
-fn sizes(series: &Value) -> Vec<f64> {
-    let points = series["points"].as_array().unwrap();
-    let all = points.iter().chain([&series["beyond"]["point"]]);
-    all.map(|point| point["size"].as_f64().unwrap()).collect()
-}
-
-fn values(series: &Value) -> Vec<f64> {
-    let points = series["points"].as_array().unwrap();
-    let all = points.iter().chain([&series["beyond"]["point"]]);
-    all.map(|point| point["value"].as_f64().unwrap_or_else(|| panic!("not measured: {series}"))).collect()
-}
-
 #[test]
 fn a_small_run_takes_all_sizes_and_measures_every_point() {
     let folder = tempfile::tempdir().unwrap();
@@ -213,18 +193,6 @@
     assert!(values[4] > values[0], "{values:?}");
 }
 
-/// A program of another package, where cargo puts it. A test of this package alone does not build it.
-fn program(package: &str, name: &str) -> String {
-    let lab = Path::new(env!("CARGO_BIN_EXE_pondlb-lab"));
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--locked", "--package", package, "--bin", name]);
-    if lab.parent().unwrap().ends_with("release") {
-        build.arg("--release");
-    }
-    assert!(build.status().unwrap().success(), "{name} can't be built");
-    lab.with_file_name(name).to_str().unwrap().into()
-}
-
 #[test]
 fn distribution_measures_both_balancers_and_both_see_all_changes() {
     let folder = tempfile::tempdir().unwrap();
@@ -281,7 +249,8 @@
 #[test]
 fn bad_input_ends_with_2_before_anything_starts() {
     let planted = env!("CARGO_BIN_EXE_pondlb-planted");
-    let cases: [(&[&str], &str); 9] = [
+    let cases: [(&[&str], &str); 10] = [
+        (&["control", "--server", "no/such/server"], "no/such/server"),
         (&["distribution", "--program", planted, "--before", "no/such/before"], "no/such/before"),
         (&["distribution", "--program", planted, "--server", "no/such/server"], "no/such/server"),
         (&["upstreems"], "upstreems"),
@@ -307,4 +276,8 @@
     assert_eq!(run.status.code(), Some(2));
     let said = String::from_utf8(run.stderr).unwrap();
     assert!(said.contains("the balancer ended"), "{said}");
+    let run = slopes(&["control", "--server", "/bin/false", "--seconds", "0.2", "--share", "0.001"]);
+    assert_eq!(run.status.code(), Some(2));
+    let said = String::from_utf8(run.stderr).unwrap();
+    assert!(said.contains("origin ended before it served"), "{said}");
 }
