--- a/crates/pondlb-lab/src/scale/servers.rs
+++ b/crates/pondlb-lab/src/scale/servers.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -22,9 +22,14 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
 const CALL_WITHIN: Duration = Duration::from_secs(5);
+/// A server closes a connection on which no request comes for 10 s.
+const COMMIT_IDLE: Duration = Duration::from_secs(5);
 const MEMORY_MB: u64 = 1024;
-/// Snapshots are bounded by the hollow processes, which take few at the same time.
-const SNAPSHOT_PIECES_PER_SECOND: f64 = 100_000.0;
+/// Pieces of snapshots a second that no run comes near: snapshots are bounded by the hollow processes, which take few at
+/// the same time.
+pub const UNBOUNDED_SNAPSHOT_PIECES: f64 = 100_000.0;
+/// As a server has it where its options say nothing.
+const DEFAULT_GATHER_MS: u64 = 200;
 const OK: u16 = 200;
 
 /// The state of a control server, as it tells it.
@@ -82,6 +87,22 @@
     pub regions: u32,
     /// For how long a server gathers changes between two answers to one caller.
     pub gather_ms: u64,
+    /// How many pieces of snapshots a server gives in a second.
+    pub snapshot_pieces_per_second: f64,
+}
+
+impl Layout {
+    /// On one address of loopback, in one region, with the gather time that a server has where its options say nothing,
+    /// and unbounded snapshots.
+    pub fn local(replica_servers: u32) -> Layout {
+        Layout {
+            listen: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            replica_servers,
+            regions: 1,
+            gather_ms: DEFAULT_GATHER_MS,
+            snapshot_pieces_per_second: UNBOUNDED_SNAPSHOT_PIECES,
+        }
+    }
 }
 
 /// An origin and its replica servers. All end with it.
@@ -92,7 +113,8 @@
     /// The origin first.
     servers: Vec<Server>,
     commit: SocketAddr,
-    commit_wire: Option<Wire>,
+    /// The connection of the last commit, and when its answer came.
+    commit_wire: Option<(Wire, Instant)>,
     /// What the replica servers of the other regions reach the origin by.
     between_regions: Proxy,
 }
@@ -211,12 +233,13 @@
             "POST /control/commit HTTP/1.1\r\nHost: lab\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
-        let mut wire = match self.commit_wire.take() {
-            Some(wire) => wire,
+        let kept = self.commit_wire.take().filter(|(_, used)| used.elapsed() < COMMIT_IDLE);
+        let mut wire = match kept {
+            Some((wire, _)) => wire,
             None => Wire::new(TcpStream::connect(self.commit).await?),
         };
         let answer = call(&mut wire, &request).await?;
-        self.commit_wire = Some(wire);
+        self.commit_wire = Some((wire, Instant::now()));
         let committed: Committed = serde_json::from_str(&answer.body)?;
         Ok(committed.version)
     }
@@ -323,8 +346,8 @@
     // Writing to a string can't fail.
     let _written = write!(
         text,
-        "gather_ms = {}\nmemory_mb = {MEMORY_MB}\nsnapshot_pieces_per_second = {SNAPSHOT_PIECES_PER_SECOND:?}\n",
-        layout.gather_ms
+        "gather_ms = {}\nmemory_mb = {MEMORY_MB}\nsnapshot_pieces_per_second = {:?}\n",
+        layout.gather_ms, layout.snapshot_pieces_per_second
     );
     text + role
 }
--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use tempfile::TempDir;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::configuration::{First, Size, configuration};
-use super::is_there;
 use super::listing::Listing;
 use super::load::{Latency, Load, Way};
+use super::pace::Pace;
 use super::probe::Scheduled;
 use super::running::Running;
 use super::stand_in::{Discovery, Traffic, Upstreams};
@@ -30,7 +30,7 @@
 /// A little longer than a call to discovery waits for news.
 const SETTLE: Duration = Duration::from_millis(1500);
 
-/// Times say nothing of a balancer that waited for a processor for more than this part of the time that it ran.
+/// Times say nothing of a program that waited for a processor for more than this part of the time that it ran.
 const MOST_WAITED: f64 = 0.5;
 
 /// What all measurements of one call share.
@@ -47,7 +47,7 @@
     share: f64,
     started: Cell<u32>,
     loads: Cell<u32>,
-    /// What all balancers were given while they served.
+    /// What all measured programs were given while they served.
     serving: Cell<Scheduled>,
 }
 
@@ -65,7 +65,7 @@
 impl Spent {
     /// Processor time in milliseconds for each second.
     pub fn processor_ms_per_second(&self) -> f64 {
-        self.scheduled.ran.as_secs_f64() * 1000.0 / self.span.as_secs_f64()
+        self.scheduled.ran_ms() / self.span.as_secs_f64()
     }
 }
 
@@ -88,9 +88,8 @@
     /// Stand-ins listen; no balancer runs yet.
     ///
     /// # Errors
-    /// The program is missing, or the machine has no port or folder to give.
+    /// The machine has no port or folder to give.
     pub async fn open(program: Program, span: Duration, share: f64) -> io::Result<Bench> {
-        is_there(&program)?;
         Ok(Bench {
             program,
             folder: tempfile::tempdir()?,
@@ -109,9 +108,7 @@
         let Scheduled { ran, waited } = self.serving.take();
         let busy = || {
             let (ran, waited) = (ran.as_millis(), waited.as_millis());
-            format!(
-                "while they served, balancers ran for {ran} ms and waited for a processor for {waited} ms"
-            )
+            format!("while they served, programs ran for {ran} ms and waited for a processor for {waited} ms")
         };
         let late = judge::void(&self.book.ledgers.take());
         late.or_else(|| (waited.as_secs_f64() > MOST_WAITED * ran.as_secs_f64()).then(busy))
@@ -153,7 +150,7 @@
         Running::start(program, self.folder.path(), number, address, &configuration(number, address)).await
     }
 
-    /// Counts what a balancer was given while it served.
+    /// Counts what a measured program was given while it served.
     pub fn note_serving(&self, scheduled: &Scheduled) {
         self.serving.set(self.serving.get().and(scheduled));
     }
@@ -237,14 +234,12 @@
         Ok(Served { spent, through: through.latency(), direct: direct.latency(), connections, descriptors })
     }
 
-    /// Toggles one entry after another, so many a second, for the span of a measurement.
+    /// Toggles one entry after another, so many a second and one at least, for the span of a measurement.
     pub async fn change(&self, discovery: &Discovery, upstreams: usize, rate: f64) {
-        let count = (rate * self.span.as_secs_f64()).round() as usize;
-        let begun = Instant::now();
-        for number in 0..count {
-            sleep_until(begun + Duration::from_secs_f64(number as f64 / rate)).await;
+        let mut pace = Pace::at_rate(rate, self.span);
+        while let Some(number) = pace.next().await {
             // Each is toggled twice, or all would be leaving in the end.
-            let entry = number / 2 % upstreams;
+            let entry = number as usize / 2 % upstreams;
             discovery.push_changes(entry..entry + 1);
         }
     }
