Records in force are found by the hash of their key, doubled keys by sorting hashes

Each record was looked up three to six times on its way, each time by a hash for its bucket and a walk through a map that compares texts of keys, and a keyed hash set looked for doubled keys. The hash of the key is now computed once and handed along; a bucket is two sorted arrays, fingerprints of the keys and the records beside them, so that a search reads numbers that lie side by side and one key. Doubled keys are found by sorting the hashes; only where two are equal the texts are compared.

--- a/crates/pondlb-control/src/digest.rs
+++ b/crates/pondlb-control/src/digest.rs
@@ -10,9 +10,25 @@
 /// Stands between key and value in what is hashed; occurs in neither.
 const SEPARATOR: u8 = 0;
 
-/// The bucket of a record.
-pub(crate) fn bucket_of(key: &Key) -> usize {
-    xxh3_64(key.as_str().as_bytes()) as usize % BUCKETS
+/// The hash of a key, which tells its bucket and its place there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct KeyHash(u64);
+
+impl KeyHash {
+    /// The hash of this key.
+    pub(crate) fn of(key: &Key) -> KeyHash {
+        KeyHash(xxh3_64(key.as_str().as_bytes()))
+    }
+
+    /// The bucket of the key's record.
+    pub(crate) fn bucket(self) -> usize {
+        self.0 as usize % BUCKETS
+    }
+
+    /// Tells most keys of one bucket from each other: the half of the hash that does not choose the bucket.
+    pub(crate) fn fingerprint(self) -> u32 {
+        (self.0 >> 32) as u32
+    }
 }
 
 /// The hash of a record's key and value.
--- a/crates/pondlb-control/src/held.rs
+++ b/crates/pondlb-control/src/held.rs
@@ -1,8 +1,8 @@
 //! What a replica has in force, and the checks of what comes against it.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
-use crate::digest::{bucket_of, record_hash};
+use crate::digest::{KeyHash, record_hash};
 use crate::json::NULL;
 use crate::record_hashes::RecordHashes;
 use crate::{Change, ChangesAnswer, Check, Digest, Key, Limits, Names, Rejection, Version};
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HashedChange {
     pub(crate) change: Change,
+    pub(crate) key_hash: KeyHash,
     /// None where the record is removed.
     pub(crate) hash: Option<u64>,
 }
@@ -33,17 +34,32 @@
 
 impl HashedChange {
     pub(crate) fn new(change: Change) -> HashedChange {
+        let key_hash = KeyHash::of(&change.key);
         let hash = change.value.as_deref().map(|value| record_hash(&change.key, value.get()));
-        HashedChange { change, hash }
+        HashedChange { change, key_hash, hash }
     }
 
     /// The removal of a record that is missing in a whole state or bucket.
     pub(crate) fn removal(key: Key) -> HashedChange {
-        HashedChange { change: Change { revision: 0, key, value: None }, hash: None }
+        HashedChange::new(Change { revision: 0, key, value: None })
     }
 }
 
 impl Held {
+    /// Hashes changes that follow on a revision, each of another record, as [`Held::checked`] does.
+    pub(crate) fn checked_changes(
+        &self,
+        answer: ChangesAnswer,
+        asked: u64,
+        check: &Check<'_>,
+    ) -> Result<Vec<HashedChange>, Rejection> {
+        verify_changes(&answer, asked)?;
+        let hashed: Vec<HashedChange> = answer.changes.into_iter().map(HashedChange::new).collect();
+        verify_different_keys(&hashed)?;
+        hashed.iter().try_for_each(|hashed| self.verify_value(hashed, check))?;
+        Ok(hashed)
+    }
+
     /// Hashes changes whose values the limits and the checker allow. Values that are in force are not checked again.
     pub(crate) fn checked(
         &self,
@@ -58,7 +74,7 @@
     /// Whether a value that is not in force yet may be.
     pub(crate) fn verify_value(&self, hashed: &HashedChange, check: &Check<'_>) -> Result<(), Rejection> {
         let Change { key, value, .. } = &hashed.change;
-        if self.records.get(key) == hashed.hash {
+        if self.hash_in_force(hashed) == hashed.hash {
             return Ok(());
         }
         let text = value.as_deref().map(|value| value.get());
@@ -72,15 +88,20 @@
         check(key, text).map_err(|reason| Rejection::Refused { key: key.clone(), reason })
     }
 
+    /// The hash that the record has as it is in force.
+    pub(crate) fn hash_in_force(&self, HashedChange { change, key_hash, .. }: &HashedChange) -> Option<u64> {
+        self.records.get(&change.key, *key_hash)
+    }
+
     /// What the records would be with these changes, each of another record.
     pub(crate) fn outlook(&self, changes: &[HashedChange]) -> Outlook {
         let mut digest = self.records.digest().0;
         let mut records = self.records.len();
-        for HashedChange { change, hash } in changes {
-            let before = self.records.get(&change.key);
-            digest = digest.wrapping_sub(before.unwrap_or(0)).wrapping_add(hash.unwrap_or(0));
+        for change in changes {
+            let before = self.hash_in_force(change);
+            digest = digest.wrapping_sub(before.unwrap_or(0)).wrapping_add(change.hash.unwrap_or(0));
             records -= usize::from(before.is_some());
-            records += usize::from(hash.is_some());
+            records += usize::from(change.hash.is_some());
         }
         Outlook { digest: Digest(digest), records }
     }
@@ -88,19 +109,21 @@
     /// The digests of all buckets as they would be with these changes, each of another record.
     pub(crate) fn bucket_digests_with(&self, changes: &[HashedChange]) -> Vec<Digest> {
         let mut digests: Vec<Digest> = self.records.bucket_digests().collect();
-        for HashedChange { change, hash } in changes {
-            let before = self.records.get(&change.key).unwrap_or(0);
-            let Digest(digest) = &mut digests[bucket_of(&change.key)];
-            *digest = digest.wrapping_sub(before).wrapping_add(hash.unwrap_or(0));
+        for change in changes {
+            let before = self.hash_in_force(change).unwrap_or(0);
+            let Digest(digest) = &mut digests[change.key_hash.bucket()];
+            *digest = digest.wrapping_sub(before).wrapping_add(change.hash.unwrap_or(0));
         }
         digests
     }
 
     /// Puts a change in force.
-    pub(crate) fn apply(&mut self, HashedChange { change, hash }: &HashedChange) {
+    pub(crate) fn apply(&mut self, HashedChange { change, key_hash, hash }: &HashedChange) {
         match hash {
-            Some(hash) => self.records.set(&change.key, *hash, |key| self.names.share(key.clone())),
-            None => self.records.remove(&change.key),
+            Some(hash) => {
+                self.records.set(&change.key, *key_hash, *hash, |key| self.names.share(key.clone()));
+            }
+            None => self.records.remove(&change.key, *key_hash),
         }
     }
 }
@@ -125,8 +148,8 @@
     Ok(())
 }
 
-/// Whether changes follow on the revision that was asked for, in ascending order and each of another record.
-pub(crate) fn verify_changes(answer: &ChangesAnswer, asked: u64) -> Result<(), Rejection> {
+/// Whether changes follow on the revision that was asked for, in ascending order.
+fn verify_changes(answer: &ChangesAnswer, asked: u64) -> Result<(), Rejection> {
     if answer.from != asked {
         return Err(Rejection::WrongFrom { answered: answer.from, asked });
     }
@@ -134,19 +157,28 @@
         return Err(Rejection::EmptyPiece);
     }
     let mut before = asked;
-    let mut keys = HashSet::with_capacity(answer.changes.len());
     for Change { revision, key, .. } in &answer.changes {
         if *revision <= before || *revision > answer.version.revision {
             return Err(Rejection::WrongRevision { key: key.clone(), revision: *revision });
         }
         before = *revision;
-        if !keys.insert(key) {
-            return Err(Rejection::DoubledKey(key.clone()));
-        }
     }
     Ok(())
 }
 
+/// Whether each change is of another record.
+fn verify_different_keys(changes: &[HashedChange]) -> Result<(), Rejection> {
+    let mut key_hashes: Vec<KeyHash> = changes.iter().map(|change| change.key_hash).collect();
+    key_hashes.sort_unstable();
+    if key_hashes.is_sorted_by(|one, next| one < next) {
+        return Ok(());
+    }
+    // Two keys may have one hash, so only their texts tell.
+    let mut keys = BTreeSet::new();
+    let doubled = changes.iter().find(|hashed| !keys.insert(&hashed.change.key));
+    doubled.map_or(Ok(()), |hashed| Err(Rejection::DoubledKey(hashed.change.key.clone())))
+}
+
 /// Whether records of a snapshot or bucket have values, known revisions, and keys that ascend from `after` on.
 pub(crate) fn verify_records(
     records: &[Change],
--- a/crates/pondlb-control/src/record_hashes.rs
+++ b/crates/pondlb-control/src/record_hashes.rs
@@ -1,11 +1,15 @@
 //! The hashes of a set of records, by bucket.
 
-use std::collections::BTreeMap;
-
-use crate::digest::{BUCKETS, bucket_of};
+use crate::digest::{BUCKETS, KeyHash};
 use crate::{Digest, Key};
 
+/// A bucket that is full makes room for this part of what it holds, and for a few records at least.
+const SPARE_PART: usize = 8;
+const FEWEST_SPARE: usize = 4;
+
 /// The keys and hashes of a set of records, in buckets whose digests are kept up with each change.
+///
+/// Who looks for several things about a key hashes it once and passes its [`KeyHash`] along.
 #[derive(Clone, Debug)]
 pub(crate) struct RecordHashes {
     buckets: Vec<Bucket>,
@@ -13,22 +17,33 @@
     len: usize,
 }
 
+/// The records of one bucket in the order of their fingerprints, and of their keys where these are the same. A search
+/// goes through the fingerprints, which lie side by side, and looks at the text of one key.
 #[derive(Clone, Debug, Default)]
 struct Bucket {
-    hashes: BTreeMap<Key, u64>,
+    fingerprints: Vec<u32>,
+    /// At the same places.
+    records: Vec<HashedRecord>,
     digest: u64,
 }
 
+#[derive(Clone, Debug)]
+struct HashedRecord {
+    key: Key,
+    hash: u64,
+}
+
 impl RecordHashes {
     /// Those of no record.
     pub(crate) fn new() -> RecordHashes {
         RecordHashes { buckets: vec![Bucket::default(); BUCKETS], digest: 0, len: 0 }
     }
 
-    /// The same records in maps that are built anew, which takes less memory than maps that have grown.
+    /// The same records without the room that growing has left.
     pub(crate) fn compacted(mut self) -> RecordHashes {
         for bucket in &mut self.buckets {
-            bucket.hashes = std::mem::take(&mut bucket.hashes).into_iter().collect();
+            bucket.fingerprints.shrink_to_fit();
+            bucket.records.shrink_to_fit();
         }
         self
     }
@@ -44,17 +59,19 @@
     }
 
     /// The hash of a record.
-    pub(crate) fn get(&self, key: &Key) -> Option<u64> {
-        self.buckets[bucket_of(key)].hashes.get(key).copied()
+    pub(crate) fn get(&self, key: &Key, key_hash: KeyHash) -> Option<u64> {
+        let bucket = &self.buckets[key_hash.bucket()];
+        let place = bucket.find(key, key_hash).ok()?;
+        Some(bucket.records[place].hash)
     }
 
     /// Sets the hash of a record. `share` gives the key to keep where the record is new.
-    pub(crate) fn set(&mut self, key: &Key, hash: u64, share: impl FnOnce(&Key) -> Key) {
-        let bucket = &mut self.buckets[bucket_of(key)];
-        let before = match bucket.hashes.get_mut(key) {
-            Some(held) => std::mem::replace(held, hash),
-            None => {
-                bucket.hashes.insert(share(key), hash);
+    pub(crate) fn set(&mut self, key: &Key, key_hash: KeyHash, hash: u64, share: impl FnOnce(&Key) -> Key) {
+        let bucket = &mut self.buckets[key_hash.bucket()];
+        let before = match bucket.find(key, key_hash) {
+            Ok(place) => std::mem::replace(&mut bucket.records[place].hash, hash),
+            Err(place) => {
+                bucket.insert(place, key_hash, HashedRecord { key: share(key), hash });
                 self.len += 1;
                 0
             }
@@ -65,9 +82,11 @@
     }
 
     /// Takes a record out.
-    pub(crate) fn remove(&mut self, key: &Key) {
-        let bucket = &mut self.buckets[bucket_of(key)];
-        if let Some(hash) = bucket.hashes.remove(key) {
+    pub(crate) fn remove(&mut self, key: &Key, key_hash: KeyHash) {
+        let bucket = &mut self.buckets[key_hash.bucket()];
+        if let Ok(place) = bucket.find(key, key_hash) {
+            bucket.fingerprints.remove(place);
+            let HashedRecord { hash, .. } = bucket.records.remove(place);
             bucket.digest = bucket.digest.wrapping_sub(hash);
             self.digest = self.digest.wrapping_sub(hash);
             self.len -= 1;
@@ -85,19 +104,46 @@
         pairs.flat_map(|(bucket, other)| bucket.keys_missing_in(other))
     }
 
-    /// The records of one bucket in the order of their keys; none where there is no such bucket.
-    pub(crate) fn bucket(&self, bucket: usize) -> Option<&BTreeMap<Key, u64>> {
-        self.buckets.get(bucket).map(|bucket| &bucket.hashes)
+    /// The keys of one bucket in their order; none where there is no such bucket.
+    pub(crate) fn bucket_keys(&self, bucket: usize) -> Option<Vec<&Key>> {
+        let mut keys: Vec<&Key> = self.buckets.get(bucket)?.keys().collect();
+        keys.sort_unstable();
+        Some(keys)
     }
 }
 
 impl Bucket {
-    /// Goes through both buckets at once. Keys of one allocation are equal without a look at their text.
+    /// The place of a record, or else where it would be.
+    fn find(&self, key: &Key, key_hash: KeyHash) -> Result<usize, usize> {
+        self.find_fingerprint(key, key_hash.fingerprint())
+    }
+
+    fn find_fingerprint(&self, key: &Key, fingerprint: u32) -> Result<usize, usize> {
+        let first = self.fingerprints.partition_point(|other| *other < fingerprint);
+        let alike = self.fingerprints[first..].iter().take_while(|other| **other == fingerprint).count();
+        let found = self.records[first..first + alike].binary_search_by(|record| record.key.cmp(key));
+        found.map(|place| first + place).map_err(|place| first + place)
+    }
+
+    fn insert(&mut self, place: usize, key_hash: KeyHash, record: HashedRecord) {
+        // Doubling would leave half of the memory unused in buckets that hardly grow any more.
+        if self.records.len() == self.records.capacity() {
+            let spare = FEWEST_SPARE.max(self.records.len() / SPARE_PART);
+            self.fingerprints.reserve_exact(spare);
+            self.records.reserve_exact(spare);
+        }
+        self.fingerprints.insert(place, key_hash.fingerprint());
+        self.records.insert(place, record);
+    }
+
+    fn keys(&self) -> impl Iterator<Item = &Key> {
+        self.records.iter().map(|record| &record.key)
+    }
+
     fn keys_missing_in<'a>(&'a self, other: &'a Bucket) -> impl Iterator<Item = &'a Key> {
-        let mut others = other.hashes.keys().peekable();
-        self.hashes.keys().filter(move |key| {
-            while others.next_if(|other| other != key && other < key).is_some() {}
-            others.next_if(|other| other == key).is_none()
-        })
+        let pairs = self.keys().zip(&self.fingerprints);
+        let is_missing =
+            |(key, fingerprint): &(&Key, &u32)| other.find_fingerprint(key, **fingerprint).is_err();
+        pairs.filter(is_missing).map(|(key, _)| key)
     }
 }
--- a/crates/pondlb-control/src/repair.rs
+++ b/crates/pondlb-control/src/repair.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::digest::bucket_of;
+use crate::digest::KeyHash;
 use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
 use crate::{BucketAnswer, Call, Check, Digest, DigestsAnswer, Key, Rejection, Version};
 
@@ -99,14 +99,15 @@
             return Ok(RepairStep::MovedOn);
         }
         verify_records(&answer.records, answer.version, None)?;
-        if let Some(foreign) = answer.records.iter().find(|record| bucket_of(&record.key) != asked) {
+        if let Some(foreign) = answer.records.iter().find(|record| KeyHash::of(&record.key).bucket() != asked)
+        {
             return Err(Rejection::ForeignRecord { key: foreign.key.clone(), bucket: asked });
         }
         let records = held.checked(answer.records, check)?;
         verify_digest(self.told[asked], records.iter().filter_map(|record| record.hash.map(Digest)))?;
         let removals = removals(asked, &records, held);
         removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
-        let is_new = |record: &HashedChange| held.records.get(&record.change.key) != record.hash;
+        let is_new = |record: &HashedChange| held.hash_in_force(record) != record.hash;
         self.differences.extend(records.into_iter().filter(is_new));
         self.differences.extend(removals);
         self.unread.pop();
@@ -116,7 +117,7 @@
 
     fn complete(&mut self, held: &Held) -> Result<RepairStep, Rejection> {
         let mut changes = std::mem::take(&mut self.changes);
-        changes.retain(|hashed| !self.read.contains(&bucket_of(&hashed.change.key)));
+        changes.retain(|hashed| !self.read.contains(&hashed.key_hash.bucket()));
         changes.append(&mut self.differences);
         let outlook = held.outlook(&changes);
         verify_count(outlook.records, &held.limits)?;
@@ -130,8 +131,8 @@
 /// Removals of the records in force that a bucket does not hold. `records` are in the order of their keys.
 fn removals(bucket: usize, records: &[HashedChange], held: &Held) -> Vec<HashedChange> {
     let is_gone = |key: &&Key| records.binary_search_by(|record| record.change.key.cmp(key)).is_err();
-    let keys = held.records.bucket(bucket).into_iter().flat_map(|hashes| hashes.keys());
-    keys.filter(is_gone).map(|key| HashedChange::removal(key.clone())).collect()
+    let keys = held.records.bucket_keys(bucket).unwrap_or_default();
+    keys.into_iter().filter(is_gone).map(|key| HashedChange::removal(key.clone())).collect()
 }
 
 fn verify_digest(told: Digest, parts: impl Iterator<Item = Digest>) -> Result<(), Rejection> {
--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older};
+use crate::held::{HashedChange, Held, verify_count, verify_not_older};
 use crate::record_hashes::RecordHashes;
 use crate::repair::{Repair, RepairStep, Repaired};
 use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
@@ -169,25 +169,24 @@
             self.phase = Phase::begin_snapshot();
             return Ok(Progress::Pending);
         }
-        verify_changes(&answer, self.held.version.revision)?;
-        let changes = self.held.checked(answer.changes, check)?;
+        let (version, more, told) = (answer.version, answer.more, answer.digest.filter(|_| !answer.more));
+        let changes = self.held.checked_changes(answer, self.held.version.revision, check)?;
         let outlook = self.held.outlook(&changes);
-        verify_count(outlook.records, &self.held.limits.at_piece(answer.more))?;
-        let told = answer.digest.filter(|_| !answer.more);
+        verify_count(outlook.records, &self.held.limits.at_piece(more))?;
         if let Some(told) = told.filter(|told| *told != outlook.digest) {
             self.is_in_sync = false;
-            self.phase = Phase::Repair(Box::new(Repair::new(answer.version, told, changes)));
+            self.phase = Phase::Repair(Box::new(Repair::new(version, told, changes)));
             return Ok(Progress::Pending);
         }
-        self.phase = Phase::Following { hurry: answer.more };
+        self.phase = Phase::Following { hurry: more };
         if told.is_some() {
             self.note_right_digest();
         }
-        let is_news = answer.version > self.held.version || told.is_some() && !self.is_verified;
+        let is_news = version > self.held.version || told.is_some() && !self.is_verified;
         if changes.is_empty() && !is_news {
             return Ok(Progress::Unchanged);
         }
-        Ok(Progress::Applied(self.apply(answer.version, told, changes, answer.more)))
+        Ok(Progress::Applied(self.apply(version, told, changes, more)))
     }
 
     fn go_on_with_snapshot(&mut self, step: Result<SnapshotStep, Rejection>) -> Result<Progress, Rejection> {
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
+use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
 use crate::record_hashes::RecordHashes;
 use crate::{
     Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Limits, Rejection, SnapshotAnswer, Version,
@@ -117,15 +117,15 @@
         if !answer.more {
             verify_not_older(answer.version, self.newest)?;
         }
-        verify_changes(&answer, from.revision)?;
-        let changes = held.checked(answer.changes, check)?;
-        self.verify_extent(&changes, &held.limits.at_piece(answer.more))?;
+        let (version, more, told) = (answer.version, answer.more, answer.digest.filter(|_| !answer.more));
+        let changes = held.checked_changes(answer, from.revision, check)?;
+        self.verify_extent(&changes, &held.limits.at_piece(more))?;
         changes.into_iter().for_each(|change| self.put(change, held));
-        self.newest = self.newest.max(answer.version);
-        self.stage = Stage::Changes { from: answer.version, hurry: answer.more };
-        match answer.digest.filter(|_| !answer.more) {
+        self.newest = self.newest.max(version);
+        self.stage = Stage::Changes { from: version, hurry: more };
+        match told {
             None => Ok(SnapshotStep::Pending),
-            Some(told) => self.complete(answer.version, told, held, check),
+            Some(told) => self.complete(version, told, held, check),
         }
     }
 
@@ -153,8 +153,8 @@
 
     /// Removals of the records in force that are not staged.
     fn removals(&self, held: &Held) -> Vec<HashedChange> {
-        let is_new = |key: &&Key| held.records.get(key).is_none();
-        let new = self.differences.keys().filter(is_new).count();
+        let is_new = |hashed: &&HashedChange| held.hash_in_force(hashed).is_none();
+        let new = self.differences.values().filter(is_new).count();
         if self.records.len() - new == held.records.len() {
             return Vec::new();
         }
@@ -166,10 +166,13 @@
     fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
         let mut records = self.records.len();
         let mut bytes = self.bytes;
-        for HashedChange { change, hash } in changes {
-            records -= usize::from(self.records.get(&change.key).is_some());
+        for HashedChange { change, key_hash, hash } in changes {
+            // What is no record yet is no difference either.
+            if self.records.get(&change.key, *key_hash).is_some() {
+                records -= 1;
+                bytes -= self.differences.get(&change.key).map_or(0, |before| staged_bytes(&before.change));
+            }
             records += usize::from(hash.is_some());
-            bytes -= self.differences.get(&change.key).map_or(0, |before| staged_bytes(&before.change));
             bytes += staged_bytes(change);
         }
         verify_count(records, limits)?;
@@ -177,17 +180,17 @@
         if bytes > most { Err(Rejection::TooManyBytes { bytes, most }) } else { Ok(()) }
     }
 
-    fn put(&mut self, HashedChange { change, hash }: HashedChange, held: &Held) {
+    fn put(&mut self, HashedChange { change, key_hash, hash }: HashedChange, held: &Held) {
         let key = held.names.share(change.key.clone());
         match hash {
-            Some(hash) => self.records.set(&key, hash, Key::clone),
-            None => self.records.remove(&key),
+            Some(hash) => self.records.set(&key, key_hash, hash, Key::clone),
+            None => self.records.remove(&key, key_hash),
         }
-        let is_difference = hash.is_some() && held.records.get(&key) != hash;
+        let is_difference = hash.is_some() && held.records.get(&key, key_hash) != hash;
         let before = if is_difference {
             self.bytes += staged_bytes(&change);
             let change = Change { key: key.clone(), ..change };
-            self.differences.insert(key, HashedChange { change, hash })
+            self.differences.insert(key, HashedChange { change, key_hash, hash })
         } else {
             self.differences.remove(&key)
         };
--- a/crates/pondlb-control/src/store.rs
+++ b/crates/pondlb-control/src/store.rs
@@ -7,7 +7,7 @@
 
 use crate::change_log::ChangeLog;
 use crate::commit::{CommitError, Extent, checked_values, extent_after};
-use crate::digest::record_hash;
+use crate::digest::{BUCKETS, KeyHash, record_hash};
 use crate::json::escaped_len;
 use crate::record_hashes::RecordHashes;
 use crate::{
@@ -161,12 +161,12 @@
 
     /// Whether there is a bucket of this number.
     pub fn has_bucket(&self, bucket: usize) -> bool {
-        self.hashes.bucket(bucket).is_some()
+        bucket < BUCKETS
     }
 
     /// All records of one bucket; none where there is no such bucket.
     pub fn bucket(&self, bucket: usize) -> Option<BucketAnswer> {
-        let keys = self.hashes.bucket(bucket)?.keys();
+        let keys = self.hashes.bucket_keys(bucket)?.into_iter();
         let records = keys.filter_map(|key| self.records.get(key).map(|record| record.as_change(key)));
         Some(BucketAnswer { version: self.version, bucket, records: records.collect() })
     }
@@ -194,11 +194,11 @@
         let Some(value) = value else {
             let removed = self.records.remove(key);
             self.bytes -= removed.as_ref().map_or(0, |record| key_bytes + record.value.get().len());
-            self.hashes.remove(key);
+            self.hashes.remove(key, KeyHash::of(key));
             self.log.remove(key, revision, removed.map(|record| record.revision));
             return;
         };
-        self.hashes.set(key, record_hash(key, value.get()), Key::clone);
+        self.hashes.set(key, KeyHash::of(key), record_hash(key, value.get()), Key::clone);
         self.bytes += key_bytes + value.get().len();
         let before = self.records.insert(key.clone(), Record { revision, value });
         self.bytes -= before.as_ref().map_or(0, |record| key_bytes + record.value.get().len());
