A value that can be read is checked without keeping track of its keys

The balancer's check of a record deserialized through serde_path_to_error, which notes the path of each key for the message of a fault that hardly ever comes. Values are read plainly now, and read again with the path only when that fails, so that what is accepted and what faults say stay the same.

--- a/crates/pondlb-terms/src/upstream.rs
+++ b/crates/pondlb-terms/src/upstream.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Deserializer};
 
 use crate::Fault;
+use crate::wire::read;
 
 /// One upstream of a list.
 #[derive(Clone, Debug, Deserialize)]
@@ -58,10 +59,7 @@
     /// # Errors
     /// A [`Fault`] that names the key.
     pub fn read(name: &str, json: &str) -> Result<Target, Fault> {
-        let mut reader = serde_json::Deserializer::from_str(json);
-        let target: Target =
-            serde_path_to_error::deserialize(&mut reader).map_err(|error| error.to_string())?;
-        reader.end().map_err(|error| error.to_string())?;
+        let target: Target = read(json)?;
         if target.upstream != name {
             return Err(format!("uid: {:?}: the record's name is accepted", target.upstream));
         }
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -113,6 +113,11 @@
 
 /// Reads the whole of a text; a fault names the key.
 pub fn read<T: DeserializeOwned>(json: &str) -> Result<T, Fault> {
+    // Keeping track of the key takes longer than reading, and only what can't be read needs it.
+    serde_json::from_str(json).or_else(|_| read_tracked(json))
+}
+
+fn read_tracked<T: DeserializeOwned>(json: &str) -> Result<T, Fault> {
     let mut reader = serde_json::Deserializer::from_str(json);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|e| e.to_string())?;
     reader.end().map_err(|e| e.to_string())?;
