A follower checks the records of an answer in slices of 64, one a turn of the loop

An answer was decoded, hashed, checked and taken in one turn.

PendingAnswer takes the records out of an answer; the driver has them hashed and checked slice by slice and gives the loop a turn before the first, between them and before they are taken, all or none. The order of rejections stays: what is wrong with versions and revisions is told before a value that may not be taken.

Tests: a fault in the last slice (refused, without a value, doubled, of a wrong revision) leaves nothing taken and the follower recovers; what was checked in slices is taken as a whole; a poll of the follower checks 64 records at most.

--- a/crates/pondlb-control-net/benches/follow.rs
+++ b/crates/pondlb-control-net/benches/follow.rs
@@ -62,10 +62,14 @@
     let server = listener.local_addr().expect("its address");
     spawn_local(serve(listener, Rc::new(answers)));
     let names = Names::default();
+    let mut least_disturbed = vec![Duration::MAX; versions.len()];
     for number in 0..followers {
-        let longest: Vec<Duration> = follow_through(server, names.clone(), check, &versions).await;
+        let longest = follow_through(server, names.clone(), check, &versions).await;
         println!("follower {number}: longest poll by state {longest:.0?}");
+        let pairs = least_disturbed.iter_mut().zip(longest);
+        pairs.for_each(|(least, longest)| *least = longest.min(*least));
     }
+    println!("longest poll of the follower that was disturbed least {least_disturbed:.0?}");
 }
 
 /// Follows until the last version; the longest poll until each version.
--- a/crates/pondlb-control-net/src/client/driver.rs
+++ b/crates/pondlb-control-net/src/client/driver.rs
@@ -4,9 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pondlb_control::{Answer, Call, Hold, Key, Progress, Replica, Rotation, Update};
+use pondlb_control::{
+    Answer, Call, Hold, Key, PendingAnswer, Progress, Rejection, Replica, Rotation, Update,
+};
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::failure::{Failure, ToldFailures};
@@ -21,6 +24,9 @@
 /// without a rest.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// So many records are checked in one turn of the loop: others go on between.
+const SLICE: usize = 64;
+
 /// More than a piece and a single record have beside the value: key, revision, version and digest.
 const MOST_BESIDE_VALUE: usize = 4 << 10;
 /// The longest answer to a call for repairs: a bucket of very long records.
@@ -91,7 +97,7 @@
         let answer = self.ask(&call).await?;
         let answered = Instant::now();
         let told = told_by(&answer);
-        let progress = self.replica.receive(answer, &self.check)?;
+        let progress = self.receive(answer).await?;
         self.rotation.succeeded();
         let in_sync = self.replica.is_in_sync();
         self.status.count(|counters| {
@@ -113,6 +119,20 @@
         Ok((told.is_empty && called.elapsed() < PAUSE).then_some(PAUSE))
     }
 
+    /// Takes an answer that was just decoded, all or nothing. Other tasks get a turn before its records are checked,
+    /// between slices of them, and before they are taken.
+    async fn receive(&mut self, answer: Answer) -> Result<Progress, Rejection> {
+        let mut pending = PendingAnswer::new(answer);
+        while !pending.is_checked() {
+            yield_now().await;
+            self.replica.check_slice(&mut pending, &self.check, SLICE);
+            if pending.is_checked() {
+                yield_now().await;
+            }
+        }
+        self.replica.receive_checked(pending, &self.check)
+    }
+
     async fn ask(&mut self, call: &Call) -> Result<Answer, Failure> {
         let server = self.server();
         self.status.note_server(server);
--- a/crates/pondlb-control-net/tests/distribution.rs
+++ b/crates/pondlb-control-net/tests/distribution.rs
@@ -2,10 +2,16 @@
 
 mod common;
 
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::*;
-use pondlb_control_net::Following;
+use pondlb_control::Key;
+use pondlb_control_net::{Following, follow};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 #[test]
@@ -62,6 +68,36 @@
     });
 }
 
+#[test]
+fn a_follower_checks_a_slice_of_a_piece_in_one_turn() {
+    const MOST_IN_A_TURN: u64 = 64;
+    run(async {
+        let records = (0..500).map(|number| set(&format!("s-{number:05}"), number)).collect();
+        let origin = origin(7, records);
+        let checked = Rc::new(Cell::new(0));
+        let (deliver, mut delivered) = mpsc::unbounded_channel();
+        let count = checked.clone();
+        let check = move |_: &Key, _: Option<&str>| {
+            count.set(count.get() + 1);
+            Ok(())
+        };
+        let following = Following::new(vec![origin.address], "b", 0);
+        let mut follower = Box::pin(follow(following, check, deliver, Rc::default()));
+        let most_in_a_turn = Rc::new(Cell::new(0));
+        let (counted, most) = (checked.clone(), most_in_a_turn.clone());
+        let follower = spawn_local(poll_fn(move |context| {
+            let before = counted.get();
+            let polled = follower.as_mut().poll(context);
+            most.set(most.get().max(counted.get() - before));
+            polled
+        }));
+        let update = delivered.recv().await.unwrap().update;
+        assert_eq!((update.changes.len(), checked.get()), (500, 500));
+        assert_eq!(most_in_a_turn.get(), MOST_IN_A_TURN);
+        follower.abort();
+    });
+}
+
 #[test]
 fn a_follower_whose_server_is_killed_goes_on_at_the_next() {
     run(async {
--- a/crates/pondlb-control/src/held.rs
+++ b/crates/pondlb-control/src/held.rs
@@ -46,32 +46,7 @@
 }
 
 impl Held {
-    /// Hashes changes that follow on a revision, each of another record, as [`Held::checked`] does.
-    pub(crate) fn checked_changes(
-        &self,
-        answer: ChangesAnswer,
-        asked: u64,
-        check: &Check<'_>,
-    ) -> Result<Vec<HashedChange>, Rejection> {
-        verify_changes(&answer, asked)?;
-        let hashed: Vec<HashedChange> = answer.changes.into_iter().map(HashedChange::new).collect();
-        verify_different_keys(&hashed)?;
-        hashed.iter().try_for_each(|hashed| self.verify_value(hashed, check))?;
-        Ok(hashed)
-    }
-
-    /// Hashes changes whose values the limits and the checker allow. Values that are in force are not checked again.
-    pub(crate) fn checked(
-        &self,
-        changes: Vec<Change>,
-        check: &Check<'_>,
-    ) -> Result<Vec<HashedChange>, Rejection> {
-        let hashed: Vec<HashedChange> = changes.into_iter().map(HashedChange::new).collect();
-        hashed.iter().try_for_each(|hashed| self.verify_value(hashed, check))?;
-        Ok(hashed)
-    }
-
-    /// Whether a value that is not in force yet may be.
+    /// Whether the limits and the checker allow a value. One that is in force is not checked again.
     pub(crate) fn verify_value(&self, hashed: &HashedChange, check: &Check<'_>) -> Result<(), Rejection> {
         let Change { key, value, .. } = &hashed.change;
         if self.hash_in_force(hashed) == hashed.hash {
@@ -148,25 +123,28 @@
     Ok(())
 }
 
-/// Whether changes follow on the revision that was asked for, in ascending order.
-fn verify_changes(answer: &ChangesAnswer, asked: u64) -> Result<(), Rejection> {
+/// Whether changes follow on the revision that was asked for, in ascending order and each of another record.
+pub(crate) fn verify_changes(
+    answer: &ChangesAnswer,
+    changes: &[HashedChange],
+    asked: u64,
+) -> Result<(), Rejection> {
     if answer.from != asked {
         return Err(Rejection::WrongFrom { answered: answer.from, asked });
     }
-    if answer.more && answer.changes.is_empty() {
+    if answer.more && changes.is_empty() {
         return Err(Rejection::EmptyPiece);
     }
     let mut before = asked;
-    for Change { revision, key, .. } in &answer.changes {
+    for Change { revision, key, .. } in changes.iter().map(|hashed| &hashed.change) {
         if *revision <= before || *revision > answer.version.revision {
             return Err(Rejection::WrongRevision { key: key.clone(), revision: *revision });
         }
         before = *revision;
     }
-    Ok(())
+    verify_different_keys(changes)
 }
 
-/// Whether each change is of another record.
 fn verify_different_keys(changes: &[HashedChange]) -> Result<(), Rejection> {
     let mut key_hashes: Vec<KeyHash> = changes.iter().map(|change| change.key_hash).collect();
     key_hashes.sort_unstable();
@@ -181,12 +159,12 @@
 
 /// Whether records of a snapshot or bucket have values, known revisions, and keys that ascend from `after` on.
 pub(crate) fn verify_records(
-    records: &[Change],
+    records: &[HashedChange],
     version: Version,
     after: Option<&Key>,
 ) -> Result<(), Rejection> {
     let mut before = after;
-    for Change { revision, key, value } in records {
+    for Change { revision, key, value } in records.iter().map(|hashed| &hashed.change) {
         if before.is_some_and(|before| key <= before) {
             return Err(Rejection::KeyOutOfOrder(key.clone()));
         }
--- a/crates/pondlb-control/src/lib.rs
+++ b/crates/pondlb-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod message;
 mod names;
+mod pending;
 mod percent;
 mod record_hashes;
 mod rejection;
@@ -32,6 +33,7 @@
     SnapshotAnswer, Version,
 };
 pub use names::Names;
+pub use pending::PendingAnswer;
 pub use rejection::Rejection;
 pub use replica::{Answer, Check, Progress, Replica};
 pub use rotation::Rotation;
--- a/crates/pondlb-control/src/repair.rs
+++ b/crates/pondlb-control/src/repair.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::digest::KeyHash;
 use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
+use crate::pending::CheckedRecords;
 use crate::{BucketAnswer, Call, Check, Digest, DigestsAnswer, Key, Rejection, Version};
 
 /// A repair on its way. The changes of the answer whose digest was wrong are part of it: they are put in force with
@@ -87,6 +87,7 @@
     pub(crate) fn receive_bucket(
         &mut self,
         answer: BucketAnswer,
+        records: CheckedRecords,
         held: &Held,
         check: &Check<'_>,
     ) -> Result<RepairStep, Rejection> {
@@ -98,12 +99,11 @@
         if answer.version > self.version {
             return Ok(RepairStep::MovedOn);
         }
-        verify_records(&answer.records, answer.version, None)?;
-        if let Some(foreign) = answer.records.iter().find(|record| KeyHash::of(&record.key).bucket() != asked)
-        {
-            return Err(Rejection::ForeignRecord { key: foreign.key.clone(), bucket: asked });
+        verify_records(&records.records, answer.version, None)?;
+        if let Some(foreign) = records.records.iter().find(|record| record.key_hash.bucket() != asked) {
+            return Err(Rejection::ForeignRecord { key: foreign.change.key.clone(), bucket: asked });
         }
-        let records = held.checked(answer.records, check)?;
+        let records = records.accepted()?;
         verify_digest(self.told[asked], records.iter().filter_map(|record| record.hash.map(Digest)))?;
         let removals = removals(asked, &records, held);
         removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
--- a/crates/pondlb-control/src/replica.rs
+++ b/crates/pondlb-control/src/replica.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use crate::held::{HashedChange, Held, verify_count, verify_not_older};
+use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older};
+use crate::pending::CheckedRecords;
 use crate::record_hashes::RecordHashes;
 use crate::repair::{Repair, RepairStep, Repaired};
 use crate::snapshot::{SnapshotStep, StagedSnapshot, WholeState};
 use crate::{
-    BucketAnswer, Call, Change, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names, Rejection,
-    SnapshotAnswer, Update, Version,
+    BucketAnswer, Call, Change, ChangesAnswer, Digest, DigestsAnswer, Hold, Key, Limits, Names,
+    PendingAnswer, Rejection, SnapshotAnswer, Update, Version,
 };
 
 /// After how many failed repairs in a row a snapshot is taken.
@@ -132,11 +133,30 @@
     /// # Errors
     /// [`Rejection`] where nothing of it is taken. What was in force stays so.
     pub fn receive(&mut self, answer: Answer, check: &Check<'_>) -> Result<Progress, Rejection> {
+        self.receive_checked(PendingAnswer::new(answer), check)
+    }
+
+    /// Hashes and checks the next records of an answer, at most so many: for who has other things to do between.
+    /// Nothing of it is taken before [`Replica::receive_checked`].
+    pub fn check_slice(&self, pending: &mut PendingAnswer, check: &Check<'_>, most: usize) {
+        pending.check_slice(&self.held, check, most);
+    }
+
+    /// Takes an answer as [`Replica::receive`] does, after as many of its records were checked as have been.
+    ///
+    /// # Errors
+    /// [`Rejection`] where nothing of it is taken. What was in force stays so.
+    pub fn receive_checked(
+        &mut self,
+        pending: PendingAnswer,
+        check: &Check<'_>,
+    ) -> Result<Progress, Rejection> {
+        let (answer, records) = pending.into_checked(&self.held, check);
         match answer {
-            Answer::Changes(answer) => self.receive_changes(answer, check),
+            Answer::Changes(answer) => self.receive_changes(answer, records, check),
             Answer::Snapshot(answer) => {
                 let Phase::Snapshot(staged) = &mut self.phase else { return Err(Rejection::WrongKind) };
-                let step = staged.receive_piece(answer, &self.held, check);
+                let step = staged.receive_piece(answer, records, &self.held);
                 self.go_on_with_snapshot(step)
             }
             Answer::Digests(answer) => {
@@ -146,47 +166,53 @@
             }
             Answer::Bucket(answer) => {
                 let Phase::Repair(repair) = &mut self.phase else { return Err(Rejection::WrongKind) };
-                let step = repair.receive_bucket(answer, &self.held, check);
+                let step = repair.receive_bucket(answer, records, &self.held, check);
                 self.go_on_with_repair(step)
             }
         }
     }
 
-    fn receive_changes(&mut self, answer: ChangesAnswer, check: &Check<'_>) -> Result<Progress, Rejection> {
+    fn receive_changes(
+        &mut self,
+        answer: ChangesAnswer,
+        changes: CheckedRecords,
+        check: &Check<'_>,
+    ) -> Result<Progress, Rejection> {
         match &mut self.phase {
-            Phase::Following { .. } => self.follow(answer, check),
+            Phase::Following { .. } => self.follow(answer, changes),
             Phase::Snapshot(staged) => {
-                let step = staged.receive_changes(answer, &self.held, check);
+                let step = staged.receive_changes(answer, changes, &self.held, check);
                 self.go_on_with_snapshot(step)
             }
             Phase::Repair(_) => Err(Rejection::WrongKind),
         }
     }
 
-    fn follow(&mut self, answer: ChangesAnswer, check: &Check<'_>) -> Result<Progress, Rejection> {
+    fn follow(&mut self, answer: ChangesAnswer, changes: CheckedRecords) -> Result<Progress, Rejection> {
         verify_not_older(answer.version, self.held.version)?;
         if answer.version.epoch > self.held.version.epoch || answer.reset {
             self.phase = Phase::begin_snapshot();
             return Ok(Progress::Pending);
         }
-        let (version, more, told) = (answer.version, answer.more, answer.digest.filter(|_| !answer.more));
-        let changes = self.held.checked_changes(answer, self.held.version.revision, check)?;
+        verify_changes(&answer, &changes.records, self.held.version.revision)?;
+        let changes = changes.accepted()?;
         let outlook = self.held.outlook(&changes);
-        verify_count(outlook.records, &self.held.limits.at_piece(more))?;
+        verify_count(outlook.records, &self.held.limits.at_piece(answer.more))?;
+        let told = answer.digest.filter(|_| !answer.more);
         if let Some(told) = told.filter(|told| *told != outlook.digest) {
             self.is_in_sync = false;
-            self.phase = Phase::Repair(Box::new(Repair::new(version, told, changes)));
+            self.phase = Phase::Repair(Box::new(Repair::new(answer.version, told, changes)));
             return Ok(Progress::Pending);
         }
-        self.phase = Phase::Following { hurry: more };
+        self.phase = Phase::Following { hurry: answer.more };
         if told.is_some() {
             self.note_right_digest();
         }
-        let is_news = version > self.held.version || told.is_some() && !self.is_verified;
+        let is_news = answer.version > self.held.version || told.is_some() && !self.is_verified;
         if changes.is_empty() && !is_news {
             return Ok(Progress::Unchanged);
         }
-        Ok(Progress::Applied(self.apply(version, told, changes, more)))
+        Ok(Progress::Applied(self.apply(answer.version, told, changes, answer.more)))
     }
 
     fn go_on_with_snapshot(&mut self, step: Result<SnapshotStep, Rejection>) -> Result<Progress, Rejection> {
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
+use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
+use crate::pending::CheckedRecords;
 use crate::record_hashes::RecordHashes;
 use crate::{
     Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Limits, Rejection, SnapshotAnswer, Version,
@@ -76,8 +77,8 @@
     pub(crate) fn receive_piece(
         &mut self,
         answer: SnapshotAnswer,
+        records: CheckedRecords,
         held: &Held,
-        check: &Check<'_>,
     ) -> Result<SnapshotStep, Rejection> {
         let Stage::Pieces { first, after } = &self.stage else { return Err(Rejection::WrongKind) };
         verify_not_older(answer.version, held.version)?;
@@ -85,13 +86,13 @@
             return Ok(SnapshotStep::StartOver);
         }
         verify_not_older(answer.version, self.newest)?;
-        verify_records(&answer.records, answer.version, after.as_ref())?;
-        let last = answer.records.last().map(|record| &record.key);
+        verify_records(&records.records, answer.version, after.as_ref())?;
+        let last = records.records.last().map(|record| &record.change.key);
         if let Some(next) = answer.next.as_ref().filter(|next| Some(*next) != last) {
             return Err(Rejection::WrongNext(next.clone()));
         }
         let first = first.unwrap_or(answer.version);
-        let records = held.checked(answer.records, check)?;
+        let records = records.accepted()?;
         self.verify_extent(&records, &held.limits.at_piece(true))?;
         self.newest = answer.version;
         self.stage = match answer.next {
@@ -106,6 +107,7 @@
     pub(crate) fn receive_changes(
         &mut self,
         answer: ChangesAnswer,
+        changes: CheckedRecords,
         held: &Held,
         check: &Check<'_>,
     ) -> Result<SnapshotStep, Rejection> {
@@ -117,15 +119,15 @@
         if !answer.more {
             verify_not_older(answer.version, self.newest)?;
         }
-        let (version, more, told) = (answer.version, answer.more, answer.digest.filter(|_| !answer.more));
-        let changes = held.checked_changes(answer, from.revision, check)?;
-        self.verify_extent(&changes, &held.limits.at_piece(more))?;
+        verify_changes(&answer, &changes.records, from.revision)?;
+        let changes = changes.accepted()?;
+        self.verify_extent(&changes, &held.limits.at_piece(answer.more))?;
         changes.into_iter().for_each(|change| self.put(change, held));
-        self.newest = self.newest.max(version);
-        self.stage = Stage::Changes { from: version, hurry: more };
-        match told {
+        self.newest = self.newest.max(answer.version);
+        self.stage = Stage::Changes { from: answer.version, hurry: answer.more };
+        match answer.digest.filter(|_| !answer.more) {
             None => Ok(SnapshotStep::Pending),
-            Some(told) => self.complete(version, told, held, check),
+            Some(told) => self.complete(answer.version, told, held, check),
         }
     }
 
--- a/crates/pondlb-control/tests/rejections.rs
+++ b/crates/pondlb-control/tests/rejections.rs
@@ -4,8 +4,8 @@
 
 use common::{Follower, allow_all, answer, filled_store, key, remove, set, value};
 use pondlb_control::{
-    Answer, BucketAnswer, Call, Change, ChangesAnswer, Digest, DigestsAnswer, Key, Limits, Names, Progress,
-    Rejection, Replica, SnapshotAnswer, Store, Version,
+    Answer, BucketAnswer, Call, Change, ChangesAnswer, Check, Digest, DigestsAnswer, Key, Limits, Names,
+    NewChange, PendingAnswer, Progress, Rejection, Replica, SnapshotAnswer, Store, Version,
 };
 
 const WHOLE: usize = usize::MAX;
@@ -237,6 +237,78 @@
     }
 }
 
+/// How many changes come in one answer, in slices of `SLICE` and some left over.
+const MANY: u64 = 200;
+const SLICE: usize = 64;
+
+/// A store with many changes that the follower has not taken, and that follower.
+fn far_behind() -> (Store, Follower) {
+    let mut store = filled_store(3, RECORDS);
+    let mut follower = Follower::new();
+    follower.catch_up(&store, WHOLE);
+    let changes: Vec<NewChange> = (0..MANY).map(|number| set(number, "\"new\"")).collect();
+    store.commit(&changes, &allow_all).unwrap();
+    (store, follower)
+}
+
+fn refuse_last(checked: &Key, _: Option<&str>) -> Result<(), String> {
+    if *checked == key(MANY - 1) { Err("the last one".into()) } else { Ok(()) }
+}
+
+/// Takes an answer after its records were checked in slices.
+fn receive_in_slices(
+    follower: &mut Follower,
+    answer: Answer,
+    check: &Check<'_>,
+) -> Result<Progress, Rejection> {
+    let mut pending = PendingAnswer::new(answer);
+    let mut slices = 0;
+    while !pending.is_checked() {
+        follower.replica.check_slice(&mut pending, check, SLICE);
+        slices += 1;
+    }
+    assert_eq!(slices, (MANY as usize).div_ceil(SLICE));
+    follower.replica.receive_checked(pending, check)
+}
+
+#[test]
+fn a_fault_in_the_last_slice_leaves_nothing_taken() {
+    let last = MANY as usize - 1;
+    let garbles: [fn(&mut ChangesAnswer, usize); 4] = [
+        |_, _| {},
+        |answer, last| answer.changes[last].value = Some(value("null")),
+        |answer, last| answer.changes[last].key = key(1),
+        |answer, last| answer.changes[last].revision = 1,
+    ];
+    for (number, garble) in garbles.into_iter().enumerate() {
+        let (store, mut follower) = far_behind();
+        let before = (follower.replica.version(), follower.replica.digest(), follower.replica.len());
+        let Answer::Changes(mut wrong) = answer(&store, &follower.call(), WHOLE) else { unreachable!() };
+        garble(&mut wrong, last);
+        let check: &Check<'_> = if number == 0 { &refuse_last } else { &allow_all };
+        let rejection = receive_in_slices(&mut follower, Answer::Changes(wrong), check).unwrap_err();
+        let is_expected = match number {
+            0 => matches!(rejection, Rejection::Refused { .. }),
+            1 => rejection == Rejection::MissingValue(key(MANY - 1)),
+            2 => rejection == Rejection::DoubledKey(key(1)),
+            _ => matches!(rejection, Rejection::WrongRevision { .. }),
+        };
+        assert!(is_expected, "{number}: {rejection}");
+        assert_eq!(before, (follower.replica.version(), follower.replica.digest(), follower.replica.len()));
+        assert_recovers(store, follower);
+    }
+}
+
+#[test]
+fn what_is_checked_in_slices_is_taken_as_a_whole() {
+    let (store, mut follower) = far_behind();
+    let answer = answer(&store, &follower.call(), WHOLE);
+    let progress = receive_in_slices(&mut follower, answer, &allow_all).unwrap();
+    let Progress::Applied(update) = progress else { panic!("{progress:?}") };
+    assert_eq!((update.changes.len(), update.digest), (MANY as usize, Some(store.digest())));
+    assert_eq!(follower.replica.digest(), store.digest());
+}
+
 #[test]
 fn a_piece_without_changes() {
     for state in [behind, at_the_end_of_a_snapshot] {
