--- a/crates/pondlb-control/src/repair.rs
+++ b/crates/pondlb-control/src/repair.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::digest::bucket_of;
 use crate::held::{HashedChange, Held, verify_count, verify_not_older, verify_records};
+use crate::pending::CheckedRecords;
 use crate::{BucketAnswer, Call, Check, Digest, DigestsAnswer, Key, Rejection, Version};
 
 /// A repair on its way. The changes of the answer whose digest was wrong are part of it: they are put in force with
@@ -87,6 +87,7 @@
     pub(crate) fn receive_bucket(
         &mut self,
         answer: BucketAnswer,
+        records: CheckedRecords,
         held: &Held,
         check: &Check<'_>,
     ) -> Result<RepairStep, Rejection> {
@@ -98,15 +99,15 @@
         if answer.version > self.version {
             return Ok(RepairStep::MovedOn);
         }
-        verify_records(&answer.records, answer.version, None)?;
-        if let Some(foreign) = answer.records.iter().find(|record| bucket_of(&record.key) != asked) {
-            return Err(Rejection::ForeignRecord { key: foreign.key.clone(), bucket: asked });
+        verify_records(&records.records, answer.version, None)?;
+        if let Some(foreign) = records.records.iter().find(|record| record.key_hash.bucket() != asked) {
+            return Err(Rejection::ForeignRecord { key: foreign.change.key.clone(), bucket: asked });
         }
-        let records = held.checked(answer.records, check)?;
+        let records = records.accepted()?;
         verify_digest(self.told[asked], records.iter().filter_map(|record| record.hash.map(Digest)))?;
         let removals = removals(asked, &records, held);
         removals.iter().try_for_each(|removal| held.verify_value(removal, check))?;
-        let is_new = |record: &HashedChange| held.records.get(&record.change.key) != record.hash;
+        let is_new = |record: &HashedChange| held.hash_in_force(record) != record.hash;
         self.differences.extend(records.into_iter().filter(is_new));
         self.differences.extend(removals);
         self.unread.pop();
@@ -116,7 +117,7 @@
 
     fn complete(&mut self, held: &Held) -> Result<RepairStep, Rejection> {
         let mut changes = std::mem::take(&mut self.changes);
-        changes.retain(|hashed| !self.read.contains(&bucket_of(&hashed.change.key)));
+        changes.retain(|hashed| !self.read.contains(&hashed.key_hash.bucket()));
         changes.append(&mut self.differences);
         let outlook = held.outlook(&changes);
         verify_count(outlook.records, &held.limits)?;
@@ -130,8 +131,8 @@
 /// Removals of the records in force that a bucket does not hold. `records` are in the order of their keys.
 fn removals(bucket: usize, records: &[HashedChange], held: &Held) -> Vec<HashedChange> {
     let is_gone = |key: &&Key| records.binary_search_by(|record| record.change.key.cmp(key)).is_err();
-    let keys = held.records.bucket(bucket).into_iter().flat_map(|hashes| hashes.keys());
-    keys.filter(is_gone).map(|key| HashedChange::removal(key.clone())).collect()
+    let keys = held.records.bucket_keys(bucket).unwrap_or_default();
+    keys.into_iter().filter(is_gone).map(|key| HashedChange::removal(key.clone())).collect()
 }
 
 fn verify_digest(told: Digest, parts: impl Iterator<Item = Digest>) -> Result<(), Rejection> {
--- a/crates/pondlb-control/src/snapshot.rs
+++ b/crates/pondlb-control/src/snapshot.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::held::{HashedChange, Held, verify_changes, verify_count, verify_not_older, verify_records};
+use crate::pending::CheckedRecords;
 use crate::record_hashes::RecordHashes;
 use crate::{
     Call, Change, ChangesAnswer, Check, Digest, Hold, Key, Limits, Rejection, SnapshotAnswer, Version,
@@ -76,8 +77,8 @@
     pub(crate) fn receive_piece(
         &mut self,
         answer: SnapshotAnswer,
+        records: CheckedRecords,
         held: &Held,
-        check: &Check<'_>,
     ) -> Result<SnapshotStep, Rejection> {
         let Stage::Pieces { first, after } = &self.stage else { return Err(Rejection::WrongKind) };
         verify_not_older(answer.version, held.version)?;
@@ -85,13 +86,13 @@
             return Ok(SnapshotStep::StartOver);
         }
         verify_not_older(answer.version, self.newest)?;
-        verify_records(&answer.records, answer.version, after.as_ref())?;
-        let last = answer.records.last().map(|record| &record.key);
+        verify_records(&records.records, answer.version, after.as_ref())?;
+        let last = records.records.last().map(|record| &record.change.key);
         if let Some(next) = answer.next.as_ref().filter(|next| Some(*next) != last) {
             return Err(Rejection::WrongNext(next.clone()));
         }
         let first = first.unwrap_or(answer.version);
-        let records = held.checked(answer.records, check)?;
+        let records = records.accepted()?;
         self.verify_extent(&records, &held.limits.at_piece(true))?;
         self.newest = answer.version;
         self.stage = match answer.next {
@@ -106,6 +107,7 @@
     pub(crate) fn receive_changes(
         &mut self,
         answer: ChangesAnswer,
+        changes: CheckedRecords,
         held: &Held,
         check: &Check<'_>,
     ) -> Result<SnapshotStep, Rejection> {
@@ -117,8 +119,8 @@
         if !answer.more {
             verify_not_older(answer.version, self.newest)?;
         }
-        verify_changes(&answer, from.revision)?;
-        let changes = held.checked(answer.changes, check)?;
+        verify_changes(&answer, &changes.records, from.revision)?;
+        let changes = changes.accepted()?;
         self.verify_extent(&changes, &held.limits.at_piece(answer.more))?;
         changes.into_iter().for_each(|change| self.put(change, held));
         self.newest = self.newest.max(answer.version);
@@ -153,8 +155,8 @@
 
     /// Removals of the records in force that are not staged.
     fn removals(&self, held: &Held) -> Vec<HashedChange> {
-        let is_new = |key: &&Key| held.records.get(key).is_none();
-        let new = self.differences.keys().filter(is_new).count();
+        let is_new = |hashed: &&HashedChange| held.hash_in_force(hashed).is_none();
+        let new = self.differences.values().filter(is_new).count();
         if self.records.len() - new == held.records.len() {
             return Vec::new();
         }
@@ -166,10 +168,13 @@
     fn verify_extent(&self, changes: &[HashedChange], limits: &Limits) -> Result<(), Rejection> {
         let mut records = self.records.len();
         let mut bytes = self.bytes;
-        for HashedChange { change, hash } in changes {
-            records -= usize::from(self.records.get(&change.key).is_some());
+        for HashedChange { change, key_hash, hash } in changes {
+            // What is no record yet is no difference either.
+            if self.records.get(&change.key, *key_hash).is_some() {
+                records -= 1;
+                bytes -= self.differences.get(&change.key).map_or(0, |before| staged_bytes(&before.change));
+            }
             records += usize::from(hash.is_some());
-            bytes -= self.differences.get(&change.key).map_or(0, |before| staged_bytes(&before.change));
             bytes += staged_bytes(change);
         }
         verify_count(records, limits)?;
@@ -177,17 +182,17 @@
         if bytes > most { Err(Rejection::TooManyBytes { bytes, most }) } else { Ok(()) }
     }
 
-    fn put(&mut self, HashedChange { change, hash }: HashedChange, held: &Held) {
+    fn put(&mut self, HashedChange { change, key_hash, hash }: HashedChange, held: &Held) {
         let key = held.names.share(change.key.clone());
         match hash {
-            Some(hash) => self.records.set(&key, hash, Key::clone),
-            None => self.records.remove(&key),
+            Some(hash) => self.records.set(&key, key_hash, hash, Key::clone),
+            None => self.records.remove(&key, key_hash),
         }
-        let is_difference = hash.is_some() && held.records.get(&key) != hash;
+        let is_difference = hash.is_some() && held.records.get(&key, key_hash) != hash;
         let before = if is_difference {
             self.bytes += staged_bytes(&change);
             let change = Change { key: key.clone(), ..change };
-            self.differences.insert(key, HashedChange { change, hash })
+            self.differences.insert(key, HashedChange { change, key_hash, hash })
         } else {
             self.differences.remove(&key)
         };
