--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -1,6 +1,6 @@
 //! The scale run at a small size with real processes, and planted faults that prove it able to fail.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::OnceLock;
 use std::thread;
@@ -229,6 +229,24 @@
     Some((fields.next()?.chars().next()?, fields.next()?.parse().ok()?))
 }
 
+/// The larger ones are too long to play with every change.
+#[test]
+fn every_scenario_of_the_scale_run_can_be_read() {
+    let folder = Path::new(SMALL).parent().unwrap();
+    let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let is_of_scale = |path: &PathBuf| path.file_name().unwrap().to_str().unwrap().starts_with("two-years");
+    let files: Vec<PathBuf> = files.filter(is_of_scale).collect();
+    assert_eq!(files.len(), 4);
+    for file in files {
+        // What the machine's memory allows is not the question.
+        let line = ["scale", file.to_str().unwrap(), "--share", "0.05", "--server", "/nowhere"];
+        let out = lab(&line);
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(BAD_INPUT));
+        assert!(said.contains("origin ended before it served") && said.contains("/nowhere"), "{said}");
+    }
+}
+
 #[test]
 fn every_fault_of_a_scenario_is_told_before_anything_starts() {
     let folder = tempfile::tempdir().unwrap();
