Effects of a request are idempotent, keyed and non-idempotent, as everywhere

Repeatable, referenced and once-only were words of our own for what HTTP and idempotency keys have names for. The configuration's values and those of the laboratory's scenarios stay (serde renames).

--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -27,7 +27,7 @@
         own_number: 7,
         own_zone: 0,
         lists: Lists::Asked { within: 10 * SECOND },
-        classes: vec![Class { sla: 400 * MS, value: 1.0, effect: Effect::Repeatable }],
+        classes: vec![Class { sla: 400 * MS, value: 1.0, effect: Effect::Idempotent }],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
--- a/crates/pondlb-lab/src/balancers.rs
+++ b/crates/pondlb-lab/src/balancers.rs
@@ -132,9 +132,9 @@
         .iter()
         .map(|s| {
             let effect = match s.effect {
-                Effect::Repeatable => "idempotent",
-                Effect::Referenced => "deduplicated",
-                Effect::OnceOnly => "at_most_once",
+                Effect::Idempotent => "idempotent",
+                Effect::Keyed => "deduplicated",
+                Effect::NonIdempotent => "at_most_once",
             };
             json!({ "Name": s.name, "Effect": effect, "Value": s.value, "SlaTimeNs": s.sla_ms * NS,
                 "ExpiryNs": s.deadline_ms * NS, "DedupScope": "cell", "KeyTtlNs": s.deadline_ms * NS })
--- a/crates/pondlb-lab/src/judge.rs
+++ b/crates/pondlb-lab/src/judge.rs
@@ -89,14 +89,14 @@
         let late = (run.first_byte - end) / 1000;
         found.push(("1 one answer", format!("posted to upstream {} {late} ms after its end", run.upstream)));
     }
-    if class.effect == Effect::OnceOnly && ran > 1 {
+    if class.effect == Effect::NonIdempotent && ran > 1 {
         found.push(("2 one effect", format!("ran {ran} times")));
     }
-    if class.effect != Effect::Repeatable && ran > 0 && rejected {
+    if class.effect != Effect::Idempotent && ran > 0 && rejected {
         found.push(("2 one effect", "was declined and had run".into()));
     }
     let group = |run: &&Run| scenario.fleet().get(run.upstream).map(|machine| machine.group);
-    if class.effect == Effect::Referenced && runs.windows(2).any(|two| group(&two[0]) != group(&two[1])) {
+    if class.effect == Effect::Keyed && runs.windows(2).any(|two| group(&two[0]) != group(&two[1])) {
         found.push(("2 one effect", "left its group".into()));
     }
     let both = |two: &[&Run]| two[0].ended.is_none_or(|ended| two[1].first_byte + SLACK < ended);
--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -155,8 +155,8 @@
         planned.id, planned.work_us
     );
     match effect {
-        Effect::Repeatable => format!("GET /api HTTP/1.1\r\n{head}\r\n"),
-        Effect::Referenced | Effect::OnceOnly => {
+        Effect::Idempotent => format!("GET /api HTTP/1.1\r\n{head}\r\n"),
+        Effect::Keyed | Effect::NonIdempotent => {
             format!("POST /api HTTP/1.1\r\n{head}Content-Length: 5\r\n\r\norder")
         }
     }
--- a/crates/pondlb-lab/src/scale/real.rs
+++ b/crates/pondlb-lab/src/scale/real.rs
@@ -144,8 +144,8 @@
         rules: Rules::default(),
         upstreams: vec![machine],
         classes: vec![
-            scheme(TRAFFIC_CLASSES[0], Effect::Repeatable, rate * (1.0 - ORDER_SHARE)),
-            scheme(TRAFFIC_CLASSES[1], Effect::OnceOnly, rate * ORDER_SHARE),
+            scheme(TRAFFIC_CLASSES[0], Effect::Idempotent, rate * (1.0 - ORDER_SHARE)),
+            scheme(TRAFFIC_CLASSES[1], Effect::NonIdempotent, rate * ORDER_SHARE),
         ],
         faults: Vec::new(),
         bursts: Vec::new(),
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -68,7 +68,7 @@
     pub count: u32,
     #[serde(default = "zone")]
     pub zone: String,
-    /// Those of one group know each other's referenced requests.
+    /// Those of one group know each other's keyed requests.
     #[serde(default)]
     pub group: u32,
     #[serde(default = "one")]
@@ -126,10 +126,13 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
-    Repeatable,
+    #[serde(rename = "repeatable")]
+    Idempotent,
     /// A repeat is dropped within the group, for the request's own time.
-    Referenced,
-    OnceOnly,
+    #[serde(rename = "referenced")]
+    Keyed,
+    #[serde(rename = "once-only")]
+    NonIdempotent,
 }
 
 /// Something that goes wrong at a moment, for a while.
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -66,8 +66,8 @@
     waiting: Vec<(&'static str, Receiver<Answer>)>,
 }
 
-const REPEATABLE: u32 = 0;
-const ONCE_ONLY: u32 = 1;
+const IDEMPOTENT: u32 = 0;
+const NON_IDEMPOTENT: u32 = 1;
 
 const SETTINGS: &str = r#"{"Balancers":1,"SelfIndex":0,"Discovery":"ask","ExcessValue":0.1,"MyZone":0,
 "Limits":{"Cancelling":true,"ConnIdleNs":15000000000,"DialTimeoutNs":250000000,"MaxOpen":20000,"MaxPostings":3,
@@ -177,8 +177,8 @@
 #[test]
 fn an_answer_reaches_its_own_request_and_no_other() {
     let mut play = Play::new(TWO);
-    play.arrive(10, "t1", REPEATABLE, 20_000);
-    play.arrive(20, "t2", REPEATABLE, 20_000);
+    play.arrive(10, "t1", IDEMPOTENT, 20_000);
+    play.arrive(20, "t2", IDEMPOTENT, 20_000);
     play.end(500, "t2", 0, Outcome::Ok);
     play.end(510, "t2", 0, Outcome::Ok);
     play.end(520, "t1", 1, Outcome::Ok);
@@ -203,7 +203,7 @@
 #[test]
 fn the_attempt_that_lost_is_let_go_and_its_late_answer_goes_nowhere() {
     let mut play = Play::new(TWO);
-    play.arrive(10, "t1", REPEATABLE, 20_000);
+    play.arrive(10, "t1", IDEMPOTENT, 20_000);
     play.pass(6000);
     play.end(6500, "t1", 1, Outcome::Ok);
     play.end(6510, "t1", 0, Outcome::Ok);
@@ -224,7 +224,7 @@
 #[test]
 fn a_client_that_left_is_owed_nothing_and_its_attempt_is_let_go() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "t1", ONCE_ONLY, 20_000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 20_000);
     play.step(20, Some(Note::Left { request: "t1".into() }));
     play.end(500, "t1", 0, Outcome::Ok);
     play.step(510, Some(Note::Left { request: "t1".into() }));
@@ -240,9 +240,9 @@
 }
 
 #[test]
-fn once_only_goes_again_after_what_never_ran_and_only_then() {
+fn non_idempotent_goes_again_after_what_never_ran_and_only_then() {
     let mut play = Play::new(TWO);
-    play.arrive(10, "t1", ONCE_ONLY, 20_000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 20_000);
     play.end(20, "t1", 0, Outcome::ConnectFailed);
     play.end(30, "t1", 1, Outcome::Reset);
     play.ends_with(expect![[r#"
@@ -261,8 +261,8 @@
 #[test]
 fn a_second_request_of_an_id_in_service_is_refused() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "t1", ONCE_ONLY, 20_000);
-    play.arrive(20, "t1", ONCE_ONLY, 20_000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 20_000);
+    play.arrive(20, "t1", NON_IDEMPOTENT, 20_000);
     play.end(30, "t1", 0, Outcome::Ok);
     play.ends_with(expect![[r#"
         10: t1 comes
@@ -280,10 +280,10 @@
 #[test]
 fn an_id_stays_taken_for_a_while_and_no_longer() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "t1", ONCE_ONLY, 20_000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 20_000);
     play.end(500, "t1", 0, Outcome::Ok);
-    play.arrive(600, "t1", ONCE_ONLY, 20_000);
-    play.arrive(50_010, "t1", ONCE_ONLY, 20_000);
+    play.arrive(600, "t1", NON_IDEMPOTENT, 20_000);
+    play.arrive(50_010, "t1", NON_IDEMPOTENT, 20_000);
     play.ends_with(expect![[r#"
         10: t1 comes
           post t1 0 to u1 at 127.0.0.1:1 until 19960
@@ -303,7 +303,7 @@
 #[test]
 fn what_an_upstream_turns_away_for_the_clients_fault_is_answered_and_goes_nowhere_else() {
     let mut play = Play::new(TWO);
-    play.arrive(10, "t1", REPEATABLE, 20_000);
+    play.arrive(10, "t1", IDEMPOTENT, 20_000);
     let end = End { outcome: Outcome::Moot, reply: Some(Answer::Unfit), load: Load::default() };
     play.step(20, Some(Note::Ended { attempt: ("t1".into(), 0), end }));
     play.pass(20_000);
@@ -324,10 +324,10 @@
 #[test]
 fn nothing_leaves_without_time_left_or_with_nobody_to_send_to() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "no-time", REPEATABLE, 50);
+    play.arrive(10, "no-time", IDEMPOTENT, 50);
     play.pass(5000);
     play.step(6000, Some(Note::Listed(list(false, &[("u1", 1, "a", "leaving", 0)]))));
-    play.arrive(6010, "no-upstream", REPEATABLE, 20_000);
+    play.arrive(6010, "no-upstream", IDEMPOTENT, 20_000);
     play.ends_with(expect![[r#"
         10: no-time comes
           answer to no-time: Rejected { cool_down: None }
@@ -342,7 +342,7 @@
 #[test]
 fn a_request_without_an_answer_gets_its_final_one_before_its_deadline() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "t1", ONCE_ONLY, 5000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 5000);
     play.pass(4959);
     play.end(4960, "t1", 0, Outcome::TimedOut);
     play.ends_with(expect![[r#"
@@ -359,11 +359,11 @@
 #[test]
 fn when_the_program_ends_every_request_has_its_answer_by_then() {
     let mut play = Play::new(ONE);
-    play.arrive(10, "t1", ONCE_ONLY, 60_000);
+    play.arrive(10, "t1", NON_IDEMPOTENT, 60_000);
     play.exchange.end_by(5000);
-    play.arrive(1000, "t2", REPEATABLE, 60_000);
+    play.arrive(1000, "t2", IDEMPOTENT, 60_000);
     play.pass(5000);
-    play.arrive(5001, "t3", REPEATABLE, 60_000);
+    play.arrive(5001, "t3", IDEMPOTENT, 60_000);
     play.ends_with(expect![[r#"
         10: t1 comes
           post t1 0 to u1 at 127.0.0.1:1 until 59960
@@ -387,9 +387,9 @@
     play.step(10_010, Some(Note::ListLost));
     play.pass(40_000);
     play.step(40_010, Some(Note::Listed(list(false, &[("u1", 9, "a", "active", 0)]))));
-    play.arrive(40_020, "t1", REPEATABLE, 20_000);
+    play.arrive(40_020, "t1", IDEMPOTENT, 20_000);
     play.step(40_030, Some(Note::Listed(list(true, &[("u3", 3, "new", "active", 0)]))));
-    play.arrive(40_040, "t2", REPEATABLE, 20_000);
+    play.arrive(40_040, "t2", IDEMPOTENT, 20_000);
     play.end(40_050, "t1", 0, Outcome::Ok);
     play.ends_with(expect![[r#"
         10010: list lost
@@ -429,15 +429,15 @@
 #[test]
 fn a_whole_set_is_replaced_at_its_own_addresses_while_attempts_are_out() {
     let mut play = Play::new(&[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
-    play.arrive(10, "t1", REPEATABLE, 60_000);
+    play.arrive(10, "t1", IDEMPOTENT, 60_000);
     play.step(
         20,
         Some(Note::Listed(list(false, &[("u1", 1, "a", "leaving", 0), ("u2", 2, "a", "leaving", 0)]))),
     );
-    play.arrive(30, "declined", REPEATABLE, 60_000);
+    play.arrive(30, "declined", IDEMPOTENT, 60_000);
     let replaced = [("u1", 1, "a", "left", 0), ("u2", 2, "a", "left", 0), ("u3", 1, "a", "active", 0)];
     play.step(40, Some(Note::Listed(list(false, &replaced))));
-    play.arrive(50, "t2", REPEATABLE, 60_000);
+    play.arrive(50, "t2", IDEMPOTENT, 60_000);
     play.end(60, "t1", 0, Outcome::Ok);
     play.end(70, "t2", 0, Outcome::Ok);
     play.ends_with(expect![[r#"
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -160,9 +160,9 @@
     pub fn class(&self, key: &str) -> Result<Class, Fault> {
         let lacks = |field| format!("{key}.{field} is missing, though the scheme is deduplicated");
         let effect = match self.effect {
-            WireEffect::Idempotent => Effect::Repeatable,
-            WireEffect::AtMostOnce => Effect::OnceOnly,
-            WireEffect::Deduplicated => Effect::Referenced {
+            WireEffect::Idempotent => Effect::Idempotent,
+            WireEffect::AtMostOnce => Effect::NonIdempotent,
+            WireEffect::Deduplicated => Effect::Keyed {
                 scope: match self.dedup_scope.ok_or_else(|| lacks("DedupScope"))? {
                     WireScope::All => Scope::All,
                     WireScope::Zone => Scope::Zone,
--- a/crates/pondlb-terms/tests/changes.rs
+++ b/crates/pondlb-terms/tests/changes.rs
@@ -57,7 +57,7 @@
     }
     expect![[r#"
         1 changed, classes [("t", Some(1))]
-        class 1: Some(Class { sla: 5000, value: 2.0, effect: Repeatable })
+        class 1: Some(Class { sla: 5000, value: 2.0, effect: Idempotent })
         expiry Some(40000)
         0 changed, classes []
         expiry Some(40000)
@@ -65,7 +65,7 @@
         class 0: None
         expiry Some(40000)
         1 changed, classes [("u", Some(0))]
-        class 0: Some(Class { sla: 1000, value: 9.0, effect: OnceOnly })
+        class 0: Some(Class { sla: 1000, value: 9.0, effect: NonIdempotent })
         expiry Some(40000)
     "#]]
     .assert_eq(&trace);
@@ -203,17 +203,17 @@
         0 changed, classes []
         [] take a restart
         2 changed, classes [("s", Some(0))]
-        class 0: Some(Class { sla: 25000, value: 4.0, effect: Repeatable })
+        class 0: Some(Class { sla: 25000, value: 4.0, effect: Idempotent })
         [] take a restart
         5 changed, classes [("t", None), ("new", Some(1)), ("s", Some(0))]
         class 1: None
-        class 1: Some(Class { sla: 10000, value: 1.0, effect: OnceOnly })
-        class 0: Some(Class { sla: 25000, value: 3.0, effect: Repeatable })
+        class 1: Some(Class { sla: 10000, value: 1.0, effect: NonIdempotent })
+        class 0: Some(Class { sla: 25000, value: 3.0, effect: Idempotent })
         tenant 1: None
         ["SelfIndex", "Zones"] take a restart
         3 changed, classes [("new", None), ("t", Some(1))]
         class 1: None
-        class 1: Some(Class { sla: 10000, value: 1.0, effect: OnceOnly })
+        class 1: Some(Class { sla: 10000, value: 1.0, effect: NonIdempotent })
         tenant 1: Some(Tenant { quota: 20.0 })
     "#]]
     .assert_eq(&trace);
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -88,7 +88,7 @@
             (own, other) = (other, own);
         }
         let pinned = match request.effect {
-            Effect::Referenced { scope, .. } => request.first().map(|a| (scope, &self.seen.board[a.up])),
+            Effect::Keyed { scope, .. } => request.first().map(|a| (scope, &self.seen.board[a.up])),
             _ => None,
         };
         let fit = |up: &usize, careful: bool| {
@@ -220,7 +220,7 @@
         let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = request.attempts.len() + 1 >= request.limits.max_attempts as usize;
-        let alone = request.effect == Effect::Repeatable && !request.limits.second_copies;
+        let alone = request.effect == Effect::Idempotent && !request.limits.second_copies;
         let timeout = (alone && !last && slot).then_some(due);
         request.asked.1.clear();
         let attempt = request.attempts.len() as u32;
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -52,13 +52,13 @@
 
     /// Whether it may be sent once more, and is not waiting for that already.
     fn may_retry(&self) -> bool {
-        let may_repeat = self.effect != Effect::OnceOnly || self.never_ran();
+        let may_repeat = self.effect != Effect::NonIdempotent || self.never_ran();
         may_repeat && self.held.is_none() && self.attempts.len() < self.limits.max_attempts as usize
     }
 
     /// Until when one that may have run can be repeated without running twice.
     pub fn begin_by(&self) -> Option<Tenths> {
-        let Effect::Referenced { memory, .. } = self.effect else { return None };
+        let Effect::Keyed { memory, .. } = self.effect else { return None };
         self.first().map(|a| a.sent + memory)
     }
 }
@@ -131,8 +131,8 @@
     pub fn give_up(&mut self, number: u64, out: &mut Vec<Action>) {
         let request = &self.queue.requests[&number];
         let may_reject = match request.effect {
-            Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. } => true,
-            Effect::OnceOnly | Effect::Referenced { .. } => request.never_ran(),
+            Effect::Idempotent | Effect::Keyed { scope: Scope::All, .. } => true,
+            Effect::NonIdempotent | Effect::Keyed { .. } => request.never_ran(),
         };
         let request = request.id.clone();
         // Apart from each other, against all those rejected coming back in one wave.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -44,13 +44,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     #[default]
-    Repeatable,
+    Idempotent,
     /// A repeat is dropped inside the scope for as long as the mark is remembered.
-    Referenced {
+    Keyed {
         scope: Scope,
         memory: Tenths,
     },
-    OnceOnly,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,7 +122,7 @@
 }
 
 /// Stands where a class was removed: a request of it has no time and no value.
-const NO_CLASS: Class = Class { sla: 0, value: 0.0, effect: Effect::OnceOnly };
+const NO_CLASS: Class = Class { sla: 0, value: 0.0, effect: Effect::NonIdempotent };
 /// Stands where a tenant was removed: none of its requests is beyond its share.
 const NO_TENANT: Tenant = Tenant { quota: f64::INFINITY };
 
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -42,7 +42,7 @@
 fn a_changed_class_holds_for_requests_that_come_later() {
     let (mut play, now) = served();
     let before = play.sent_to(now, request("before", 0));
-    play.change(&[class_change(0, Some(class(400, 1.0, Effect::OnceOnly)))]);
+    play.change(&[class_change(0, Some(class(400, 1.0, Effect::NonIdempotent)))]);
     let after = play.sent_to(now + 1, request("after", 0));
     fail(&mut play, now + 5, "before", &before);
     fail(&mut play, now + 6, "after", &after);
@@ -63,7 +63,7 @@
     play.at(0, [list("a")]);
     // More than the upstream may have in flight: the last of each kind is held until its time is over.
     play.at(0, (0..5).map(|n| request(&format!("before{n}"), 1)));
-    play.change(&[class_change(1, Some(class(100, 1.0, Effect::OnceOnly)))]);
+    play.change(&[class_change(1, Some(class(100, 1.0, Effect::NonIdempotent)))]);
     play.at(1, [request("after", 1)]);
     for ms in [50, 100, 102, 250, 390, 400, 402] {
         play.at(ms, []);
@@ -85,8 +85,8 @@
     let before = play.sent_to(now, request("before", 0));
     play.change(&[class_change(0, None)]);
     play.change(&[
-        class_change(0, Some(class(400, 1.0, Effect::OnceOnly))),
-        class_change(3, Some(class(400, 2.0, Effect::Repeatable))),
+        class_change(0, Some(class(400, 1.0, Effect::NonIdempotent))),
+        class_change(3, Some(class(400, 2.0, Effect::Idempotent))),
     ]);
     let after = play.sent_to(now + 1, request("after", 0));
     let added = play.sent_to(now + 2, request("added", 3));
@@ -211,7 +211,7 @@
 
 #[test]
 fn what_a_class_is_worth_counts_against_the_others_while_it_is_there() {
-    let dear = class_change(3, Some(class(400, 8.0, Effect::Repeatable)));
+    let dear = class_change(3, Some(class(400, 8.0, Effect::Idempotent)));
     let counts = [vec![], vec![dear.clone()], vec![dear, class_change(3, None)]].map(|changes| {
         let (mut play, now) = served();
         play.change(&changes);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn a_repeatable_request_is_sent_again_after_tp_and_the_loser_recalled() {
+fn an_idempotent_request_is_sent_again_after_tp_and_the_loser_recalled() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn a_once_only_request_waits_out_its_time_and_is_repeated_only_if_it_never_ran() {
+fn a_non_idempotent_request_waits_out_its_time_and_is_repeated_only_if_it_never_ran() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn a_referenced_request_stays_in_its_group_and_its_time() {
+fn a_keyed_request_stays_in_its_group_and_its_time() {
     for took in [100, 350] {
         let mut play = Play::new(terms());
         let zones = [entry("a0", 0), entry("b0", 0), entry("c1", 1), entry("d1", 1)];
@@ -173,7 +173,7 @@
 /// The danger is a client that is kept waiting for what can't come: nobody in the group takes the repeat, and its time
 /// runs out while it is held. Others behind it are not held up.
 #[test]
-fn a_referenced_request_whose_time_to_be_repeated_runs_out_while_it_is_held_is_given_up_then() {
+fn a_keyed_request_whose_time_to_be_repeated_runs_out_while_it_is_held_is_given_up_then() {
     let mut play = Play::new(terms());
     play.at(0, [Event::Listed(Listing::Whole([entry("a0", 0), entry("c1", 1)].into()))]);
     let ids = ["t0", "t1", "t2", "t3"];
@@ -1204,7 +1204,7 @@
         play.at(now + 900, [ended(&id, 0, &up, Outcome::TimedOut, 900)]);
     }
     play.trace.clear();
-    // tp is short as before: a repeatable request is sent again soon.
+    // tp is short as before: an idempotent request is sent again soon.
     play.at(now + 20_000, [request("soon", 0)]);
     play.at(now + 20_060, []);
     expect![[r#"
@@ -1285,11 +1285,11 @@
         .assert_eq(&format!("upstreams, zones, kinds, txns: {}", sizes.join(" then ")));
 }
 
-/// Once-only and referenced within the cell, no copies, upstreams may be asked.
+/// Non-idempotent and keyed within the cell, no copies, upstreams may be asked.
 fn asking() -> Terms {
     let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
-    let cell = Effect::Referenced { scope: Scope::Cell, memory: 300 * MS };
-    let classes = vec![class(Effect::Repeatable), class(Effect::OnceOnly), class(cell)];
+    let cell = Effect::Keyed { scope: Scope::Cell, memory: 300 * MS };
+    let classes = vec![class(Effect::Idempotent), class(Effect::NonIdempotent), class(cell)];
     Terms { classes, second_copies: false, probing: true, balancers: 100, ..terms() }
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -14,16 +14,16 @@
     pub trace: String,
 }
 
-/// Class 0 is repeatable, 1 once-only, 2 referenced within the zone; SLA time 400 ms.
+/// Class 0 is idempotent, 1 non-idempotent, 2 keyed within the zone; SLA time 400 ms.
 pub fn terms() -> Terms {
-    let zone = Effect::Referenced { scope: Scope::Zone, memory: 300 * MS };
+    let zone = Effect::Keyed { scope: Scope::Zone, memory: 300 * MS };
     let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     Terms {
         balancers: 1,
         own_number: 0,
         own_zone: 0,
         lists: Lists::Unasked,
-        classes: vec![class(Effect::Repeatable), class(Effect::OnceOnly), class(zone)],
+        classes: vec![class(Effect::Idempotent), class(Effect::NonIdempotent), class(zone)],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -22,7 +22,7 @@
         own_number: OWN_NUMBER,
         own_zone: OWN_ZONE,
         lists: Lists::Unasked,
-        classes: vec![Class { sla: SECOND, value: 1.0, effect: Effect::OnceOnly }],
+        classes: vec![Class { sla: SECOND, value: 1.0, effect: Effect::NonIdempotent }],
         tenants: Vec::new(),
         excess_value: 1.0,
         warm_keys: false,
