--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -200,7 +200,7 @@
                     asked.sent = None;
                     continue;
                 }
-                Ok(_) if self.failover == Failover::NextBalancer && class.effect == Effect::Repeatable => {
+                Ok(_) if self.failover == Failover::NextBalancer && class.effect == Effect::Idempotent => {
                     return Attempt::NotTaken;
                 }
                 _ => {}
