--- a/crates/pondlb-lab/src/load.rs
+++ b/crates/pondlb-lab/src/load.rs
@@ -70,8 +70,8 @@
 pub enum Failover {
     /// Leaves it at that.
     Never,
-    /// Goes to the next balancer: where the last check of health was bad, where no connection comes up, and where one is
-    /// closed without an answer to a request that may be repeated.
+    /// Goes to the next balancer: where the last check of health was bad, where no connection comes up, and where a new one
+    /// is closed without an answer to a request that may be repeated.
     NextBalancer,
 }
 
