Hedges, cancellations, tenants and upstream lists are called so in the code

`hedge` and `AttemptLimits::hedging` were copies, `Action::Cancel` was a recall, `WireTenant` a realm, `upstream_list` of the tests a roster.

--- a/benches/list_change.rs
+++ b/benches/list_change.rs
@@ -32,7 +32,7 @@
         excess_value: 1.0,
         warm_keys: false,
         max_attempts: 3,
-        second_copies: true,
+        hedging: true,
         cancelling: true,
         probing: false,
         cool_down: None,
--- a/crates/pondlb-adapter/src/wire.rs
+++ b/crates/pondlb-adapter/src/wire.rs
@@ -297,7 +297,7 @@
         }
         Action::Watch { on } => writeln!(out, "KEEP_INFORMED Who={who} Enable={}", u8::from(*on)),
         Action::Refetch => writeln!(out, "REFRESH Who={who}"),
-        Action::Recall { request, attempt } => {
+        Action::Cancel { request, attempt } => {
             writeln!(out, "CALL_OFF Who={who} OpId={request} Go={attempt}")
         }
         Action::Fail { request } => writeln!(out, "RESPOND_ERROR Who={who} OpId={request}"),
--- a/crates/pondlb-lab/src/scenario.rs
+++ b/crates/pondlb-lab/src/scenario.rs
@@ -107,7 +107,7 @@
 }
 
 #[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(expecting = "struct Scheme", deny_unknown_fields)]
 pub struct Class {
     pub name: String,
     pub effect: Effect,
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -278,7 +278,7 @@
                 self.carry_out(now, action);
             }
             self.actions = actions;
-            // What a recall or an attempt that can't leave brings about is news again.
+            // What a cancellation or an attempt that can't leave brings about is news again.
             if self.events.is_empty() {
                 return;
             }
@@ -290,7 +290,7 @@
             Action::Attempt { request, upstream, timeout, begin_by } => {
                 self.attempt(now, request, upstream, timeout, begin_by);
             }
-            Action::Recall { request, attempt } => {
+            Action::Cancel { request, attempt } => {
                 // Dropping what is kept of it closes its connection.
                 self.ended(now, (request, attempt), Outcome::Cancelled.into());
             }
--- a/crates/pondlb-server/src/transport/tests.rs
+++ b/crates/pondlb-server/src/transport/tests.rs
@@ -43,7 +43,7 @@
     async fn noted(&mut self) {
         let since = Instant::now();
         let note = match self.notes.recv().await.unwrap() {
-            Note::Listed(roster) => format!("listed {}", roster.version),
+            Note::Listed(list) => format!("listed {}", list.version),
             Note::ListLost => "lost".into(),
             Note::ListUnreached => "unreached".into(),
             Note::WatchSilent => format!("silent after {} ms", since.elapsed().as_millis() / 50 * 50),
--- a/crates/pondlb-server/tests/control/mod.rs
+++ b/crates/pondlb-server/tests/control/mod.rs
@@ -87,7 +87,7 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// A change that lists an upstream, named by its port as in [`roster`].
+/// A change that lists an upstream, named by its port as in [`upstream_list`].
 fn listed(address: SocketAddr) -> String {
     let port = address.port();
     format!(
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -278,7 +278,7 @@
 }
 
 /// A list in discovery's form: upstreams named by their ports, all in this state.
-pub fn roster(version: u64, whole: bool, state: &str, addresses: &[SocketAddr]) -> String {
+pub fn upstream_list(version: u64, whole: bool, state: &str, addresses: &[SocketAddr]) -> String {
     let mut targets = String::new();
     for (n, address) in addresses.iter().enumerate() {
         let comma = if n > 0 { "," } else { "" };
@@ -294,7 +294,7 @@
 }
 
 /// A whole list of many upstreams, each by its number and where it is.
-pub fn long_roster(version: u64, upstreams: impl Iterator<Item = (usize, SocketAddr)>) -> String {
+pub fn long_upstream_list(version: u64, upstreams: impl Iterator<Item = (usize, SocketAddr)>) -> String {
     let targets = upstreams.map(|(n, address)| {
         format!(
             r#"{{"uid":"s{n}","endpoint":"{address}","az":"a","model":"m1","state":"active","capacity_hint":1}}"#
@@ -330,7 +330,7 @@
             None => format!(r#""discovery":"{}""#, self.discovery),
         };
         let Plan { memory_mb, sockets, idle_ms, list, .. } = self;
-        let known = roster(1, true, "active", &self.known);
+        let known = upstream_list(1, true, "active", &self.known);
         let class = |name: &str, effect: &str| {
             format!(
                 r#"{{"Name":"{name}","Effect":"{effect}","SlaTimeNs":1500000000,"ExpiryNs":2000000000,
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -25,7 +25,7 @@
     let mut plan = Plan::with(&[&upstream]);
     plan.discovery = discovery.address;
     let balancer = plan.start_with(&of_many(&plan, 300));
-    discovery.list(&roster(2, false, "active", &[upstream.address]));
+    discovery.list(&upstream_list(2, false, "active", &[upstream.address]));
     // The stand-in reads the next call and says nothing.
     let calls = || discovery.told.lock().unwrap().calls.len();
     wait_until("the watch goes on", || calls() == 2);
@@ -51,7 +51,7 @@
     let mut call = accept(&listener);
     assert!(read_message(&mut call).unwrap().head.contains("/catalog/members?from=1&"));
     assert!(back.elapsed() < 4100 * MS, "asked after {:?}", back.elapsed());
-    let list = roster(2, false, "leaving", &[upstream.address]);
+    let list = upstream_list(2, false, "leaving", &[upstream.address]);
     write!(call, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).unwrap();
     read_message(&mut call).expect("the watch goes on");
     assert_eq!(balancer.ask("a1", "order").status(), "503", "the only upstream leaves");
@@ -130,7 +130,7 @@
     let mut client = balancer.client();
     client.send(&Client::request("a1", "browse", 1900));
     while !matches!(first.next(), Seen::Request(_)) {}
-    discovery.list(&roster(2, false, "active", &[second.address]));
+    discovery.list(&upstream_list(2, false, "active", &[second.address]));
     // The second leaves after half the SLA time, 750 ms.
     sleep(900 * MS);
     first.tell.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").unwrap();
@@ -304,7 +304,7 @@
     client.send(&Client::request("a1", "amend", 1900));
     let mut first = accept(&listener);
     read_message(&mut first).unwrap();
-    discovery.list(&roster(2, false, "active", &[second.address]));
+    discovery.list(&upstream_list(2, false, "active", &[second.address]));
     sleep(50 * MS);
     // It may have run. The repeat can only go to the other.
     SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
@@ -389,9 +389,9 @@
     let mut client = balancer.client();
     client.send(&Client::request("a1", "order", 1900));
     sleep(50 * MS);
-    discovery.list(&roster(2, false, "active", &[other.address]));
+    discovery.list(&upstream_list(2, false, "active", &[other.address]));
     let told = Instant::now();
-    discovery.list(&roster(3, false, "leaving", &[leaving.address]));
+    discovery.list(&upstream_list(3, false, "leaving", &[leaving.address]));
     assert_eq!(client.read().unwrap().body, "hello");
     assert!(told.elapsed() < 500 * MS, "{:?}", told.elapsed());
     assert!(!sees_a_request(leaving));
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -260,7 +260,7 @@
         assert_eq!(client.ask(&format!("a{n}"), "order").status(), "200");
     }
     let addresses: Vec<SocketAddr> = after.iter().map(|upstream| upstream.address).collect();
-    discovery.list(&roster(2, true, "active", &addresses));
+    discovery.list(&upstream_list(2, true, "active", &addresses));
     sleep(100 * MS);
     for n in 0..40 {
         assert_eq!(client.ask(&format!("b{n}"), "order").status(), "200");
@@ -379,8 +379,8 @@
     discovery.list("{\"rev\":2,\"all\":true,\"targets\":[{}]}");
     discovery.answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n[[[[");
     assert_eq!(balancer.ask("a2", "order").status(), "200");
-    discovery.list(&roster(3, true, "active", &[upstream.address]));
-    discovery.list(&roster(4, false, "active", &[]));
+    discovery.list(&upstream_list(3, true, "active", &[upstream.address]));
+    discovery.list(&upstream_list(4, false, "active", &[]));
     let calls = || discovery.told.lock().unwrap().calls.len();
     wait_until("the watch goes on", || calls() == 5);
     let told = discovery.told.lock().unwrap();
@@ -402,11 +402,11 @@
     let mut plan = Plan::with(&[&upstream]);
     plan.discovery = discovery.address;
     let _balancer = plan.start();
-    discovery.list(&roster(1, false, "active", &[]));
+    discovery.list(&upstream_list(1, false, "active", &[]));
     let start = Instant::now();
     let mut answered = 0;
     while start.elapsed() < 500 * MS {
-        discovery.list(&roster(1, false, "active", &[]));
+        discovery.list(&upstream_list(1, false, "active", &[]));
         answered += 1;
     }
     assert!((2..=11).contains(&answered), "{answered}");
@@ -436,7 +436,7 @@
     for n in 0..10 {
         balancer.ask(&format!("a{n}"), "order");
     }
-    discovery.list(&roster(2, false, "leaving", &[one.address]));
+    discovery.list(&upstream_list(2, false, "leaving", &[one.address]));
     sleep(300 * MS);
     let before = one.requests().len();
     assert!(before > 0);
@@ -486,7 +486,7 @@
     assert_eq!(client.ask("a2", "order").status(), "200");
     plan.discovery = after.address;
     balancer.reconfigure(&plan.configuration().replace("\"memory_mb\":192", "\"memory_mb\":96"));
-    after.list(&roster(1, true, "active", &[two.address]));
+    after.list(&upstream_list(1, true, "active", &[two.address]));
     wait_until("the new one is watched", || called(&after) == 2);
     assert_eq!(client.ask("a3", "order").status(), "200");
     assert_eq!((one.requests().len(), two.requests().len(), called(&before)), (2, 1, 1));
@@ -506,7 +506,7 @@
     (plan.discovery, plan.list) = (discovery.address, "push");
     let balancer = plan.start();
     assert_eq!(balancer.health(), "503");
-    discovery.list(&roster(1, true, "active", &[upstream.address]));
+    discovery.list(&upstream_list(1, true, "active", &[upstream.address]));
     wait_until("it is ready", || balancer.health() == "200");
     assert_eq!(balancer.ask("a1", "order").status(), "200");
 }
@@ -658,17 +658,18 @@
     let mut plan = Plan::with(&[]);
     plan.discovery = discovery.address;
     let gone = nobody();
-    let list = long_roster(1, (0..5000).map(|n| (n % 4990, gone)));
+    let list = long_upstream_list(1, (0..5000).map(|n| (n % 4990, gone)));
     let start = Instant::now();
-    let balancer = plan.start_with(&plan.configuration().replace(&roster(1, true, "active", &[]), &list));
+    let balancer =
+        plan.start_with(&plan.configuration().replace(&upstream_list(1, true, "active", &[]), &list));
     assert_eq!(balancer.health(), "200");
     // Nobody who is remembered takes a connection: an order never ran and is rejected in its time.
     assert_eq!(balancer.ask("o1", "order").status(), "503");
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
     // One that names each upstream twice is not taken.
     let twice = [upstream.address, upstream.address];
-    discovery.list(&roster(2, true, "active", &twice));
-    discovery.list(&roster(2, true, "active", &twice[..1]));
+    discovery.list(&upstream_list(2, true, "active", &twice));
+    discovery.list(&upstream_list(2, true, "active", &twice[..1]));
     wait_until("the list counts", || {
         balancer.ask(&format!("b{}", start.elapsed().as_micros()), "browse").status() == "200"
     });
@@ -690,7 +691,7 @@
     balancer.reconfigure(&whole.replace("\"discovery\"", "\"undiscovered\""));
     sleep(50 * MS);
     // The old watch still stands: what it tells counts.
-    discovery.list(&roster(2, false, "active", &[upstream.address]));
+    discovery.list(&upstream_list(2, false, "active", &[upstream.address]));
     wait_until("the watch goes on", || calls() == 2);
     plan.discovery = nobody();
     balancer.reconfigure(&plan.configuration());
@@ -722,7 +723,7 @@
         sleep(20 * MS);
     }
     assert!((2..=8).contains(&turned_away), "{turned_away}");
-    discovery.list(&roster(2, true, "leaving", &[other.address]));
+    discovery.list(&upstream_list(2, true, "leaving", &[other.address]));
     sleep(500 * MS);
     let _before = (upstream.requests(), other.requests());
     assert_eq!(balancer.ask("late", "order").status(), "503");
@@ -739,7 +740,7 @@
     plan.discovery = discovery.address;
     let balancer = plan.start();
     assert_eq!(balancer.health(), "503");
-    let list = long_roster(1, (0..LARGE_FLEET).map(|n| (n, upstream.address)));
+    let list = long_upstream_list(1, (0..LARGE_FLEET).map(|n| (n, upstream.address)));
     assert!(list.len() > 2_000_000, "{}", list.len());
     discovery.list(&list);
     wait_until("it is ready", || balancer.health() == "200");
@@ -755,7 +756,7 @@
     let mut plan = Plan::with(&[]);
     (plan.discovery, plan.memory_mb) = (discovery.address, 16);
     let balancer = plan.start();
-    let long = long_roster(1, (0..LARGE_FLEET).map(|n| (n, upstream.address)));
+    let long = long_upstream_list(1, (0..LARGE_FLEET).map(|n| (n, upstream.address)));
     let calls = || discovery.told.lock().unwrap().calls.len();
     discovery.list(&long);
     let (start, mut refused) = (Instant::now(), 1);
@@ -769,7 +770,7 @@
     // The waits are 0.75 to 1 s, 1.5 to 2 s, 3 to 4 s.
     assert!((2..=3).contains(&refused), "{refused}");
     assert_eq!(balancer.health(), "503");
-    discovery.list(&roster(2, true, "active", &[upstream.address]));
+    discovery.list(&upstream_list(2, true, "active", &[upstream.address]));
     wait_until("it is ready", || balancer.health() == "200");
     assert_eq!(balancer.ask("a1", "order").status(), "200");
     let refusal = format!("a list of {} bytes is refused; limits.memory_mb allows for 1048576", long.len());
--- a/crates/pondlb-terms/src/settings.rs
+++ b/crates/pondlb-terms/src/settings.rs
@@ -8,7 +8,7 @@
 
 use crate::table::Table;
 use crate::tunable::{IN_PLACE, Tunables};
-use crate::wire::{Discovery, NO_CLASSES, Object, Realm, WireClass, read};
+use crate::wire::{Discovery, NO_CLASSES, Object, WireClass, WireTenant, read};
 use crate::{Deployment, Fault, Links, Names};
 
 /// A change of one setting, in the form of a record.
@@ -70,7 +70,7 @@
 /// A change that was read, and checked as far as that needs no other setting.
 enum Change {
     Class(String, Option<NamedClass>),
-    Tenant(String, Option<Realm>),
+    Tenant(String, Option<WireTenant>),
     Limit(&'static str, Option<Value>),
 }
 
@@ -86,9 +86,9 @@
             let check = |wire: WireClass| wire.check(key).and_then(|()| NamedClass::of(wire, key));
             Ok(Change::Class(name.into(), wire.map(check).transpose()?))
         } else if let Some(name) = key.strip_prefix("tenant/") {
-            let realm = value.map(read::<Realm>).transpose().map_err(named)?;
-            realm.map_or(Ok(()), |realm| realm.check(key))?;
-            Ok(Change::Tenant(name.into(), realm))
+            let tenant = value.map(read::<WireTenant>).transpose().map_err(named)?;
+            tenant.map_or(Ok(()), |tenant| tenant.check(key))?;
+            Ok(Change::Tenant(name.into(), tenant))
         } else if let Some(path) = key.strip_prefix("limit/") {
             let known = IN_PLACE.into_iter().find(|known| *known == path);
             let path = known.ok_or_else(|| format!("{path}: the change takes a restart"))?;
@@ -125,7 +125,7 @@
     file: Tunables,
     tunables: Tunables,
     classes: Table<NamedClass>,
-    tenants: Table<Realm>,
+    tenants: Table<WireTenant>,
     /// Keys whose values, or whose want of a value that the file has, are by a record: the file does not change them.
     recorded: HashSet<String>,
 }
@@ -150,12 +150,12 @@
         for (key, class) in keys.iter().zip(&object.classes) {
             class.check(key)?;
         }
-        for (n, realm) in object.realms.iter().enumerate() {
-            realm.check(&format!("Realms[{n}]"))?;
+        for (n, tenant) in object.tenants.iter().enumerate() {
+            tenant.check(&format!("Realms[{n}]"))?;
         }
         let named = |(key, wire): (&String, WireClass)| Ok((wire.name.clone(), NamedClass::of(wire, key)?));
         let classes: Vec<_> = keys.iter().zip(object.classes).map(named).collect::<Result<_, Fault>>()?;
-        let tenants = object.realms.into_iter().enumerate().map(|(n, realm)| (n.to_string(), realm));
+        let tenants = object.tenants.into_iter().enumerate().map(|(n, tenant)| (n.to_string(), tenant));
         Ok(Settings {
             fixed: Fixed {
                 balancers,
@@ -189,11 +189,11 @@
                 Discovery::Ask => Lists::Asked { within: must_ask_in },
             },
             classes: self.classes.values().map(|class| class.terms.clone()).collect(),
-            tenants: self.tenants.values().map(|realm| Tenant { quota: realm.quota_rps }).collect(),
+            tenants: self.tenants.values().map(|tenant| Tenant { quota: tenant.quota_rps }).collect(),
             excess_value,
             warm_keys,
             max_attempts: attempt_limits.max_attempts,
-            second_copies: attempt_limits.second_copies,
+            hedging: attempt_limits.hedging,
             cancelling: attempt_limits.cancelling,
             probing: self.tunables.limits.probing,
             cool_down,
@@ -236,7 +236,8 @@
     pub fn difference(&self, file: &Settings) -> Difference {
         let mut changes = Vec::new();
         changes.extend(differences(&self.classes, &file.classes).map(|(n, class)| Change::Class(n, class)));
-        changes.extend(differences(&self.tenants, &file.tenants).map(|(n, realm)| Change::Tenant(n, realm)));
+        changes
+            .extend(differences(&self.tenants, &file.tenants).map(|(n, tenant)| Change::Tenant(n, tenant)));
         let in_force: HashMap<_, _> = self.tunables.values().collect();
         let limits = file.tunables.values().filter(|(path, value)| in_force.get(path) != Some(value));
         changes.extend(limits.map(|(path, value)| Change::Limit(path, Some(value))));
@@ -306,7 +307,7 @@
     fn note_record(&mut self, change: &Change) {
         let stays = match change {
             Change::Class(name, class) => class.is_some() || self.classes.is_in_file(name),
-            Change::Tenant(name, realm) => realm.is_some() || self.tenants.is_in_file(name),
+            Change::Tenant(name, tenant) => tenant.is_some() || self.tenants.is_in_file(name),
             Change::Limit(_, value) => value.is_some(),
         };
         if stays {
@@ -327,10 +328,10 @@
                     applied.terms.push(TermsChange::Class { number, class: terms });
                     applied.changed += 1;
                 }
-                Change::Tenant(name, realm) => {
-                    let tenant = realm.map(|realm| Tenant { quota: realm.quota_rps });
-                    let Some(number) = self.tenants.set(&name, realm, in_file) else { continue };
-                    applied.terms.push(TermsChange::Tenant { number, tenant });
+                Change::Tenant(name, tenant) => {
+                    let terms = tenant.map(|tenant| Tenant { quota: tenant.quota_rps });
+                    let Some(number) = self.tenants.set(&name, tenant, in_file) else { continue };
+                    applied.terms.push(TermsChange::Tenant { number, tenant: terms });
                     applied.changed += 1;
                 }
                 Change::Limit(..) => {}
--- a/crates/pondlb-terms/src/tunable.rs
+++ b/crates/pondlb-terms/src/tunable.rs
@@ -74,7 +74,7 @@
             excess_value: *excess_value,
             attempt_limits: AttemptLimits {
                 max_attempts: limits.max_attempts,
-                second_copies: limits.second_copies,
+                hedging: limits.hedging,
                 cancelling: limits.cancelling,
             },
             cool_down: limits.retry_after.then(|| floor_from_ns(limits.max_retry_after_ns)),
--- a/crates/pondlb-terms/src/wire.rs
+++ b/crates/pondlb-terms/src/wire.rs
@@ -23,13 +23,15 @@
     pub reporting: Reporting,
     pub rules: Rules,
     #[serde(default)]
-    pub realms: Vec<Realm>,
+    #[serde(rename = "Realms")]
+    pub tenants: Vec<WireTenant>,
     pub zones: Vec<String>,
 }
 
 /// An entry of `Schemes`.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(rename_all = "PascalCase")]
+// Messages about faulty settings go on naming it as before.
+#[serde(expecting = "struct WireScheme", rename_all = "PascalCase")]
 pub struct WireClass {
     pub sla_time_ns: u64,
     pub effect: WireEffect,
@@ -85,7 +87,8 @@
     pub probing: bool,
     pub max_retry_after_ns: u64,
     pub retry_after: bool,
-    pub second_copies: bool,
+    #[serde(rename = "SecondCopies")]
+    pub hedging: bool,
 }
 
 #[derive(Deserialize)]
@@ -109,8 +112,9 @@
 
 /// An entry of `Realms`.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
-#[serde(rename_all = "PascalCase")]
-pub struct Realm {
+// Messages about faulty settings go on naming it as before.
+#[serde(expecting = "struct Realm", rename_all = "PascalCase")]
+pub struct WireTenant {
     pub quota_rps: f64,
 }
 
@@ -180,7 +184,7 @@
     }
 }
 
-impl Realm {
+impl WireTenant {
     pub fn check(&self, key: &str) -> Result<(), Fault> {
         within(&format!("{key}.QuotaRps"), self.quota_rps, 0.0, f64::MAX)
     }
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -220,7 +220,7 @@
         let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = request.attempts.len() + 1 >= request.limits.max_attempts as usize;
-        let alone = request.effect == Effect::Idempotent && !request.limits.second_copies;
+        let alone = request.effect == Effect::Idempotent && !request.limits.hedging;
         let timeout = (alone && !last && slot).then_some(due);
         request.asked.1.clear();
         let attempt = request.attempts.len() as u32;
@@ -232,7 +232,7 @@
         self.queue.alarms.push(Reverse((now + due, number, Some(attempt))));
         self.seen.note_out(now, 1.0);
         if first && !slot && now < sla_end {
-            self.copy(now, number);
+            self.hedge(now, number);
         }
     }
 }
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -111,10 +111,10 @@
         }
     }
 
-    /// Only as many as what was served in time pays for, against copies feeding the slowdown they should hide.
-    pub fn copy(&mut self, now: Tenths, number: u64) {
+    /// Only as many as what was served in time pays for, against hedges feeding the slowdown they should hide.
+    pub fn hedge(&mut self, now: Tenths, number: u64) {
         let request = &self.queue.requests[&number];
-        if request.limits.second_copies && request.may_retry() && self.extra >= 1.0 {
+        if request.limits.hedging && request.may_retry() && self.extra >= 1.0 {
             self.hold(now, number);
         }
     }
@@ -155,7 +155,7 @@
         let Some(request) = self.queue.requests.remove(&number) else { return };
         self.queue.numbers.remove(&request.id);
         let outs = (0u32..).zip(&request.attempts).filter(|(_, a)| a.out && request.limits.cancelling);
-        out.extend(outs.map(|(attempt, _)| Action::Recall { request: request.id.clone(), attempt }));
+        out.extend(outs.map(|(attempt, _)| Action::Cancel { request: request.id.clone(), attempt }));
     }
 
     pub fn ring(&mut self, now: Tenths, out: &mut Vec<Action>) {
@@ -168,7 +168,7 @@
                 self.seen.board[up].overdue(now, sent, &self.terms);
                 self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
                 if now + self.estimate.quick < request.sla_end {
-                    self.copy(now, number);
+                    self.hedge(now, number);
                 }
             } else if request.held.is_some() {
                 let still_out = request.out();
--- a/src/event.rs
+++ b/src/event.rs
@@ -159,7 +159,7 @@
         on: bool,
     },
     Refetch,
-    Recall {
+    Cancel {
         request: RequestId,
         attempt: u32,
     },
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -14,7 +14,7 @@
     /// An upstream that met a key lately has less work with it.
     pub warm_keys: bool,
     pub max_attempts: u32,
-    pub second_copies: bool,
+    pub hedging: bool,
     pub cancelling: bool,
     /// Upstreams may be asked for their load.
     pub probing: bool,
@@ -82,8 +82,8 @@
     /// Attempts in all.
     pub max_attempts: u32,
     /// Whether two may be out together.
-    pub second_copies: bool,
-    /// Whether those still out are recalled once the request has ended.
+    pub hedging: bool,
+    /// Whether those still out are cancelled once the request has ended.
     pub cancelling: bool,
 }
 
@@ -138,9 +138,9 @@
             }
             TermsChange::Limits(Limits { excess_value, attempt_limits, cool_down, cold }) => {
                 (self.excess_value, self.cool_down, self.cold) = (*excess_value, *cool_down, cold.clone());
-                let AttemptLimits { max_attempts, second_copies, cancelling } = *attempt_limits;
+                let AttemptLimits { max_attempts, hedging, cancelling } = *attempt_limits;
                 self.max_attempts = max_attempts;
-                self.second_copies = second_copies;
+                self.hedging = hedging;
                 self.cancelling = cancelling;
             }
         }
@@ -153,8 +153,8 @@
 
     /// The limits of attempts as they are now.
     pub fn attempt_limits(&self) -> AttemptLimits {
-        let Terms { max_attempts, second_copies, cancelling, .. } = *self;
-        AttemptLimits { max_attempts, second_copies, cancelling }
+        let Terms { max_attempts, hedging, cancelling, .. } = *self;
+        AttemptLimits { max_attempts, hedging, cancelling }
     }
 
     /// This balancer's part of a figure that all balancers together should keep to.
--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -134,7 +134,7 @@
 }
 
 #[test]
-fn attempts_of_a_request_that_came_before_are_recalled_though_cancelling_has_ended() {
+fn attempts_of_a_request_that_came_before_are_cancelled_though_cancelling_has_ended() {
     let (mut play, now) = served();
     play.sent_to(now, request("before", 0));
     play.change(&[limits(|limits| limits.attempt_limits.cancelling = false)]);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn an_idempotent_request_is_sent_again_after_tp_and_the_loser_recalled() {
+fn an_idempotent_request_is_sent_again_after_tp_and_the_loser_cancelled() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
@@ -285,9 +285,9 @@
                 match action {
                     Action::Attempt { request, upstream, .. } => {
                         let of_it = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, .. }) if *t == request);
-                        let copy = due.values().any(|(_, event)| of_it(event));
-                        let took = if !copy && next % 20 == 0 { 600 } else { 20 };
-                        let end = ended(&request, u32::from(copy), &upstream, Outcome::Ok, took);
+                        let hedge = due.values().any(|(_, event)| of_it(event));
+                        let took = if !hedge && next % 20 == 0 { 600 } else { 20 };
+                        let end = ended(&request, u32::from(hedge), &upstream, Outcome::Ok, took);
                         due.insert((now + took, next), (n, Some(end)));
                         (1..took / 100)
                             .for_each(|k| drop(due.insert((now + 100 * k, next + (k << 40)), (n, None))));
@@ -295,7 +295,7 @@
                             sent.push(now);
                         }
                     }
-                    Action::Recall { request, attempt } => {
+                    Action::Cancel { request, attempt } => {
                         let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, attempt: p, .. }) if *t == request && *p == attempt);
                         let out = due.iter().find(|(_, (_, event))| given_up(event)).map(|(key, _)| *key);
                         if let Some((n, Some(Event::Ended { upstream, .. }))) =
@@ -337,7 +337,7 @@
 
 #[test]
 fn where_two_may_not_be_out_the_first_ends_at_tp() {
-    let mut play = Play::new(Terms { second_copies: false, ..terms() });
+    let mut play = Play::new(Terms { hedging: false, ..terms() });
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
     let up = play.sent_to(now, request("t", 0));
@@ -566,7 +566,7 @@
 }
 
 #[test]
-fn copies_stop_when_little_is_served_in_time() {
+fn hedges_stop_when_little_is_served_in_time() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b c d e f g h i j k l")]);
     let now = play.warm_up(64);
@@ -1285,12 +1285,12 @@
         .assert_eq(&format!("upstreams, zones, kinds, txns: {}", sizes.join(" then ")));
 }
 
-/// Non-idempotent and keyed within the cell, no copies, upstreams may be asked.
+/// Non-idempotent and keyed within the cell, no hedges, upstreams may be asked.
 fn asking() -> Terms {
     let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     let cell = Effect::Keyed { scope: Scope::Cell, memory: 300 * MS };
     let classes = vec![class(Effect::Idempotent), class(Effect::NonIdempotent), class(cell)];
-    Terms { classes, second_copies: false, probing: true, balancers: 100, ..terms() }
+    Terms { classes, hedging: false, probing: true, balancers: 100, ..terms() }
 }
 
 fn told(upstream: &str, outcome: Outcome, held: f64, waiting: f64) -> Event {
@@ -1480,7 +1480,7 @@
 /// warm upstreams were jammed beside idle cold ones, which warm up by work only.
 #[test]
 fn where_most_are_cold_each_gets_its_part_of_what_warm_ones_bear() {
-    let mut play = Play::new(Terms { second_copies: false, ..terms() });
+    let mut play = Play::new(Terms { hedging: false, ..terms() });
     play.at(0, [list("a")]);
     let now = play.warm_up(400);
     let cold = |n: u32| Entry { started: Some(now * MS), ..entry(&format!("c{n}"), 0) };
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -28,7 +28,7 @@
         excess_value: 1.0,
         warm_keys: false,
         max_attempts: 3,
-        second_copies: true,
+        hedging: true,
         cancelling: true,
         probing: false,
         cool_down: Some(800 * MS),
@@ -98,7 +98,7 @@
                     format!("decline {request}{}", if cool_down.is_some() { ", with advice" } else { "" })
                 }
                 Action::Fail { request } => format!("reverse {request}"),
-                Action::Recall { request, attempt } => format!("recall {request}/{attempt}"),
+                Action::Cancel { request, attempt } => format!("recall {request}/{attempt}"),
                 other => format!("{other:?}"),
             };
             writeln!(self.trace, "{ms}: {line}").unwrap();
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -27,7 +27,7 @@
         excess_value: 1.0,
         warm_keys: false,
         max_attempts: 1,
-        second_copies: false,
+        hedging: false,
         cancelling: true,
         probing: false,
         cool_down: None,
