Outlier scores, candidates and subsets are called so in the code and on the design page

Distrust was what others call an outlier score, with ejection beyond a threshold; lanes were the candidates for light and for heavy requests; circles of the tests and the design page the subsets of the code; a crowd at an upstream is overload, and how much slower it answers than at its best its slowdown.

--- a/crates/pondlb-lab/src/slopes/bench.rs
+++ b/crates/pondlb-lab/src/slopes/bench.rs
@@ -24,7 +24,7 @@
 const ADDRESSES: usize = 16;
 const HEARD_STEP: Duration = Duration::from_millis(5);
 /// A balancer uses as many upstreams as it has requests in some seconds; this is twice their half-life and more.
-const CIRCLE_GROWS: Duration = Duration::from_secs(15);
+const SUBSET_GROWS: Duration = Duration::from_secs(15);
 /// Until the connections of a new load are up.
 const WARM_UP: Duration = Duration::from_secs(2);
 /// A little longer than a call to discovery waits for news.
@@ -196,7 +196,7 @@
 
     /// Waits until a balancer under load uses as many upstreams as it will.
     pub async fn grow(&self) {
-        sleep(CIRCLE_GROWS.min(3 * self.span)).await;
+        sleep(SUBSET_GROWS.min(3 * self.span)).await;
     }
 
     /// Sends requests until the balancer uses as many upstreams as it will at this rate.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,7 +17,7 @@
 use queue::{Attempt, Queue, Request};
 pub use shell::Balancer;
 use subset::Seen;
-use upstream::{ANSWER_CALMS, BENCHED, FADE, Upstream, Zone};
+use upstream::{ANSWER_LOWERS, EJECTED, FADE, Upstream, Zone};
 
 const SECOND: Tenths = 10_000;
 
@@ -84,13 +84,14 @@
                 let entry = &upstream.entry;
                 let size = entry.size.clamp(LEAST_SIZE, MOST_SIZE);
                 let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / size);
-                // Else a small request's way there and back would pass for a crowd at its upstream.
+                // Else a small request's way there and back would pass for overload of its upstream.
                 let way = zone.pace.least;
                 if matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut) {
                     zone.unanswered(now, now.saturating_sub(took));
                 }
                 if outcome == Outcome::Ok {
-                    (zone.answered, zone.distrust.level) = (now, zone.distrust.level * ANSWER_CALMS);
+                    zone.answered = now;
+                    zone.outlier_score.level *= ANSWER_LOWERS;
                     zone.pace.note(took, work, PACE_WINDOW);
                     self.seen.pace.note(took, cost + way, PACE_WINDOW);
                     self.seen.listed.note(took, work + way, PACE_WINDOW);
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -4,7 +4,7 @@
 
 use nanorand::Rng;
 
-use super::{Attempt, BENCHED, Dispatcher, FADE, LONG, PACE_WINDOW, Request, mix};
+use super::{Attempt, Dispatcher, EJECTED, FADE, LONG, PACE_WINDOW, Request, mix};
 use crate::{Action, Effect, Scope, Tenths};
 
 /// An attempt is overdue after tp, or after this many times the pooled pace for its cost where that is longer.
@@ -39,7 +39,7 @@
         let heads: Vec<u64> = self.queue.held.iter().take(4).map(|(_, number)| *number).collect();
         for number in heads {
             let request = &self.queue.requests[&number];
-            if self.seen.lanes.is_empty() || request.begin_by().is_some_and(|by| by <= now + 1) {
+            if self.seen.candidates.is_empty() || request.begin_by().is_some_and(|by| by <= now + 1) {
                 // Nobody to send it to, or who would not know it again: the client had better hear so at once.
                 self.stop_waiting(number, out);
                 return true;
@@ -83,7 +83,7 @@
         let chance = self.rng.generate::<u64>();
         let request = &self.queue.requests[&number];
         let cost = request.cost;
-        let (mut own, mut other) = self.seen.lanes.split_at(self.seen.light);
+        let (mut own, mut other) = self.seen.candidates.split_at(self.seen.light);
         if request.heavy && !other.is_empty() {
             (own, other) = (other, own);
         }
@@ -106,24 +106,24 @@
         let trusted = |up: &usize, any_zone: bool| {
             let s = &self.seen.board[*up];
             let zone = self.seen.zones.get(&s.entry.zone).filter(|_| !any_zone);
-            let distrust = zone.map_or(0.0, |zone| zone.distrust.at(now, FADE));
-            distrust.max(s.distrust.at(now, FADE)) < BENCHED
+            let outlier_score = zone.map_or(0.0, |zone| zone.outlier_score.at(now, FADE));
+            outlier_score.max(s.outlier_score.at(now, FADE)) < EJECTED
         };
         let mut fitting: Vec<usize> = Vec::new();
         for any_zone in [false, true] {
-            for lane in [own, other] {
+            for group in [own, other] {
                 if fitting.is_empty() {
-                    fitting.extend(lane.iter().copied().filter(|up| trusted(up, any_zone) && fit(up, true)));
+                    fitting.extend(group.iter().copied().filter(|up| trusted(up, any_zone) && fit(up, true)));
                 }
             }
-            let count = self.seen.lanes.iter().filter(|up| trusted(up, any_zone)).count();
-            if fitting.is_empty() && FEW_TRUSTED * count >= self.seen.lanes.len() {
+            let count = self.seen.candidates.iter().filter(|up| trusted(up, any_zone)).count();
+            if fitting.is_empty() && FEW_TRUSTED * count >= self.seen.candidates.len() {
                 return None;
             }
         }
         if fitting.is_empty() {
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
-            fitting.extend(self.seen.lanes.iter().copied().filter(|up| fit(up, false)));
+            fitting.extend(self.seen.candidates.iter().copied().filter(|up| fit(up, false)));
         }
         let timely: Vec<_> = fitting.iter().copied().filter(|up| !self.is_late(now, request, *up)).collect();
         let two = self.two(now, request, if timely.is_empty() { &fitting } else { &timely }, chance);
@@ -183,7 +183,7 @@
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
         let there = s.cost_out.max(self.seen.told(now, up));
         let work = there + cost * self.seen.cores.max(1.0) + away * self.seen.mean_cost();
-        work / self.seen.speed(up) * (1.0 + s.distrust.at(now, FADE))
+        work / self.seen.speed(up) * (1.0 + s.outlier_score.at(now, FADE))
     }
 
     /// A cold upstream gets its part of what warm ones bear (served cost by size) in each window. What is less
@@ -193,7 +193,7 @@
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         // Of a fleet that is mostly cold, what its listed speed could bear would be taken for far too little.
         let present = |up: &usize| self.seen.board[*up].present(now, &self.terms) * self.seen.speed(*up);
-        let flow = self.seen.flow.at(now, LONG) / self.seen.lanes.iter().map(present).sum::<f64>();
+        let flow = self.seen.flow.at(now, LONG) / self.seen.candidates.iter().map(present).sum::<f64>();
         let budget = COLD_MARGIN * cold.multiple * flow * present(&up) * cold.window as f64;
         let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
             / u64::MAX as f64;
@@ -209,8 +209,8 @@
         let Some(request) = self.queue.requests.get_mut(&number) else { return };
         let ((_, slot), begin_by) = (self.estimate.plan(now, request.sla_end), request.begin_by());
         let (cost, sla_end) = (request.cost, request.sla_end);
-        let first = request.attempts.is_empty();
-        if first {
+        let attempt = request.attempts.len() as u32;
+        if attempt == 0 {
             self.estimate.wait += ((now - request.arrived) as f64 - self.estimate.wait) / PACE_WINDOW;
         } else if request.out() {
             self.extra -= 1.0;
@@ -219,11 +219,10 @@
         let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
         let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
-        let last = request.attempts.len() + 1 >= request.limits.max_attempts as usize;
+        let last = attempt + 1 >= request.limits.max_attempts;
         let alone = request.effect == Effect::Idempotent && !request.limits.hedging;
         let timeout = (alone && !last && slot).then_some(due);
         request.asked.1.clear();
-        let attempt = request.attempts.len() as u32;
         request.attempts.push(Attempt { up, sent: now, out: true, may_have_run: false });
         let upstream = self.seen.board[up].entry.upstream.clone();
         out.push(Action::Attempt { request: request.id.clone(), upstream, timeout, begin_by });
@@ -231,7 +230,7 @@
         self.seen.board[up].sent(now, cost, arrives, &self.terms);
         self.queue.alarms.push(Reverse((now + due, number, Some(attempt))));
         self.seen.note_out(now, 1.0);
-        if first && !slot && now < sla_end {
+        if attempt == 0 && !slot && now < sla_end {
             self.hedge(now, number);
         }
     }
--- a/src/balance/estimate.rs
+++ b/src/balance/estimate.rs
@@ -102,13 +102,13 @@
         self.mean()
     }
 
-    pub fn crowding(&mut self, took: Tenths, cost: f64) -> f64 {
+    pub fn slowdown(&mut self, took: Tenths, cost: f64) -> f64 {
         let pace = self.note(took, cost, PACE_ANSWERS);
         // Costs are in time of a standard core: one never seen at rest must not take a jam for its best.
         let rest = if cost > 1.0 { REST_PACE } else { pace };
         let seen = if self.answers < PACE_ANSWERS { rest } else { pace.min(rest) };
         self.count += 1;
-        // The least of thousands is luck: held for good, each pace would be a crowd by the end of a day.
+        // The least of thousands is luck: held for good, each pace would be a slowdown by the end of a day.
         if self.count.is_multiple_of(BEST_ANSWERS) {
             (self.older, self.best) = (Some(self.best), seen);
         }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -47,7 +47,7 @@
             out.push(Action::Watch { on: true });
         }
         self.dispatcher.ring(now, out);
-        self.dispatcher.seen.lay_lanes(now, &self.dispatcher.terms);
+        self.dispatcher.seen.choose_candidates(now, &self.dispatcher.terms);
         while self.dispatcher.release(now, out) {}
         self.dispatcher.shed(now, out);
         let alarm = self.dispatcher.queue.alarms.peek().map(|Reverse((at, ..))| *at);
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -1,4 +1,4 @@
-//! The subset of upstreams in use, and its lanes.
+//! The subset of the listed upstreams that this balancer uses: the candidates for its requests.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,8 +24,8 @@
 pub struct Seen {
     pub names: BTreeMap<UpstreamId, usize>,
     pub board: Vec<Upstream>,
-    /// The upstreams used, in lane order, and how many of them make up the light lane.
-    pub lanes: Vec<usize>,
+    /// The upstreams used, in an order all balancers share: the first `light` for light requests, the rest for heavy.
+    pub candidates: Vec<usize>,
     pub light: usize,
     pub subset: usize,
     pub stale: bool,
@@ -118,18 +118,18 @@
         let subset = all.min(*subset);
         let part = 3 * subset * near.len() / (2 * all.max(1));
         let half = part.min(subset / 2).max(subset.saturating_sub(far.len())).min(near.len());
-        // The own zone first: a light lane of one or two upstreams would else be far from most balancers.
+        // The own zone first: one or two candidates for light requests would else be far from most balancers.
         let first = |ranking: &Ranking, count| {
             let mut ups: Vec<usize> = ranking.iter().take(count).map(|(_, up)| *up).collect();
             ups.sort_by_key(|up| board[*up].order);
             ups
         };
-        self.lanes = [first(near, half), first(far, subset - half)].concat();
+        self.candidates = [first(near, half), first(far, subset - half)].concat();
         (self.partial, self.size) = (all > subset, None);
     }
 
-    /// The light lane gets its share of the cost in upstream sizes; both get one upstream at least.
-    pub fn lay_lanes(&mut self, now: Tenths, terms: &Terms) {
+    /// Light requests get candidates by their share of the cost, in upstream sizes; both kinds get one at least.
+    pub fn choose_candidates(&mut self, now: Tenths, terms: &Terms) {
         let met = MEET * self.arrivals.at(now, LONG);
         let by_traffic = LEAST_SUBSET.max((met as usize + 1).next_power_of_two() / 2);
         let wanted = if terms.warm_keys { usize::MAX } else { by_traffic };
@@ -141,18 +141,18 @@
             self.room = terms.part(FIRST_ROOM * self.size());
         }
         let cost: f64 = self.cost_sums.iter().sum();
-        let all: f64 = self.lanes.iter().map(|up| self.speed(*up)).sum();
+        let all: f64 = self.candidates.iter().map(|up| self.speed(*up)).sum();
         let mut part = all * self.cost_sums[0] / cost.max(1e-9);
-        // One lane where no hint tells heavy from light, and where only a part of the list is in use: the lanes
+        // Undivided where no hint tells heavy from light, and where only a part of the list is in use: the candidates
         // of different balancers overlap then, so that light requests wait behind heavy ones all the same.
-        let one_lane = self.cost_sums[1] == 0.0 || self.partial;
+        let undivided = self.cost_sums[1] == 0.0 || self.partial;
         let fits = |up: &&usize| {
             part -= self.speed(**up);
-            one_lane || part >= -self.speed(**up) / 2.0
+            undivided || part >= -self.speed(**up) / 2.0
         };
-        self.light = self.lanes.iter().take_while(fits).count();
-        if !one_lane {
-            self.light = self.light.max(1).min(self.lanes.len().saturating_sub(1).max(1));
+        self.light = self.candidates.iter().take_while(fits).count();
+        if !undivided {
+            self.light = self.light.max(1).min(self.candidates.len().saturating_sub(1).max(1));
         }
     }
 }
--- a/src/balance/upstream.rs
+++ b/src/balance/upstream.rs
@@ -6,15 +6,15 @@
 const FIRST_CAP: f64 = 4.0;
 const GROWTH: f64 = 0.5;
 /// A cap is halved above so many times the best pace.
-const CROWDED: f64 = 2.2;
-/// Distrust halves in this time; from `BENCHED` on an upstream gets nothing while others can serve.
+const MOST_SLOWDOWN: f64 = 2.2;
+/// The outlier score halves in this time; from `EJECTED` on an upstream gets nothing while others can serve.
 pub const FADE: Tenths = 4 * SECOND;
-pub const BENCHED: f64 = 2.0;
-pub const ANSWER_CALMS: f64 = 0.7;
-const SPOILT_DOUBT: f64 = 0.25;
-/// How much a zone is doubted for an attempt since which nothing has come from it, and at most.
-const ZONE_DOUBT: f64 = 0.5;
-const MOST_ZONE_DOUBT: f64 = 3.0;
+pub const EJECTED: f64 = 2.0;
+pub const ANSWER_LOWERS: f64 = 0.7;
+const SPOILT_STEP: f64 = 0.25;
+/// What an attempt since which nothing has come from its zone adds to the zone's score, and the most of that.
+const ZONE_STEP: f64 = 0.5;
+const MOST_ZONE_SCORE: f64 = 3.0;
 /// A probe that is turned away stands for so many held.
 const FULL: f64 = 100.0;
 
@@ -22,12 +22,12 @@
 #[derive(Default)]
 pub struct Upstream {
     pub entry: Entry,
-    /// Its place in the order of the lanes, alike at every balancer.
+    /// Its place in the order of the candidates, alike at every balancer.
     pub order: u64,
     pub in_flight: u32,
     pub cost_out: f64,
     pub cap: f64,
-    pub distrust: Decaying,
+    pub outlier_score: Decaying,
     /// Work sent of late, against its budget while it is cold.
     pub cold_work: Decaying,
     pub gone: Tenths,
@@ -66,7 +66,7 @@
         self.gone = now;
         if self.cold_age(now, terms).is_some() && self.entry.started != known.started {
             // A new process: what was known of the old one would send it too much too soon.
-            (self.cap, self.distrust.level) = (1.0, 0.0);
+            (self.cap, self.outlier_score.level) = (1.0, 0.0);
         }
     }
 
@@ -88,8 +88,8 @@
             Outcome::Ok => {
                 self.answered = now;
                 self.answered_sent = self.answered_sent.max(now.saturating_sub(took));
-                self.distrust.level *= ANSWER_CALMS;
-                if self.pace.crowding(took, cost) > CROWDED {
+                self.outlier_score.level *= ANSWER_LOWERS;
+                if self.pace.slowdown(took, cost) > MOST_SLOWDOWN {
                     self.halve(terms);
                 } else if took <= tp {
                     self.cap += GROWTH / self.cap;
@@ -99,11 +99,11 @@
             // A full waiting room is the shortest queue to look at; it must not draw more.
             Outcome::Full | Outcome::TimedOut => {
                 self.halve(terms);
-                self.doubt(now, 1.0);
+                self.raise_outlier_score(now, 1.0);
             }
             // One in so many from everybody is no sign of this one's health; nothing else is.
-            Outcome::Spoilt => self.doubt(now, SPOILT_DOUBT),
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.doubt(now, 1.0),
+            Outcome::Spoilt => self.raise_outlier_score(now, SPOILT_STEP),
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.raise_outlier_score(now, 1.0),
             Outcome::Cancelled | Outcome::Moot => {}
         }
     }
@@ -113,18 +113,18 @@
             Outcome::Ok => (self.reported_held, self.cost_since) = (load.held, 0.0),
             Outcome::Full => self.reported_held = Some(FULL),
             Outcome::Cancelled | Outcome::Moot => self.reported_held = None,
-            _ => self.doubt(now, 1.0),
+            _ => self.raise_outlier_score(now, 1.0),
         }
         self.reported_at = now;
     }
 
     pub fn overdue(&mut self, now: Tenths, sent: Tenths, terms: &Terms) {
-        // A later one was answered: this is heavy, or its connection silent, and no crowd.
+        // A later one was answered: this is heavy, or its connection silent, and no overload.
         if sent >= self.answered_sent {
             self.halve(terms);
             // Silent since that attempt left: perhaps it takes requests and answers none.
             if self.answered < sent {
-                self.doubt(now, 1.0);
+                self.raise_outlier_score(now, 1.0);
             }
         }
     }
@@ -134,9 +134,9 @@
     }
 
     /// Grows by its own half too, so that an upstream that fails each careful try is tried ever less often.
-    fn doubt(&mut self, now: Tenths, step: f64) {
-        let level = self.distrust.at(now, FADE) * (1.0 + step / 2.0) + step;
-        self.distrust = Decaying { level: level.min(4.0 * BENCHED), at: now };
+    fn raise_outlier_score(&mut self, now: Tenths, step: f64) {
+        let level = self.outlier_score.at(now, FADE) * (1.0 + step / 2.0) + step;
+        self.outlier_score = Decaying { level: level.min(4.0 * EJECTED), at: now };
     }
 }
 
@@ -144,16 +144,16 @@
 #[derive(Default)]
 pub struct Zone {
     pub pace: Pace,
-    pub distrust: Decaying,
+    pub outlier_score: Decaying,
     pub answered: Tenths,
 }
 
 impl Zone {
-    /// A zone that is cut off is doubted as a whole: the failures of each of its upstreams tell far too late.
+    /// A zone that is cut off is judged as a whole: the failures of each of its upstreams tell far too late.
     pub fn unanswered(&mut self, now: Tenths, sent: Tenths) {
         if self.answered < sent {
-            self.distrust.add(now, FADE, ZONE_DOUBT);
-            self.distrust.level = self.distrust.level.min(MOST_ZONE_DOUBT);
+            self.outlier_score.add(now, FADE, ZONE_STEP);
+            self.outlier_score.level = self.outlier_score.level.min(MOST_ZONE_SCORE);
         }
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -729,9 +729,9 @@
 }
 
 #[test]
-fn each_balancer_uses_a_circle_and_together_they_use_all_upstreams() {
+fn each_balancer_uses_a_subset_and_together_they_use_all_upstreams() {
     let mut users = std::collections::BTreeMap::<String, usize>::new();
-    let mut circles = std::collections::BTreeSet::new();
+    let mut subsets = std::collections::BTreeSet::new();
     for number in 0..200 {
         let mut play =
             Play::seeded(Terms { balancers: 200, own_number: number, own_zone: number / 67, ..terms() }, 7);
@@ -743,12 +743,12 @@
             play.at(n * 1000 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             met.insert(up);
         }
-        circles.insert(met.len());
+        subsets.insert(met.len());
         met.into_iter().for_each(|up| *users.entry(up).or_default() += 1);
     }
     let (least, most) = (users.values().min().unwrap(), users.values().max().unwrap());
     expect!["circles {5, 6, 7, 8}, 50 upstreams, 14 to 40 balancers"]
-        .assert_eq(&format!("circles {circles:?}, {} upstreams, {least} to {most} balancers", users.len()));
+        .assert_eq(&format!("circles {subsets:?}, {} upstreams, {least} to {most} balancers", users.len()));
 }
 
 /// To the slower half, of each hundred requests, where odd upstreams take 60 ms and the others a quarter or a half.
@@ -841,9 +841,9 @@
     .assert_eq(&play.trace);
 }
 
-/// The danger is a far upstream that counts as crowded whenever a run of small requests meets it.
+/// The danger is a far upstream that counts as overloaded whenever a run of small requests meets it.
 #[test]
-fn the_way_to_an_upstream_is_no_sign_of_a_crowd_for_small_requests() {
+fn the_way_to_an_upstream_is_no_sign_of_overload_for_small_requests() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     // The way there and back takes 10 ms: runs of large requests, then of small ones.
@@ -892,7 +892,7 @@
     .assert_eq(&shares);
 }
 
-/// The danger is a luckily quick run of answers that makes all later ones a crowd's, to the end of the day.
+/// The danger is a luckily quick run of answers that makes all later ones look like overload, to the end of the day.
 #[test]
 fn a_lucky_pace_is_forgotten_after_some_hundred_answers() {
     let mut sent = String::new();
@@ -1025,7 +1025,7 @@
 }
 
 #[test]
-fn heavy_requests_have_a_lane_of_their_own_where_the_circle_is_the_whole_list_only() {
+fn heavy_requests_have_candidates_of_their_own_where_the_subset_is_the_whole_list_only() {
     let shared = |count, k| {
         let mut play = Play::new(terms());
         // Sizes whose sum depends on the order in which they are added.
@@ -1101,7 +1101,7 @@
 }
 
 #[test]
-fn what_comes_or_goes_moves_nobody_else_and_a_replaced_fleet_fills_the_circle() {
+fn what_comes_or_goes_moves_nobody_else_and_a_replaced_fleet_fills_the_subset() {
     let used = |play: &mut Play, from: u64| {
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
@@ -1141,7 +1141,7 @@
 }
 
 #[test]
-fn a_small_own_zone_makes_up_a_small_part_of_the_circle() {
+fn a_small_own_zone_makes_up_a_small_part_of_the_subset() {
     let mut near = std::collections::BTreeSet::new();
     for number in 0..30 {
         let terms = Terms { balancers: 60, own_number: number, ..terms() };
