What a balancer knows of its upstreams is its Fleet, no longer Seen

The longest expressions of the decision module began with `self.seen`, which said nothing. `Fleet` has a doc comment now.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -16,7 +16,7 @@
 use estimate::{Decaying, Estimate, Pace, REST_PACE, WINDOW_OUTCOMES};
 use queue::{Attempt, Queue, Request};
 pub use shell::Balancer;
-use subset::Seen;
+use subset::Fleet;
 use upstream::{ANSWER_LOWERS, EJECTED, FADE, Upstream, Zone};
 
 const SECOND: Tenths = 10_000;
@@ -39,7 +39,7 @@
     terms: Terms,
     rng: WyRand,
     estimate: Estimate,
-    seen: Seen,
+    fleet: Fleet,
     queue: Queue,
     costs: Histogram,
     extra: f64,
@@ -51,21 +51,21 @@
     fn new(terms: Terms, rng: WyRand) -> Self {
         let (estimate, quotas) = (Estimate::new(&terms), vec![(0.0, 0); terms.tenants.len()]);
         let costs = Histogram::new(3, 24).expect("the bins are fixed");
-        let (seen, queue) = (Seen { cores: 1.0, ..Seen::default() }, Queue::default());
+        let (fleet, queue) = (Fleet { cores: 1.0, ..Fleet::default() }, Queue::default());
         let (extra, highest_value) = (EXTRA_SAVED, terms.highest_value());
-        Dispatcher { estimate, quotas, terms, rng, seen, queue, costs, extra, highest_value }
+        Dispatcher { estimate, quotas, terms, rng, fleet, queue, costs, extra, highest_value }
     }
 
     fn receive(&mut self, now: Tenths, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Arrived(arrival) => self.arrive(now, arrival, out),
             Event::Ended { request, attempt, upstream, outcome, took, answered, load } => {
-                let Some(&up) = self.seen.names.get(&upstream) else { return };
+                let Some(&up) = self.fleet.names.get(&upstream) else { return };
                 if self.terms.probing && (load.held.is_some() || outcome == Outcome::Full) {
                     let told = if outcome == Outcome::Full { outcome } else { Outcome::Ok };
                     self.report(now, up, told, load);
                 }
-                let zone = self.seen.zones.entry(self.seen.board[up].entry.zone).or_default();
+                let zone = self.fleet.zones.entry(self.fleet.board[up].entry.zone).or_default();
                 // Lost with its zone, it says nothing of how long answers take, nor of a jam.
                 let lost = outcome == Outcome::TimedOut && zone.answered < now.saturating_sub(took);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut) && !lost {
@@ -74,16 +74,16 @@
                 let number = self.queue.numbers.get(&request).copied();
                 let request = number.and_then(|n| self.queue.requests.get(&n));
                 let (cost, sla) =
-                    request.map_or((self.seen.mean_cost(), 0), |r| (r.cost, r.sla_end - r.arrived));
-                self.seen.note_out(now, -1.0);
+                    request.map_or((self.fleet.mean_cost(), 0), |r| (r.cost, r.sla_end - r.arrived));
+                self.fleet.note_out(now, -1.0);
                 if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Full) && !lost {
                     let waited = took as f64 - REST_PACE * cost;
-                    self.seen.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full, &self.terms);
+                    self.fleet.make_room(2.0 * waited > sla as f64 || outcome == Outcome::Full, &self.terms);
                 }
-                let upstream = &mut self.seen.board[up];
+                let upstream = &mut self.fleet.board[up];
                 let entry = &upstream.entry;
                 let size = entry.size.clamp(LEAST_SIZE, MOST_SIZE);
-                let (zone, work) = (self.seen.zones.entry(entry.zone).or_default(), cost / size);
+                let (zone, work) = (self.fleet.zones.entry(entry.zone).or_default(), cost / size);
                 // Else a small request's way there and back would pass for overload of its upstream.
                 let way = zone.pace.least;
                 if matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut) {
@@ -93,9 +93,9 @@
                     zone.answered = now;
                     zone.outlier_score.level *= ANSWER_LOWERS;
                     zone.pace.note(took, work, PACE_WINDOW);
-                    self.seen.pace.note(took, cost + way, PACE_WINDOW);
-                    self.seen.listed.note(took, work + way, PACE_WINDOW);
-                    self.seen.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
+                    self.fleet.pace.note(took, cost + way, PACE_WINDOW);
+                    self.fleet.listed.note(took, work + way, PACE_WINDOW);
+                    self.fleet.kinds.entry(entry.kind).or_default().note(took, work + way, PACE_WINDOW);
                 }
                 upstream.returned(cost);
                 upstream.end(now, outcome, took, cost + way, self.estimate.tp, &self.terms);
@@ -110,7 +110,7 @@
                 if outcome == Outcome::Ok {
                     let earned = if now <= request.sla_end { EXTRA_SHARE } else { 0.0 };
                     self.extra = (self.extra + earned).min(EXTRA_SAVED);
-                    self.seen.flow.add(now, LONG, request.cost / (10 * SECOND) as f64);
+                    self.fleet.flow.add(now, LONG, request.cost / (10 * SECOND) as f64);
                 }
                 self.close(number, out);
             }
@@ -119,7 +119,7 @@
                 self.close(number, out);
             }
             Event::Probed { upstream, outcome, load, .. } => {
-                if let Some(&up) = self.seen.names.get(&upstream) {
+                if let Some(&up) = self.fleet.names.get(&upstream) {
                     self.report(now, up, outcome, load);
                 }
             }
@@ -130,27 +130,27 @@
 
     /// Takes what the list says of an upstream, or that it is not on the list any more.
     fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
-        self.seen.rank(up, &self.terms, |ranking, rank| ranking.remove(&rank));
-        let upstream = &mut self.seen.board[up];
+        self.fleet.rank(up, &self.terms, |ranking, rank| ranking.remove(&rank));
+        let upstream = &mut self.fleet.board[up];
         match entry {
             Some(entry) => upstream.listed(now, entry, &self.terms),
             None => (upstream.entry.stage, upstream.gone) = (Stage::Gone, now),
         }
-        self.seen.rank(up, &self.terms, |ranking, rank| ranking.insert(rank));
-        self.seen.relisted.insert(up);
+        self.fleet.rank(up, &self.terms, |ranking, rank| ranking.insert(rank));
+        self.fleet.relisted.insert(up);
     }
 
     fn report(&mut self, now: Tenths, up: usize, outcome: Outcome, load: Load) {
         if let (Some(held), Some(waiting)) = (load.held, load.waiting.filter(|waiting| *waiting >= 1.0)) {
-            self.seen.cores += (held - waiting - self.seen.cores) / PACE_WINDOW;
+            self.fleet.cores += (held - waiting - self.fleet.cores) / PACE_WINDOW;
         }
-        self.seen.board[up].reported(now, outcome, load);
+        self.fleet.board[up].reported(now, outcome, load);
     }
 
     fn arrive(&mut self, now: Tenths, arrival: Arrival, out: &mut Vec<Action>) {
         let number = self.queue.next;
         self.queue.next += 1;
-        self.seen.arrivals.add(now, LONG, 1.0);
+        self.fleet.arrivals.add(now, LONG, 1.0);
         let share = self.share(now, arrival.tenant as usize);
         let class = self.terms.classes[(arrival.class as usize).min(self.terms.classes.len() - 1)].clone();
         let rank = (class.value * share).max(0.0).to_bits();
@@ -161,7 +161,7 @@
         let request =
             Request { id, effect, limits, cost, key, heavy, arrived, sla_end, rank, ..Request::default() };
         // A long request of little value would make dozens late that are worth more and wait behind it.
-        let takes = self.kept(&request) * self.seen.pace.mean() * cost;
+        let takes = self.kept(&request) * self.fleet.pace.mean() * cost;
         self.queue.numbers.insert(arrival.request, number);
         self.queue.requests.insert(number, request);
         if !self.terms.probing && takes > (sla_end - now) as f64 {
@@ -186,12 +186,12 @@
         let median = self.costs.quantile_bucket(0.5).ok().flatten();
         let heavy = median.is_some_and(|bin| cost > bin.end() as f64);
         let _beyond = self.costs.increment(cost as u64);
-        self.seen.cost_sums[usize::from(heavy)] += cost;
-        self.seen.cost_count += 1;
-        if self.seen.cost_count >= 2 * WINDOW_OUTCOMES {
+        self.fleet.cost_sums[usize::from(heavy)] += cost;
+        self.fleet.cost_count += 1;
+        if self.fleet.cost_count >= 2 * WINDOW_OUTCOMES {
             self.costs.as_mut_slice().iter_mut().for_each(|bin| *bin /= 2);
-            self.seen.cost_sums.iter_mut().for_each(|sum| *sum /= 2.0);
-            self.seen.cost_count = WINDOW_OUTCOMES;
+            self.fleet.cost_sums.iter_mut().for_each(|sum| *sum /= 2.0);
+            self.fleet.cost_count = WINDOW_OUTCOMES;
         }
         heavy
     }
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -34,12 +34,12 @@
 impl Dispatcher {
     /// One attempt, or one request given up; false when nothing more can leave.
     pub fn release(&mut self, now: Tenths, out: &mut Vec<Action>) -> bool {
-        self.seen.note_out(now, 0.0);
+        self.fleet.note_out(now, 0.0);
         // More than the first, against one that only some upstreams may take keeping all others waiting.
         let heads: Vec<u64> = self.queue.held.iter().take(4).map(|(_, number)| *number).collect();
         for number in heads {
             let request = &self.queue.requests[&number];
-            if self.seen.candidates.is_empty() || request.begin_by().is_some_and(|by| by <= now + 1) {
+            if self.fleet.candidates.is_empty() || request.begin_by().is_some_and(|by| by <= now + 1) {
                 // Nobody to send it to, or who would not know it again: the client had better hear so at once.
                 self.stop_waiting(number, out);
                 return true;
@@ -47,7 +47,7 @@
             if let Some(up) = self.has_room(request).then(|| self.pick(now, number, out)).flatten() {
                 self.unhold(number);
                 // Where nobody waits it costs nobody, and late is worth more than never.
-                let waits = self.seen.told(now, up) >= self.seen.mean_cost();
+                let waits = self.fleet.told(now, up) >= self.fleet.mean_cost();
                 if waits && self.is_late(now, &self.queue.requests[&number], up) {
                     self.give_up(number, out);
                 } else {
@@ -62,14 +62,14 @@
     /// The last of the room is kept for what is worth more: with little traffic, one at a time is held.
     pub fn has_room(&self, request: &Request) -> bool {
         let least = if self.terms.probing { LEAST_ROOM } else { 0.0 };
-        let room = least.max((1.0 - self.kept(request)) * self.seen.room);
-        self.seen.out_now + 1.0 <= room || self.seen.out_mean <= room
+        let room = least.max((1.0 - self.kept(request)) * self.fleet.room);
+        self.fleet.out_now + 1.0 <= room || self.fleet.out_mean <= room
     }
 
     /// Whether it is foreseen to be late there, by what is told to be waiting and its own work.
     fn is_late(&self, now: Tenths, request: &Request, up: usize) -> bool {
-        let left = request.sla_end.saturating_sub(now) as f64 * self.seen.speed(up);
-        self.terms.probing && self.seen.told(now, up) + request.cost * self.seen.cores.max(1.0) > left
+        let left = request.sla_end.saturating_sub(now) as f64 * self.fleet.speed(up);
+        self.terms.probing && self.fleet.told(now, up) + request.cost * self.fleet.cores.max(1.0) > left
     }
 
     /// The part that a request leaves to those that are worth more.
@@ -83,16 +83,16 @@
         let chance = self.rng.generate::<u64>();
         let request = &self.queue.requests[&number];
         let cost = request.cost;
-        let (mut own, mut other) = self.seen.candidates.split_at(self.seen.light);
+        let (mut own, mut other) = self.fleet.candidates.split_at(self.fleet.light);
         if request.heavy && !other.is_empty() {
             (own, other) = (other, own);
         }
         let pinned = match request.effect {
-            Effect::Keyed { scope, .. } => request.first().map(|a| (scope, &self.seen.board[a.up])),
+            Effect::Keyed { scope, .. } => request.first().map(|a| (scope, &self.fleet.board[a.up])),
             _ => None,
         };
         let fit = |up: &usize, careful: bool| {
-            let s = &self.seen.board[*up];
+            let s = &self.fleet.board[*up];
             let in_group = pinned.is_none_or(|(scope, first)| match scope {
                 Scope::All => true,
                 Scope::Zone => first.entry.zone == s.entry.zone,
@@ -104,8 +104,8 @@
                 && self.cold_room(now, *up, self.arrives(request.cost))
         };
         let trusted = |up: &usize, any_zone: bool| {
-            let s = &self.seen.board[*up];
-            let zone = self.seen.zones.get(&s.entry.zone).filter(|_| !any_zone);
+            let s = &self.fleet.board[*up];
+            let zone = self.fleet.zones.get(&s.entry.zone).filter(|_| !any_zone);
             let outlier_score = zone.map_or(0.0, |zone| zone.outlier_score.at(now, FADE));
             outlier_score.max(s.outlier_score.at(now, FADE)) < EJECTED
         };
@@ -116,24 +116,24 @@
                     fitting.extend(group.iter().copied().filter(|up| trusted(up, any_zone) && fit(up, true)));
                 }
             }
-            let count = self.seen.candidates.iter().filter(|up| trusted(up, any_zone)).count();
-            if fitting.is_empty() && FEW_TRUSTED * count >= self.seen.candidates.len() {
+            let count = self.fleet.candidates.iter().filter(|up| trusted(up, any_zone)).count();
+            if fitting.is_empty() && FEW_TRUSTED * count >= self.fleet.candidates.len() {
                 return None;
             }
         }
         if fitting.is_empty() {
             // Nearly all look bad: the fault may be ours, and traffic still has to flow.
-            fitting.extend(self.seen.candidates.iter().copied().filter(|up| fit(up, false)));
+            fitting.extend(self.fleet.candidates.iter().copied().filter(|up| fit(up, false)));
         }
         let timely: Vec<_> = fitting.iter().copied().filter(|up| !self.is_late(now, request, *up)).collect();
         let two = self.two(now, request, if timely.is_empty() { &fitting } else { &timely }, chance);
-        if !self.terms.probing || cost < ASK_FROM * self.seen.mean_cost() {
+        if !self.terms.probing || cost < ASK_FROM * self.fleet.mean_cost() {
             return self.least(now, &two, cost);
         }
         let request = self.queue.requests.get_mut(&number)?;
         if request.asked.1.is_empty() {
-            for &up in two.iter().filter(|up| self.seen.board[**up].reported_at + FRESH <= now) {
-                out.push(Action::Probe { upstream: self.seen.board[up].entry.upstream.clone() });
+            for &up in two.iter().filter(|up| self.fleet.board[**up].reported_at + FRESH <= now) {
+                out.push(Action::Probe { upstream: self.fleet.board[up].entry.upstream.clone() });
             }
             request.asked = (now, two.clone());
             let waits = [ASKED_BOTH, ASKED_ANY].map(|wait| Reverse((now + wait, number, Some(ASKED))));
@@ -141,7 +141,7 @@
         }
         // Some wait like a request before they answer: who answers first has the shortest queue.
         let (since, asked) = (now - request.asked.0, &request.asked.1);
-        let heard = |up: &&usize| self.seen.board[**up].reported_at + FRESH > request.asked.0;
+        let heard = |up: &&usize| self.fleet.board[**up].reported_at + FRESH > request.asked.0;
         let told: Vec<usize> = asked.iter().filter(heard).copied().collect();
         if told.len() < asked.len() && since < if told.is_empty() { ASKED_ANY } else { ASKED_BOTH } {
             return None;
@@ -159,16 +159,16 @@
         let key = request.key.filter(|_| self.terms.warm_keys);
         // Twice its time is not left: two drawn at random may both be too slow for it.
         let tight =
-            OVERDUE_PACE * self.seen.pace.mean() * request.cost > request.sla_end.saturating_sub(now) as f64;
+            OVERDUE_PACE * self.fleet.pace.mean() * request.cost > request.sla_end.saturating_sub(now) as f64;
         // Crossing is for when the own zone is worse: the others get more as it answers more slowly.
-        let pace = |zone: u32| self.seen.slower(self.seen.zones.get(&zone).map(|zone| &zone.pace));
+        let pace = |zone: u32| self.fleet.slower(self.fleet.zones.get(&zone).map(|zone| &zone.pace));
         let rank = |up: usize| {
-            let s = &self.seen.board[up];
+            let s = &self.fleet.board[up];
             let drawn = mix(key.unwrap_or(chance) ^ s.order) as f64 / u64::MAX as f64;
             let near = key.is_some() || s.entry.zone == self.terms.own_zone;
             let slower = pace(self.terms.own_zone) - pace(s.entry.zone);
             let away = (CROSS * (ZONE_STEEP * slower).exp()).clamp(CROSS_LEAST, 1.0);
-            let weight = self.seen.speed(up) * if near { 1.0 } else { away };
+            let weight = self.fleet.speed(up) * if near { 1.0 } else { away };
             let by_chance = -drawn.max(f64::MIN_POSITIVE).ln() / weight;
             if key.is_none() && tight { self.load(now, up, request.cost) } else { by_chance }
         };
@@ -179,21 +179,21 @@
 
     /// What is in flight counts by its cost: a very heavy request has time enough only where work gets done fast.
     fn load(&self, now: Tenths, up: usize, cost: f64) -> f64 {
-        let s = &self.seen.board[up];
+        let s = &self.fleet.board[up];
         let away = if s.entry.zone == self.terms.own_zone { 0.0 } else { 1.0 };
-        let there = s.cost_out.max(self.seen.told(now, up));
-        let work = there + cost * self.seen.cores.max(1.0) + away * self.seen.mean_cost();
-        work / self.seen.speed(up) * (1.0 + s.outlier_score.at(now, FADE))
+        let there = s.cost_out.max(self.fleet.told(now, up));
+        let work = there + cost * self.fleet.cores.max(1.0) + away * self.fleet.mean_cost();
+        work / self.fleet.speed(up) * (1.0 + s.outlier_score.at(now, FADE))
     }
 
     /// A cold upstream gets its part of what warm ones bear (served cost by size) in each window. What is less
     /// than a request is granted by chance: one from each of many balancers would be hundreds in sum.
     fn cold_room(&self, now: Tenths, up: usize, cost: f64) -> bool {
-        let (cold, s) = (&self.terms.cold, &self.seen.board[up]);
+        let (cold, s) = (&self.terms.cold, &self.fleet.board[up]);
         let Some(age) = s.cold_age(now, &self.terms) else { return true };
         // Of a fleet that is mostly cold, what its listed speed could bear would be taken for far too little.
-        let present = |up: &usize| self.seen.board[*up].present(now, &self.terms) * self.seen.speed(*up);
-        let flow = self.seen.flow.at(now, LONG) / self.seen.candidates.iter().map(present).sum::<f64>();
+        let present = |up: &usize| self.fleet.board[*up].present(now, &self.terms) * self.fleet.speed(*up);
+        let flow = self.fleet.flow.at(now, LONG) / self.fleet.candidates.iter().map(present).sum::<f64>();
         let budget = COLD_MARGIN * cold.multiple * flow * present(&up) * cold.window as f64;
         let drawn = mix(mix(s.order ^ u64::from(self.terms.own_number)) ^ (age / cold.window.max(1))) as f64
             / u64::MAX as f64;
@@ -202,7 +202,7 @@
 
     /// What an attempt costs a cold upstream: a new connection too, and light ones are heavier than they look.
     fn arrives(&self, cost: f64) -> f64 {
-        cost + LEAST_ARRIVES * self.seen.mean_cost()
+        cost + LEAST_ARRIVES * self.fleet.mean_cost()
     }
 
     fn attempt(&mut self, now: Tenths, number: u64, up: usize, out: &mut Vec<Action>) {
@@ -216,20 +216,20 @@
             self.extra -= 1.0;
         }
         // Neither a heavy request nor a long way is a sign of trouble: its repeat would be the dearest waste.
-        let way = self.seen.zones.get(&self.seen.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
-        let due = self.estimate.tp.max((OVERDUE_PACE * self.seen.pace.mean() * (cost + way)) as Tenths);
+        let way = self.fleet.zones.get(&self.fleet.board[up].entry.zone).map_or(0.0, |zone| zone.pace.least);
+        let due = self.estimate.tp.max((OVERDUE_PACE * self.fleet.pace.mean() * (cost + way)) as Tenths);
         // Where two may not be out together, the first ends at tp to make room for the next.
         let last = attempt + 1 >= request.limits.max_attempts;
         let alone = request.effect == Effect::Idempotent && !request.limits.hedging;
         let timeout = (alone && !last && slot).then_some(due);
         request.asked.1.clear();
         request.attempts.push(Attempt { up, sent: now, out: true, may_have_run: false });
-        let upstream = self.seen.board[up].entry.upstream.clone();
+        let upstream = self.fleet.board[up].entry.upstream.clone();
         out.push(Action::Attempt { request: request.id.clone(), upstream, timeout, begin_by });
         let arrives = self.arrives(cost);
-        self.seen.board[up].sent(now, cost, arrives, &self.terms);
+        self.fleet.board[up].sent(now, cost, arrives, &self.terms);
         self.queue.alarms.push(Reverse((now + due, number, Some(attempt))));
-        self.seen.note_out(now, 1.0);
+        self.fleet.note_out(now, 1.0);
         if attempt == 0 && !slot && now < sla_end {
             self.hedge(now, number);
         }
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -100,7 +100,7 @@
     pub fn shed(&mut self, now: Tenths, out: &mut Vec<Action>) {
         while let Some(&(_, _, number)) = self.queue.by_rank.first() {
             let request = &self.queue.requests[&number];
-            let flow = self.seen.flow.at(now, LONG);
+            let flow = self.fleet.flow.at(now, LONG);
             let slack = request.sla_end.saturating_sub(self.estimate.tp).saturating_sub(now);
             // What only waits for an answer to what it asked is in nobody's way.
             let asks = self.terms.probing && self.has_room(request);
@@ -165,8 +165,8 @@
             if let Some(attempt) = attempt {
                 let attempt = request.attempts.get(attempt as usize).filter(|a| a.out);
                 let Some(&Attempt { up, sent, .. }) = attempt else { continue };
-                self.seen.board[up].overdue(now, sent, &self.terms);
-                self.seen.zones.entry(self.seen.board[up].entry.zone).or_default().unanswered(now, sent);
+                self.fleet.board[up].overdue(now, sent, &self.terms);
+                self.fleet.zones.entry(self.fleet.board[up].entry.zone).or_default().unanswered(now, sent);
                 if now + self.estimate.quick < request.sla_end {
                     self.hedge(now, number);
                 }
--- a/src/balance/shell.rs
+++ b/src/balance/shell.rs
@@ -7,7 +7,7 @@
 use nanorand::WyRand;
 
 use super::discovery::Discovery;
-use super::{Dispatcher, SECOND, Seen, Upstream};
+use super::{Dispatcher, Fleet, SECOND, Upstream};
 use crate::{Action, Entry, Event, Listing, Stage, Tenths, Terms, TermsChange, UpstreamId};
 
 /// Zones or kinds beyond so many are forgotten when no upstream is of them.
@@ -47,7 +47,7 @@
             out.push(Action::Watch { on: true });
         }
         self.dispatcher.ring(now, out);
-        self.dispatcher.seen.choose_candidates(now, &self.dispatcher.terms);
+        self.dispatcher.fleet.choose_candidates(now, &self.dispatcher.terms);
         while self.dispatcher.release(now, out) {}
         self.dispatcher.shed(now, out);
         let alarm = self.dispatcher.queue.alarms.peek().map(|Reverse((at, ..))| *at);
@@ -83,29 +83,29 @@
         let mut stages = BTreeMap::new();
         for entry in entries.iter() {
             let up = self.place(entry);
-            stages.entry(up).or_insert(self.dispatcher.seen.board[up].entry.stage);
+            stages.entry(up).or_insert(self.dispatcher.fleet.board[up].entry.stage);
             self.listed(now, up, Some(entry.clone()));
         }
         if whole {
-            let board = &self.dispatcher.seen.board;
+            let board = &self.dispatcher.fleet.board;
             let is_missing = |up: &usize| board[*up].entry.stage != Stage::Gone && !stages.contains_key(up);
             let missing: Vec<usize> = (0..board.len()).filter(is_missing).collect();
             for up in missing {
-                stages.insert(up, self.dispatcher.seen.board[up].entry.stage);
+                stages.insert(up, self.dispatcher.fleet.board[up].entry.stage);
                 self.listed(now, up, None);
             }
         }
-        let seen = &mut self.dispatcher.seen;
-        seen.stale |= stages.into_iter().any(|(up, before)| seen.board[up].entry.stage != before);
+        let fleet = &mut self.dispatcher.fleet;
+        fleet.stale |= stages.into_iter().any(|(up, before)| fleet.board[up].entry.stage != before);
     }
 
     /// Hands on what the list says of an upstream, and keeps count of it.
     pub fn listed(&mut self, now: Tenths, up: usize, entry: Option<Entry>) {
-        let before = &self.dispatcher.seen.board[up];
+        let before = &self.dispatcher.fleet.board[up];
         self.known.remove(&before.entry);
         self.gone.remove(&(before.gone, up));
         self.dispatcher.listed(now, up, entry);
-        let after = &self.dispatcher.seen.board[up];
+        let after = &self.dispatcher.fleet.board[up];
         self.known.add(&after.entry);
         if after.entry.stage == Stage::Gone {
             self.gone.insert((after.gone, up));
@@ -118,7 +118,7 @@
 
     /// The place of a listed upstream; one that is new gets that of a forgotten one first.
     fn place(&mut self, entry: &Entry) -> usize {
-        let Seen { names, board, .. } = &mut self.dispatcher.seen;
+        let Fleet { names, board, .. } = &mut self.dispatcher.fleet;
         *names.entry(entry.upstream.clone()).or_insert_with(|| {
             let upstream = Upstream::new(entry, &self.dispatcher.terms);
             let up = self.free.pop().unwrap_or(board.len());
@@ -132,12 +132,12 @@
     /// one may be cold, or an upstream that comes back would be given its part of the cold work twice.
     fn forget(&mut self, now: Tenths) {
         let since = now.saturating_sub(self.dispatcher.terms.cold.warm_within.max(SECOND));
-        let (seen, requests) = (&mut self.dispatcher.seen, &self.dispatcher.queue.requests);
+        let (fleet, requests) = (&mut self.dispatcher.fleet, &self.dispatcher.queue.requests);
         let mut old: Vec<(UpstreamId, Tenths, usize)> = self
             .gone
             .range(..(since, 0))
-            .filter(|(_, up)| seen.board[*up].in_flight == 0)
-            .map(|(gone, up)| (seen.board[*up].entry.upstream.clone(), *gone, *up))
+            .filter(|(_, up)| fleet.board[*up].in_flight == 0)
+            .map(|(gone, up)| (fleet.board[*up].entry.upstream.clone(), *gone, *up))
             .collect();
         if !old.is_empty() {
             let sent =
@@ -148,20 +148,20 @@
         // By name, so that equal events leave equal places free in equal order.
         old.sort();
         for (name, gone, up) in old {
-            seen.names.remove(&name);
-            self.known.remove(&seen.board[up].entry);
+            fleet.names.remove(&name);
+            self.known.remove(&fleet.board[up].entry);
             self.gone.remove(&(gone, up));
             self.free.push(up);
         }
-        if seen.zones.len().max(seen.kinds.len()) > MANY_NAMES {
-            seen.zones.retain(|zone, _| self.known.zones.contains_key(zone));
-            seen.kinds.retain(|kind, _| self.known.kinds.contains_key(kind));
+        if fleet.zones.len().max(fleet.kinds.len()) > MANY_NAMES {
+            fleet.zones.retain(|zone, _| self.known.zones.contains_key(zone));
+            fleet.kinds.retain(|kind, _| self.known.kinds.contains_key(kind));
         }
     }
 
     /// How many upstreams, zones and kinds are remembered, and requests open: for the log.
     pub fn sizes(&self) -> [usize; 4] {
-        let Seen { names, zones, kinds, .. } = &self.dispatcher.seen;
+        let Fleet { names, zones, kinds, .. } = &self.dispatcher.fleet;
         [names.len(), zones.len(), kinds.len(), self.dispatcher.queue.requests.len()]
     }
 }
--- a/src/balance/subset.rs
+++ b/src/balance/subset.rs
@@ -20,8 +20,9 @@
 /// Live upstreams in an order of this balancer's own, by which it takes them into use, and by place.
 pub type Ranking = BTreeSet<(u64, usize)>;
 
+/// All that this balancer knows of its upstreams, and what it has out there.
 #[derive(Default)]
-pub struct Seen {
+pub struct Fleet {
     pub names: BTreeMap<UpstreamId, usize>,
     pub board: Vec<Upstream>,
     /// The upstreams used, in an order all balancers share: the first `light` for light requests, the rest for heavy.
@@ -54,7 +55,7 @@
     pub out_at: Tenths,
 }
 
-impl Seen {
+impl Fleet {
     /// Where a live upstream stands among those of the own zone or of the others.
     pub fn rank(&mut self, up: usize, terms: &Terms, change: impl Fn(&mut Ranking, (u64, usize)) -> bool) {
         let upstream = &self.board[up];
@@ -109,7 +110,7 @@
     /// As many upstreams as requests come often enough to know, up to half of them from the own zone: the first live
     /// ones in an order of this balancer's own, so that balancers use all alike and a change moves no other.
     fn choose_subset(&mut self) {
-        let Seen { board, near, far, relisted, subset, .. } = self;
+        let Fleet { board, near, far, relisted, subset, .. } = self;
         for up in std::mem::take(relisted) {
             let Entry { stage, size, .. } = board[up].entry;
             board[up].counted_size = if stage == Stage::Live { size } else { 0.0 };
--- a/src/balance/upstream.rs
+++ b/src/balance/upstream.rs
@@ -79,8 +79,7 @@
 
     pub fn returned(&mut self, cost: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let idle = self.in_flight == 0;
-        self.cost_out = if idle { 0.0 } else { (self.cost_out - cost).max(0.0) };
+        self.cost_out = if self.in_flight == 0 { 0.0 } else { (self.cost_out - cost).max(0.0) };
     }
 
     pub fn end(&mut self, now: Tenths, outcome: Outcome, took: Tenths, cost: f64, tp: Tenths, terms: &Terms) {
