--- a/crates/pondlb-server/src/transport/tests.rs
+++ b/crates/pondlb-server/src/transport/tests.rs
@@ -51,7 +51,7 @@
     /// What comes of the call; one that came to nothing is asked for anew, as the decisions do.
     async fn noted(&mut self) {
         let note = match self.notes.recv().await.unwrap() {
-            Note::Listed(roster) => format!("listed {}", roster.version),
+            Note::Listed(list) => format!("listed {}", list.version),
             Note::ListLost => "lost".into(),
             Note::ListUnreached => "unreached".into(),
             Note::WatchSilent => "silent".into(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn an_idempotent_request_is_sent_again_after_tp_and_the_loser_recalled() {
+fn an_idempotent_request_is_sent_again_after_tp_and_the_loser_cancelled() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
@@ -285,9 +285,9 @@
                 match action {
                     Action::Attempt { request, upstream, .. } => {
                         let of_it = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, .. }) if *t == request);
-                        let copy = due.values().any(|(_, event)| of_it(event));
-                        let took = if !copy && next % 20 == 0 { 600 } else { 20 };
-                        let end = ended(&request, u32::from(copy), &upstream, Outcome::Ok, took);
+                        let hedge = due.values().any(|(_, event)| of_it(event));
+                        let took = if !hedge && next % 20 == 0 { 600 } else { 20 };
+                        let end = ended(&request, u32::from(hedge), &upstream, Outcome::Ok, took);
                         due.insert((now + took, next), (n, Some(end)));
                         (1..took / 100)
                             .for_each(|k| drop(due.insert((now + 100 * k, next + (k << 40)), (n, None))));
@@ -295,7 +295,7 @@
                             sent.push(now);
                         }
                     }
-                    Action::Recall { request, attempt } => {
+                    Action::Cancel { request, attempt } => {
                         let given_up = |event: &Option<Event>| matches!(event, Some(Event::Ended { request: t, attempt: p, .. }) if *t == request && *p == attempt);
                         let out = due.iter().find(|(_, (_, event))| given_up(event)).map(|(key, _)| *key);
                         if let Some((n, Some(Event::Ended { upstream, .. }))) =
@@ -337,7 +337,7 @@
 
 #[test]
 fn where_two_may_not_be_out_the_first_ends_at_tp() {
-    let mut play = Play::new(Terms { second_copies: false, ..terms() });
+    let mut play = Play::new(Terms { hedging: false, ..terms() });
     play.at(0, [list("a b")]);
     let now = play.warm_up(64);
     let up = play.sent_to(now, request("t", 0));
@@ -566,7 +566,7 @@
 }
 
 #[test]
-fn copies_stop_when_little_is_served_in_time() {
+fn hedges_stop_when_little_is_served_in_time() {
     let mut play = Play::new(terms());
     play.at(0, [list("a b c d e f g h i j k l")]);
     let now = play.warm_up(64);
@@ -729,9 +729,9 @@
 }
 
 #[test]
-fn each_balancer_uses_a_circle_and_together_they_use_all_upstreams() {
+fn each_balancer_uses_a_subset_and_together_they_use_all_upstreams() {
     let mut users = std::collections::BTreeMap::<String, usize>::new();
-    let mut circles = std::collections::BTreeSet::new();
+    let mut subsets = std::collections::BTreeSet::new();
     for number in 0..200 {
         let mut play =
             Play::seeded(Terms { balancers: 200, own_number: number, own_zone: number / 67, ..terms() }, 7);
@@ -743,12 +743,12 @@
             play.at(n * 1000 + 20, [ended(&id, 0, &up, Outcome::Ok, 20)]);
             met.insert(up);
         }
-        circles.insert(met.len());
+        subsets.insert(met.len());
         met.into_iter().for_each(|up| *users.entry(up).or_default() += 1);
     }
     let (least, most) = (users.values().min().unwrap(), users.values().max().unwrap());
     expect!["circles {5, 6, 7, 8}, 50 upstreams, 14 to 40 balancers"]
-        .assert_eq(&format!("circles {circles:?}, {} upstreams, {least} to {most} balancers", users.len()));
+        .assert_eq(&format!("circles {subsets:?}, {} upstreams, {least} to {most} balancers", users.len()));
 }
 
 /// To the slower half, of each hundred requests, where odd upstreams take 60 ms and the others a quarter or a half.
@@ -841,9 +841,9 @@
     .assert_eq(&play.trace);
 }
 
-/// The danger is a far upstream that counts as crowded whenever a run of small requests meets it.
+/// The danger is a far upstream that counts as overloaded whenever a run of small requests meets it.
 #[test]
-fn the_way_to_an_upstream_is_no_sign_of_a_crowd_for_small_requests() {
+fn the_way_to_an_upstream_is_no_sign_of_overload_for_small_requests() {
     let mut play = Play::new(terms());
     play.at(0, [list("a")]);
     // The way there and back takes 10 ms: runs of large requests, then of small ones.
@@ -892,7 +892,7 @@
     .assert_eq(&shares);
 }
 
-/// The danger is a luckily quick run of answers that makes all later ones a crowd's, to the end of the day.
+/// The danger is a luckily quick run of answers that makes all later ones look like overload, to the end of the day.
 #[test]
 fn a_lucky_pace_is_forgotten_after_some_hundred_answers() {
     let mut sent = String::new();
@@ -1025,7 +1025,7 @@
 }
 
 #[test]
-fn heavy_requests_have_a_lane_of_their_own_where_the_circle_is_the_whole_list_only() {
+fn heavy_requests_have_candidates_of_their_own_where_the_subset_is_the_whole_list_only() {
     let shared = |count, k| {
         let mut play = Play::new(terms());
         // Sizes whose sum depends on the order in which they are added.
@@ -1101,7 +1101,7 @@
 }
 
 #[test]
-fn what_comes_or_goes_moves_nobody_else_and_a_replaced_fleet_fills_the_circle() {
+fn what_comes_or_goes_moves_nobody_else_and_a_replaced_fleet_fills_the_subset() {
     let used = |play: &mut Play, from: u64| {
         let mut used = std::collections::BTreeSet::new();
         for n in 0..150 {
@@ -1141,7 +1141,7 @@
 }
 
 #[test]
-fn a_small_own_zone_makes_up_a_small_part_of_the_circle() {
+fn a_small_own_zone_makes_up_a_small_part_of_the_subset() {
     let mut near = std::collections::BTreeSet::new();
     for number in 0..30 {
         let terms = Terms { balancers: 60, own_number: number, ..terms() };
@@ -1285,12 +1285,12 @@
         .assert_eq(&format!("upstreams, zones, kinds, txns: {}", sizes.join(" then ")));
 }
 
-/// Non-idempotent and keyed within the cell, no copies, upstreams may be asked.
+/// Non-idempotent and keyed within the cell, no hedges, upstreams may be asked.
 fn asking() -> Terms {
     let class = |effect| Class { sla: 400 * MS, value: 1.0, effect };
     let cell = Effect::Keyed { scope: Scope::Cell, memory: 300 * MS };
     let classes = vec![class(Effect::Idempotent), class(Effect::NonIdempotent), class(cell)];
-    Terms { classes, second_copies: false, probing: true, balancers: 100, ..terms() }
+    Terms { classes, hedging: false, probing: true, balancers: 100, ..terms() }
 }
 
 fn told(upstream: &str, outcome: Outcome, held: f64, waiting: f64) -> Event {
@@ -1480,7 +1480,7 @@
 /// warm upstreams were jammed beside idle cold ones, which warm up by work only.
 #[test]
 fn where_most_are_cold_each_gets_its_part_of_what_warm_ones_bear() {
-    let mut play = Play::new(Terms { second_copies: false, ..terms() });
+    let mut play = Play::new(Terms { hedging: false, ..terms() });
     play.at(0, [list("a")]);
     let now = play.warm_up(400);
     let cold = |n: u32| Entry { started: Some(now * MS), ..entry(&format!("c{n}"), 0) };
