--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -1,3 +1,5 @@
+//! Addresses of upstreams, and numbers for the names of zones and machine types.
+
 use std::collections::BTreeSet;
 use std::collections::btree_map::{self, BTreeMap};
 use std::net::SocketAddr;
--- a/crates/pondlb-server/src/routing/exchange.rs
+++ b/crates/pondlb-server/src/routing/exchange.rs
@@ -1,3 +1,5 @@
+//! Owns the balancer: turns notes into its events and carries out its actions, request by request.
+
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::mem;
 use std::net::SocketAddr;
--- a/crates/pondlb-server/src/routing/notes.rs
+++ b/crates/pondlb-server/src/routing/notes.rs
@@ -1,3 +1,5 @@
+//! What connections tell the exchange (`Note`), and what it tells them to send (`Order`).
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
--- a/crates/pondlb-server/src/transport/attempt.rs
+++ b/crates/pondlb-server/src/transport/attempt.rs
@@ -1,3 +1,5 @@
+//! Sends attempts to upstreams and reads their answers; asks upstreams for their load.
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -1,3 +1,5 @@
+//! A client's connection: reads requests, hands them to the exchange and writes the answers.
+
 use std::cell::{Cell, RefCell};
 use std::net::Shutdown;
 use std::rc::Rc;
--- a/crates/pondlb-server/src/transport/clock.rs
+++ b/crates/pondlb-server/src/transport/clock.rs
@@ -1,3 +1,5 @@
+//! The one clock of the program.
+
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use pondlb::{Tenths, floor_from_ns, to_ns};
--- a/crates/pondlb-server/src/transport/discovery.rs
+++ b/crates/pondlb-server/src/transport/discovery.rs
@@ -1,3 +1,5 @@
+//! Follows discovery's list of upstreams: calls, watches and what becomes of them.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/pondlb-server/src/transport/pool.rs
+++ b/crates/pondlb-server/src/transport/pool.rs
@@ -1,3 +1,5 @@
+//! Connections to upstreams, kept for the next attempt.
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,15 +1,23 @@
+//! What a front end tells a balancer (`Event`) and what the balancer has it do (`Action`).
+
 use std::fmt;
 use std::rc::Rc;
 
 use crate::Tenths;
 
+/// The id that a client gave its request.
 pub type RequestId = Rc<str>;
+/// The id of an upstream in discovery's list.
 pub type UpstreamId = Rc<str>;
 
+/// What has happened.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// Discovery has answered, or failed to.
     Listed(Listing),
+    /// A client has sent a request.
     Arrived(Arrival),
+    /// An attempt has ended, numbered within its request from 0.
     Ended {
         request: RequestId,
         attempt: u32,
@@ -21,40 +29,40 @@
         load: Load,
     },
     /// The client has left; nothing is owed any more.
-    Left {
-        request: RequestId,
-    },
-    Probed {
-        upstream: UpstreamId,
-        outcome: Outcome,
-        took: Tenths,
-        load: Load,
-    },
-    Woke {
-        token: String,
-    },
-    Heard {
-        peer: u32,
-        note: Vec<u8>,
-    },
+    Left { request: RequestId },
+    /// An upstream was asked for its load.
+    Probed { upstream: UpstreamId, outcome: Outcome, took: Tenths, load: Load },
+    /// The time of an `Action::Wake` has come.
+    Woke { token: String },
+    /// A peer's note.
+    Heard { peer: u32, note: Vec<u8> },
 }
 
+/// A request that has arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub request: RequestId,
+    /// Index among the classes of the terms.
     pub class: u32,
+    /// Index among the tenants of the terms.
     pub tenant: u32,
+    /// What an upstream may keep warm between requests that have it in common.
     pub key: Option<u64>,
+    /// The time to its deadline.
     pub left: Tenths,
     /// The expected work, in time of a standard core.
     pub cost: Option<Tenths>,
+    /// The client has sent it before.
     pub repeat: bool,
     pub write: bool,
 }
 
+/// What came of asking discovery for the list of upstreams.
 #[derive(Clone, Debug)]
 pub enum Listing {
+    /// Entries that are new or other than before.
     Changes(Rc<[Entry]>),
+    /// All entries.
     Whole(Rc<[Entry]>),
     /// The list as this balancer last held it before its start; it may be old.
     Remembered(Rc<[Entry]>),
@@ -66,6 +74,7 @@
     Silent,
 }
 
+/// An upstream as the list has it.
 #[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub upstream: UpstreamId,
@@ -86,6 +95,7 @@
     Gone,
 }
 
+/// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ok,
@@ -139,45 +149,30 @@
     }
 }
 
+/// What a front end is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Not to be begun after `begin_by`, whatever it waits for by then.
-    Attempt {
-        request: RequestId,
-        upstream: UpstreamId,
-        timeout: Option<Tenths>,
-        begin_by: Option<Tenths>,
-    },
-    Probe {
-        upstream: UpstreamId,
-    },
-    Tell {
-        peer: Option<u32>,
-        note: Vec<u8>,
-    },
-    Watch {
-        on: bool,
-    },
+    /// Send the request to the upstream, but not after `begin_by`, whatever it waits for by then; give the attempt up
+    /// after `timeout`.
+    Attempt { request: RequestId, upstream: UpstreamId, timeout: Option<Tenths>, begin_by: Option<Tenths> },
+    /// Ask an upstream for its load.
+    Probe { upstream: UpstreamId },
+    /// Send a note to one peer or to all.
+    Tell { peer: Option<u32>, note: Vec<u8> },
+    /// Ask discovery for the list, and for its changes from then on.
+    Watch { on: bool },
+    /// Ask discovery for the whole list.
     Refetch,
-    Cancel {
-        request: RequestId,
-        attempt: u32,
-    },
-    Fail {
-        request: RequestId,
-    },
-    Reject {
-        request: RequestId,
-        cool_down: Option<Tenths>,
-    },
-    CloseIdle {
-        upstream: UpstreamId,
-    },
-    Log {
-        text: String,
-    },
-    Wake {
-        token: &'static str,
-        after: Tenths,
-    },
+    /// Give up an attempt that is out.
+    Cancel { request: RequestId, attempt: u32 },
+    /// Answer that the request came to nothing, though it may have run.
+    Fail { request: RequestId },
+    /// Answer that the request has had no effect, and when the client may come again.
+    Reject { request: RequestId, cool_down: Option<Tenths> },
+    /// Close the idle connections to an upstream.
+    CloseIdle { upstream: UpstreamId },
+    /// Write a line to the log.
+    Log { text: String },
+    /// Call again after that time, with or without events.
+    Wake { token: &'static str, after: Tenths },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decisions of a load balancer, apart from every protocol.
 //!
 //! A front end turns what it sees into [`Event`]s, hands a batch of them to a [`Balancer`] and carries
-//! out the [`Action`]s that come back. All decisions are in `balance`; the other files hold words only.
+//! out the [`Action`]s that come back. All decisions are in `balance`; the other files hold the types that go
+//! in and out.
 
 mod balance;
 mod event;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,3 +1,5 @@
+//! The settings that the decisions read, and their changes.
+
 use crate::Tenths;
 
 /// What a balancer is told at its start, a part of which may change later. Only what the decisions read is here.
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,3 +1,5 @@
+//! Time as the decisions count it.
+
 /// A point or a span of time in whole tenths of a millisecond. Points count from an arbitrary start.
 pub type Tenths = u64;
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -237,7 +237,7 @@
 
 /// All that a fleet sends one cold upstream, over 12 s from its start, beside ten warm ones at half their load: uneven
 /// traffic, three times as much for the second second, a third of the balancers just restarted, one request in twenty so
-/// slow that it is copied. The window with most beyond what the settings allow at its start, N, beside 2 x root of N + 2.
+/// slow that it is hedged. The window with most beyond what the settings allow at its start, N, beside 2 x root of N + 2.
 fn sent_to_a_cold_one_by(balancers: u64) -> String {
     let known = |seed| {
         let terms = Terms { balancers: balancers as u32, own_number: seed as u32, ..terms() };
