The test of a keyed repeat opens its upstream after the window, not within it

Beside eight busy threads a_keyed_request was red in 2 of 11 runs of the service tests. The second one shows why: the repeat was sent 297 ms after the request, within the window of 300 ms. It had been dialled only after the test opened the second upstream, so its connection came up at once. The upstream is opened 300 ms later now: what comes up then comes up after the window.

--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -353,6 +353,8 @@
     // It may have run. The repeat can only go to the other.
     SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
     drop(first);
+    // Opened sooner, the second would take a repeat that is dialled late and goes out within the window, as it may.
+    sleep(300 * MS);
     let answered = thread::spawn(move || client.read().expect("an answer").status().to_string());
     assert_eq!(seen_when_opened(second), None);
     assert_eq!(answered.join().unwrap(), "503");
