Processor time of a start is told without a line along starts

Starts at the same time share encoded answers, so that one costs the less the more there are; a line through that predicts times below zero at the largest size.

--- a/crates/pondlb-lab/src/slopes/control/starts.rs
+++ b/crates/pondlb-lab/src/slopes/control/starts.rs
@@ -113,8 +113,10 @@
     vec![
         column("time until all have their state", "s", |at| at.seconds),
         column("starts a second", "starts/s", |at| Some(at.started as f64 / at.seconds?)).without_fit(),
-        column("processor time of a start, replica server", "ms", |at| at.for_each_start(at.server_ms)),
-        column("processor time of a start, follower", "ms", |at| at.for_each_start(at.followers_ms)),
+        column("processor time of a start, replica server", "ms", |at| at.for_each_start(at.server_ms))
+            .without_fit(),
+        column("processor time of a start, follower", "ms", |at| at.for_each_start(at.followers_ms))
+            .without_fit(),
         column("bytes of a start", "KB", |at| at.for_each_start(at.counters.received as f64 / 1000.0)),
         column("calls of a start that failed", "calls", |at| at.for_each_start(at.counters.failures as f64))
             .without_fit(),
