A keyed attempt that may not begin any more has a test that is red without begin_by

races::a_keyed_request stayed green with the check of begin_by taken out of transport/attempt.rs: the decisions give the request up at the end of its window, which drops the dialled attempt first. The check guards against a connection that comes up before that is carried out. The new test carries an attempt whose time to begin is over when it is connected: Moot and nothing written, where without the check the request was written. An attempt in time is written in the same test. No program line changes.

--- a/crates/pondlb-server/src/transport/tests.rs
+++ b/crates/pondlb-server/src/transport/tests.rs
@@ -1,20 +1,27 @@
 //! Calls to discovery against a stand-in that says, for each call, what becomes of it.
 
+use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use expect_test::expect;
+use pondlb::{Outcome, Tenths};
+use pondlb_http::{Head, Message};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::task::spawn_blocking;
+use tokio::task::{LocalSet, spawn_blocking};
 use tokio::time::{Instant, advance, pause, sleep};
 
+use super::attempt::Attempts;
 use super::backoff::Backoff;
+use super::clock::Clock;
 use super::discovery::{Ask, ListLimit, Patience, discover};
+use super::memory::Memory;
+use super::pool::Pool;
 use super::stream::{read, write_all};
-use crate::routing::Note;
+use crate::routing::{Carrier, Note, Order};
 
 const LONGEST_LIST: usize = 1 << 20;
 const MS: Duration = Duration::from_millis(1);
@@ -231,3 +238,46 @@
     }
     assert_ne!(waits[0], Backoff::new(2).next_wait().as_millis());
 }
+
+const SECOND: Tenths = 10_000;
+
+/// Carries one attempt, which may not begin from `begin_by` on, to an upstream that resets the connection. Tells how the
+/// attempt ended and the first line that the upstream had read.
+async fn carried(begin_by: impl FnOnce(&Clock) -> Tenths) -> (Outcome, String) {
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = upstream.local_addr().unwrap();
+    let clock = Clock::start();
+    let (notes, mut noted) = unbounded_channel();
+    let (asks, _asks) = unbounded_channel();
+    let limit = Duration::from_secs(60);
+    let (pool, memory) = (Pool::new(4, limit, limit), Memory { most: usize::MAX });
+    let mut attempts = Attempts { pool, clock, memory, notes, asks, probing: None };
+    let head = Head { first: "POST / HTTP/1.1".into(), fields: Vec::new() };
+    let _task = attempts.send(Order {
+        id: ("a1".into(), 1),
+        upstream: "s1".into(),
+        address,
+        message: Rc::new(Message { head, body: Vec::new() }),
+        until: clock.now() + 20 * SECOND,
+        begin_by: Some(begin_by(&clock)),
+    });
+    let (stream, _) = upstream.accept().await.unwrap();
+    let mut bytes = [0; 256];
+    // Without an attempt on it the connection ends by itself.
+    let count = read(&stream, &mut bytes).await.unwrap();
+    reset(stream);
+    let Some(Note::Ended { end, .. }) = noted.recv().await else { panic!("an attempt ends") };
+    let text = String::from_utf8_lossy(&bytes[..count]);
+    (end.outcome, text.lines().next().unwrap_or_default().into())
+}
+
+/// The danger is a second run of a keyed request: its upstreams may have forgotten the key when the connection comes up.
+#[test]
+fn an_attempt_whose_connection_comes_up_too_late_to_begin_is_not_written() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        assert_eq!(carried(Clock::now).await, (Outcome::Moot, String::new()));
+        let in_time = carried(|clock| clock.now() + 20 * SECOND).await;
+        assert_eq!(in_time, (Outcome::Reset, "POST / HTTP/1.1".into()));
+    });
+}
