--- a/crates/pondlb-control/tests/snapshots.rs
+++ b/crates/pondlb-control/tests/snapshots.rs
@@ -11,6 +11,13 @@
     Call::Snapshot { after: None }
 }
 
+/// Goes on until the changes since the first piece are to be asked for.
+fn read_all_pieces(follower: &mut Follower, store: &Store) {
+    while let Call::Snapshot { .. } = follower.call() {
+        follower.step(store, PIECE).unwrap();
+    }
+}
+
 /// A follower with a snapshot of epoch 1, and its next one of epoch 2 begun.
 fn within_a_second_snapshot() -> (Store, Follower) {
     let mut follower = Follower::new();
@@ -46,9 +53,7 @@
 #[test]
 fn an_epoch_change_behind_the_last_piece_starts_over() {
     let (store, mut follower) = within_a_second_snapshot();
-    while let Call::Snapshot { .. } = follower.call() {
-        follower.step(&store, PIECE).unwrap();
-    }
+    read_all_pieces(&mut follower, &store);
     let newer = filled_store(3, 80);
     assert!(matches!(follower.step(&newer, PIECE), Ok(Progress::Pending)));
     assert_eq!(follower.call(), beginning());
@@ -93,9 +98,7 @@
     let mut follower = Follower::new();
     follower.step(&store, PIECE).unwrap();
     store.commit(&[remove(0)], &allow_all).unwrap();
-    while let Call::Snapshot { .. } = follower.call() {
-        follower.step(&store, PIECE).unwrap();
-    }
+    read_all_pieces(&mut follower, &store);
     assert!(matches!(follower.step(&store, PIECE), Ok(Progress::Pending)));
     assert_eq!(follower.call(), beginning());
     follower.catch_up(&store, PIECE);
@@ -105,9 +108,7 @@
 #[test]
 fn a_staged_state_is_not_told_as_in_force() {
     let (store, mut follower) = within_a_second_snapshot();
-    while let Call::Snapshot { .. } = follower.call() {
-        follower.step(&store, PIECE).unwrap();
-    }
+    read_all_pieces(&mut follower, &store);
     let in_force = follower.replica.digest();
     assert_eq!(follower.call(), Call::Changes { from: store.version(), digest: in_force, hold: Hold::No });
 }
--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -7,8 +7,11 @@
 use std::time::{Duration, Instant};
 
 use expect_test::expect;
+use programs::program;
 use serde_json::{Value, json};
 
+mod programs;
+
 const SMALL: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/two-years-small.toml");
 const HELD: i32 = 0;
 const FAILED: i32 = 1;
@@ -21,7 +24,7 @@
     Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).args(line).output().unwrap()
 }
 
-/// Programs of other packages, where cargo puts them. A test of this package alone does not build them.
+/// The programs that a run starts.
 struct Programs {
     server: String,
     balancer: String,
@@ -35,17 +38,6 @@
     })
 }
 
-fn program(package: &str, name: &str) -> String {
-    let lab = Path::new(env!("CARGO_BIN_EXE_pondlb-lab"));
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--locked", "--package", package, "--bin", name]);
-    if lab.parent().unwrap().ends_with("release") {
-        build.arg("--release");
-    }
-    assert!(build.status().unwrap().success(), "{name} can't be built");
-    lab.with_file_name(name).to_str().unwrap().into()
-}
-
 struct Played {
     code: i32,
     report: Value,
--- a/crates/pondlb-lab/tests/slopes.rs
+++ b/crates/pondlb-lab/tests/slopes.rs
@@ -16,8 +16,10 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-use slopes_support::{VOID, program, series, sizes, slopes, values};
+use programs::program;
+use slopes_support::{VOID, series, sizes, slopes, values};
 
+mod programs;
 mod slopes_support;
 
 #[test]
--- a/crates/pondlb-lab/tests/slopes_control.rs
+++ b/crates/pondlb-lab/tests/slopes_control.rs
@@ -2,8 +2,10 @@
 
 use serde_json::Value;
 
-use slopes_support::{VOID, program, series, sizes, slopes, values};
+use programs::program;
+use slopes_support::{VOID, series, sizes, slopes, values};
 
+mod programs;
 mod slopes_support;
 
 /// A 25th of a 16th, an eighth, a quarter, a half and all of 88,100 records; each kind is rounded by itself.
--- a/crates/pondlb-lab/tests/slopes_support/mod.rs
+++ b/crates/pondlb-lab/tests/slopes_support/mod.rs
@@ -1,6 +1,5 @@
-//! What tests of slopes share: the command line, the programs that it starts, and its result.
+//! What tests of slopes share: the command line and its result.
 
-use std::path::Path;
 use std::process::{Command, Output};
 
 use serde_json::Value;
@@ -13,18 +12,6 @@
     Command::new(env!("CARGO_BIN_EXE_pondlb-lab")).arg("slopes").args(line).output().unwrap()
 }
 
-/// A program of another package, where cargo puts it. A test of this package alone does not build it.
-pub fn program(package: &str, name: &str) -> String {
-    let lab = Path::new(env!("CARGO_BIN_EXE_pondlb-lab"));
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--locked", "--package", package, "--bin", name]);
-    if lab.parent().unwrap().ends_with("release") {
-        build.arg("--release");
-    }
-    assert!(build.status().unwrap().success(), "{name} can't be built");
-    lab.with_file_name(name).to_str().unwrap().into()
-}
-
 /// The series of that quantity.
 pub fn series<'a>(result: &'a Value, quantity: &str) -> &'a Value {
     let all = result["series"].as_array().unwrap();
