A client's disconnect closes only its own request, not one whose id it has copied

Cause: ClientDisconnected named the request by the id that the client had sent, and the router looked the request up by it. The log with the two new debug lines: order-3 is posted to s4; 0.1 s later, in the same millisecond, the copy is refused, a client of order-3 disconnects, and the first request's attempt is cancelled.

Change: each exchange of a request and its answer on a connection has an ExchangeId of the balancer's own. A disconnect closes the request only if it is of the same exchange; attempts and withdrawals go by it too. Why it works: the number is never used twice, and no client can name it.

Tests, red before: races::a_client_that_copies_the_id_of_an_open_request_and_leaves_does_not_close_that_request on ends with "closes: the connection ends without an answer". The two of the router need the new field; with all exchanges numbered 0, which is the look-up by id alone, disconnect_of_a_refused_copy_leaves_the_request_with_the_same_id_open and end_of_a_cancelled_attempt_is_not_taken_for_that_of_a_later_request_with_the_same_id are red: there the second client is given the first request's answer. All three are green now.

The 15 tests of races:: and the 21 of routing pass.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -166,6 +166,7 @@
             overload_retry_after: Cell::new(overload_retry_after(balancer_config.max_retry_after)),
             router_tx: router_tx.clone(),
             phase: phase_rx,
+            exchange_count: Cell::new(0),
         });
         spawn_local(accept_connections(listener, frontend.clone()));
         let live_settings = LiveSettings { settings: setup.settings, frontend, pool: pool.clone() };
--- a/crates/pondlb-server/src/routing/events.rs
+++ b/crates/pondlb-server/src/routing/events.rs
@@ -9,9 +9,16 @@
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
 
+/// Identifies one exchange of a request and its answer on a client's connection. It is never used twice, other than
+/// the [`RequestId`], which clients choose and can copy from each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ExchangeId(pub u64);
+
 /// Identifies an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
+    pub exchange: ExchangeId,
+    /// The id that the client gave the request.
     pub request: RequestId,
     /// The attempts of a request are numbered from 0 in the order in which they are sent.
     pub number: u32,
@@ -42,9 +49,14 @@
 /// What connections and calls report to the router.
 pub enum RouterEvent {
     /// A client has sent a request.
-    RequestArrived { arrival: Arrival, message: Message, answer_sender: oneshot::Sender<Answer> },
-    /// A client has closed its connection before it got its answer.
-    ClientDisconnected { request: RequestId },
+    RequestArrived {
+        exchange: ExchangeId,
+        arrival: Arrival,
+        message: Message,
+        answer_sender: oneshot::Sender<Answer>,
+    },
+    /// A client has closed its connection before it got the answer to its request.
+    ClientDisconnected { exchange: ExchangeId, request: RequestId },
     /// An attempt has ended.
     AttemptEnded { attempt: AttemptId, result: AttemptResult },
     /// A probe of an upstream's load has ended.
--- a/crates/pondlb-server/src/routing/mod.rs
+++ b/crates/pondlb-server/src/routing/mod.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use directory::UpstreamDirectory;
-pub use events::{AttemptId, AttemptResult, RouterEvent};
+pub use events::{AttemptId, AttemptResult, ExchangeId, RouterEvent};
 pub use interface::{AttemptHandle, OutgoingAttempt, Transport};
 pub use metrics::Metrics;
 pub use router::Router;
--- a/crates/pondlb-server/src/routing/router.rs
+++ b/crates/pondlb-server/src/routing/router.rs
@@ -15,7 +15,7 @@
 use super::metrics::increment;
 use super::recent_ids::RecentRequestIds;
 use super::{
-    AttemptHandle, AttemptId, AttemptResult, Metrics, OutgoingAttempt, RouterEvent, Transport,
+    AttemptHandle, AttemptId, AttemptResult, ExchangeId, Metrics, OutgoingAttempt, RouterEvent, Transport,
     UpstreamDirectory,
 };
 use crate::protocol::answer::Answer;
@@ -23,6 +23,7 @@
 
 /// A request from its arrival until its final answer is given and none of its attempts is open.
 struct Request {
+    exchange: ExchangeId,
     message: Rc<Message>,
     /// None once the final answer is given or the client has disconnected.
     answer_sender: Option<oneshot::Sender<Answer>>,
@@ -60,7 +61,7 @@
     recent_ids: RecentRequestIds,
     open_attempts: BTreeMap<AttemptId, OpenAttempt<T::Handle>>,
     /// Requests that were answered, or whose client disconnected, since their unwritten attempts were last withdrawn.
-    closed_requests: Vec<RequestId>,
+    closed_exchanges: Vec<ExchangeId>,
     /// Events for the balancer's next turn.
     events: Vec<Event>,
     /// Buffer for the balancer's actions, kept for its capacity.
@@ -90,7 +91,7 @@
             requests: BTreeMap::new(),
             recent_ids: RecentRequestIds::default(),
             open_attempts: BTreeMap::new(),
-            closed_requests: Vec::new(),
+            closed_exchanges: Vec::new(),
             events: Vec::new(),
             actions: Vec::new(),
             timer: None,
@@ -133,9 +134,9 @@
         for event in events {
             self.handle_event(now, event);
         }
-        let closed = mem::take(&mut self.closed_requests);
+        let closed = mem::take(&mut self.closed_exchanges);
         if !closed.is_empty() {
-            self.withdraw_unwritten(now, |request, _| closed.contains(request));
+            self.withdraw_unwritten(now, |exchange, _| closed.contains(&exchange));
         }
         if self.shutdown_deadline.is_some_and(|at| at <= now) {
             let overdue: Vec<AttemptId> = self.open_attempts.keys().cloned().collect();
@@ -190,14 +191,11 @@
 
     fn handle_event(&mut self, now: TenthMillis, event: RouterEvent) {
         match event {
-            RouterEvent::RequestArrived { arrival, message, answer_sender } => {
-                self.accept_request(now, arrival, message, answer_sender);
+            RouterEvent::RequestArrived { exchange, arrival, message, answer_sender } => {
+                self.accept_request(now, exchange, arrival, message, answer_sender);
             }
-            RouterEvent::ClientDisconnected { request } => {
-                if self.close_request(&request).is_some() {
-                    self.metrics.left += 1;
-                    self.events.push(Event::ClientDisconnected { request });
-                }
+            RouterEvent::ClientDisconnected { exchange, request } => {
+                self.handle_disconnect(exchange, request);
             }
             RouterEvent::AttemptEnded { attempt, result } => self.end_attempt(now, attempt, result),
             RouterEvent::ProbeEnded { upstream, outcome, duration, load } => {
@@ -235,6 +233,7 @@
     fn accept_request(
         &mut self,
         now: TenthMillis,
+        exchange: ExchangeId,
         mut arrival: Arrival,
         message: Message,
         answer_sender: oneshot::Sender<Answer>,
@@ -242,6 +241,7 @@
         // Two open requests with one id would get each other's answers. The effect of a second one would not be
         // recognized as a repetition of the first one's.
         if self.requests.contains_key(&arrival.request) || !self.recent_ids.insert(now, &arrival.request) {
+            log::debug!("{} is refused: its id is that of another request", arrival.request);
             // The receiver is gone where the client has disconnected.
             let _ = answer_sender.send(Answer::DuplicateId);
             return;
@@ -253,6 +253,7 @@
             arrival.time_left = arrival.time_left.min(shutdown.saturating_sub(now));
         }
         let request = Request {
+            exchange,
             message: Rc::new(message),
             answer_sender: Some(answer_sender),
             deadline: now + arrival.time_left,
@@ -264,6 +265,19 @@
         self.events.push(Event::RequestArrived(arrival));
     }
 
+    /// Closes the request of a client that has disconnected. The client may have sent the id of another client's open
+    /// request, which stays open.
+    fn handle_disconnect(&mut self, exchange: ExchangeId, request: RequestId) {
+        log::debug!("client of {request} disconnects");
+        if self.requests.get(&request).is_none_or(|open| open.exchange != exchange) {
+            return;
+        }
+        if self.close_request(&request).is_some() {
+            self.metrics.left += 1;
+            self.events.push(Event::ClientDisconnected { request });
+        }
+    }
+
     fn apply_list(&mut self, now: TenthMillis, list: UpstreamList) {
         let is_snapshot = list.is_snapshot;
         let entries = self.directory.apply_list(list);
@@ -284,9 +298,9 @@
     /// Ends those of the chosen attempts that have not been written yet. One that is still connecting might be written
     /// long after the reason for it is gone. Since it has not run, it is withdrawn even where attempts that have begun
     /// may not be cancelled.
-    fn withdraw_unwritten(&mut self, now: TenthMillis, is_chosen: impl Fn(&RequestId, &UpstreamId) -> bool) {
+    fn withdraw_unwritten(&mut self, now: TenthMillis, is_chosen: impl Fn(ExchangeId, &UpstreamId) -> bool) {
         let chosen: Vec<AttemptId> = (self.open_attempts.iter())
-            .filter(|(id, attempt)| !attempt.handle.is_written() && is_chosen(&id.request, &attempt.upstream))
+            .filter(|(id, attempt)| !attempt.handle.is_written() && is_chosen(id.exchange, &attempt.upstream))
             .map(|(id, _)| id.clone())
             .collect();
         chosen.into_iter().for_each(|id| self.end_attempt(now, id, Outcome::Moot.into()));
@@ -322,6 +336,12 @@
         drop(handle);
     }
 
+    /// Cancels an attempt of an open request.
+    fn cancel_attempt(&mut self, now: TenthMillis, request: RequestId, number: u32) {
+        let Some(&Request { exchange, .. }) = self.requests.get(&request) else { return };
+        self.end_attempt(now, AttemptId { exchange, request, number }, Outcome::Cancelled.into());
+    }
+
     /// Passes the events to the balancer and executes its actions until there are no events left.
     fn run_balancer(&mut self, now: TenthMillis) {
         loop {
@@ -344,7 +364,7 @@
                 self.start_attempt(now, request, upstream, timeout, start_before);
             }
             Action::Cancel { request, attempt } => {
-                self.end_attempt(now, AttemptId { request, number: attempt }, Outcome::Cancelled.into());
+                self.cancel_attempt(now, request, attempt);
             }
             Action::Reject { request, retry_after, reason } => {
                 log::debug!("{request} is rejected: {}", give_up_reason_label(reason));
@@ -381,7 +401,7 @@
         start_before: Option<TenthMillis>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let attempt = AttemptId { request: id, number: request.attempt_count };
+        let attempt = AttemptId { exchange: request.exchange, request: id, number: request.attempt_count };
         request.attempt_count += 1;
         let outcome = match self.directory.address(&upstream) {
             // Nothing is sent after the final answer or the deadline, even if the balancer asks for it.
@@ -426,9 +446,10 @@
 
     /// Marks a request as answered. Returns the sender for its answer if it was not answered before.
     fn close_request(&mut self, id: &RequestId) -> Option<oneshot::Sender<Answer>> {
-        let answer_sender = self.requests.get_mut(id)?.answer_sender.take();
+        let request = self.requests.get_mut(id)?;
+        let answer_sender = request.answer_sender.take();
         if answer_sender.is_some() {
-            self.closed_requests.push(id.clone());
+            self.closed_exchanges.push(request.exchange);
         }
         self.remove_if_done(id);
         answer_sender
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -17,7 +17,7 @@
 
 use super::labels::{give_up_reason_label, outcome_label, stage_label};
 use super::{
-    AttemptHandle, AttemptId, AttemptResult, OutgoingAttempt, Router, RouterEvent, Transport,
+    AttemptHandle, AttemptId, AttemptResult, ExchangeId, OutgoingAttempt, Router, RouterEvent, Transport,
     UpstreamDirectory,
 };
 use crate::protocol::answer::Answer;
@@ -85,6 +85,8 @@
     trace: Trace,
     /// Requests without an answer so far.
     unanswered: Vec<(&'static str, Receiver<Answer>)>,
+    /// The ids of all requests in the order of their arrival; the index of each is its exchange.
+    arrived: Vec<&'static str>,
 }
 
 const IDEMPOTENT: u32 = 0;
@@ -129,7 +131,7 @@
         let transport = RecordingTransport { trace: trace.clone() };
         let mut router = Router::new(Balancer::new(config, 7), directory, transport, DEADLINE_MARGIN);
         router.restore_list(0, list(true, upstreams), None);
-        TestRouter { router, trace, unanswered: Vec::new() }
+        TestRouter { router, trace, unanswered: Vec::new(), arrived: Vec::new() }
     }
 
     fn request_arrives(&mut self, now: TenthMillis, id: &'static str, class: u32, time_left: TenthMillis) {
@@ -147,14 +149,31 @@
             is_write: false,
         };
         self.unanswered.push((id, answer_receiver));
-        self.handle(now, RouterEvent::RequestArrived { arrival, message, answer_sender });
+        let exchange = ExchangeId(self.arrived.len() as u64);
+        self.arrived.push(id);
+        self.handle(now, RouterEvent::RequestArrived { exchange, arrival, message, answer_sender });
     }
 
+    /// The exchange of the first request that arrived with this id.
+    fn exchange_of(&self, request: &str) -> ExchangeId {
+        let index = self.arrived.iter().position(|arrived| *arrived == request);
+        ExchangeId(index.expect("the request has arrived") as u64)
+    }
+
+    /// The client of the first request with this id disconnects.
     fn client_disconnects(&mut self, now: TenthMillis, request: &str) {
-        self.handle(now, RouterEvent::ClientDisconnected { request: request.into() });
+        let exchange = self.exchange_of(request);
+        self.handle(now, RouterEvent::ClientDisconnected { exchange, request: request.into() });
+    }
+
+    /// The client of the last request that arrived disconnects.
+    fn last_client_disconnects(&mut self, now: TenthMillis) {
+        let exchange = ExchangeId(self.arrived.len() as u64 - 1);
+        let request = self.arrived[self.arrived.len() - 1].into();
+        self.handle(now, RouterEvent::ClientDisconnected { exchange, request });
     }
 
-    /// Ends an attempt, with an answer that names it if the outcome is `Ok`.
+    /// Ends an attempt of the first request with this id, with an answer that names the attempt if the outcome is `Ok`.
     fn attempt_ends(&mut self, now: TenthMillis, request: &str, number: u32, outcome: Outcome) {
         let mut result = AttemptResult::from(outcome);
         if outcome == Outcome::Ok {
@@ -162,7 +181,7 @@
             let body = format!("answer to {request} {number}").into();
             result.final_answer = Some(Answer::Served(Message { head, body }));
         }
-        let attempt = AttemptId { request: request.into(), number };
+        let attempt = AttemptId { exchange: self.exchange_of(request), request: request.into(), number };
         self.handle(now, RouterEvent::AttemptEnded { attempt, result });
     }
 
@@ -211,7 +230,7 @@
 fn describe(event: &RouterEvent) -> String {
     match event {
         RouterEvent::RequestArrived { arrival, .. } => format!("{} arrives", arrival.request),
-        RouterEvent::ClientDisconnected { request } => format!("client of {request} disconnects"),
+        RouterEvent::ClientDisconnected { request, .. } => format!("client of {request} disconnects"),
         RouterEvent::AttemptEnded { attempt, result } => {
             format!("{attempt} ends: {}", outcome_label(result.outcome))
         }
@@ -337,6 +356,53 @@
     "#]]);
 }
 
+/// Guards against the incident described in docs/incidents/copied-request-id.md: a client that copies the id of another
+/// client's open request and disconnects takes that request's answer with it.
+#[test]
+fn disconnect_of_a_refused_copy_leaves_the_request_with_the_same_id_open() {
+    let mut test = TestRouter::new(&[(UNCONNECTED_UPSTREAM, 1, "a", "active", 0)]);
+    test.request_arrives(10, "t1", NON_IDEMPOTENT, 20_000);
+    test.request_arrives(20, "t1", NON_IDEMPOTENT, 20_000);
+    test.last_client_disconnects(30);
+    test.attempt_ends(40, "t1", 0, Outcome::Ok);
+    test.assert_trace(expect![[r#"
+        10: t1 arrives
+          send t1 0 to unconnected at 127.0.0.1:1, deadline 19960
+        20: t1 arrives
+          t1 is answered: DuplicateId
+        30: client of t1 disconnects
+        40: t1 0 ends: Ok
+          close t1 0
+          t1 is answered: Served "answer to t1 0"
+        unanswered: 0
+    "#]]);
+}
+
+/// Guards against the answer of an earlier request being given to a later one with the same id: the attempt had ended in
+/// the moment in which it was cancelled.
+#[test]
+fn end_of_a_cancelled_attempt_is_not_taken_for_that_of_a_later_request_with_the_same_id() {
+    let mut test = TestRouter::new(ONE);
+    test.request_arrives(10, "t1", NON_IDEMPOTENT, 100_000);
+    test.client_disconnects(60_000, "t1");
+    test.request_arrives(60_010, "t1", NON_IDEMPOTENT, 20_000);
+    test.attempt_ends(60_020, "t1", 0, Outcome::Ok);
+    test.client_disconnects(60_030, "t1");
+    test.assert_trace(expect![[r#"
+        10: t1 arrives
+          send t1 0 to u1 at 127.0.0.1:1, deadline 99960
+        60000: client of t1 disconnects
+          close t1 0
+          watch list: true
+        60010: t1 arrives
+          send t1 0 to u1 at 127.0.0.1:1, deadline 79960
+        60020: t1 0 ends: Ok
+        60030: client of t1 disconnects
+          close t1 0
+        unanswered: 1
+    "#]]);
+}
+
 /// Guards against a client that copies the id of another client's request: its effect would happen twice.
 #[test]
 fn recent_id_is_refused_until_its_retention_is_over() {
@@ -370,7 +436,7 @@
         final_answer: Some(Answer::ClientError),
         load: Load::default(),
     };
-    let attempt = AttemptId { request: "t1".into(), number: 0 };
+    let attempt = AttemptId { exchange: test.exchange_of("t1"), request: "t1".into(), number: 0 };
     test.handle(20, RouterEvent::AttemptEnded { attempt, result });
     test.run_until(20_000);
     test.assert_trace(expect![[r#"
--- a/crates/pondlb-server/src/transport/attempt.rs
+++ b/crates/pondlb-server/src/transport/attempt.rs
@@ -151,7 +151,7 @@
     let connection = match pool.acquire(&attempt.upstream, attempt.address, deadline).await {
         Ok(connection) => connection,
         Err(error) => {
-            let AttemptId { request, number } = &attempt.id;
+            let AttemptId { request, number, .. } = &attempt.id;
             log::debug!("request {request} attempt {number}: can't connect to {}: {error}", attempt.upstream);
             return Outcome::ConnectFailed.into();
         }
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -22,7 +22,7 @@
     CONTINUE_RESPONSE, ClassIndexes, ClientRequest, RequestKind, RequestReader, encode_answer,
     encode_error_response, encode_health_response, encode_timeout_response,
 };
-use crate::routing::RouterEvent;
+use crate::routing::{ExchangeId, RouterEvent};
 
 /// A connection is closed when no further request has arrived for this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -54,6 +54,8 @@
     /// Where requests, and the disconnects of clients, are sent.
     pub router_tx: mpsc::UnboundedSender<RouterEvent>,
     pub phase: watch::Receiver<Phase>,
+    /// The exchanges that were begun so far on all connections.
+    pub exchange_count: Cell<u64>,
 }
 
 /// What comes next on a connection.
@@ -210,9 +212,11 @@
             }
             RequestKind::Forward { arrival, message } => (arrival, message),
         };
-        let request_id = arrival.request.clone();
+        let (exchange, request_id) = (self.begin_exchange(), arrival.request.clone());
         let (answer_sender, mut answer_receiver) = oneshot::channel();
-        self.router_tx.send(RouterEvent::RequestArrived { arrival, message, answer_sender }).ok()?;
+        self.router_tx
+            .send(RouterEvent::RequestArrived { exchange, arrival, message, answer_sender })
+            .ok()?;
         tokio::select! {
             biased;
             answer = &mut answer_receiver => {
@@ -221,15 +225,21 @@
                 Some(EncodedAnswer { bytes: encode_answer(&answer, is_last), is_last })
             }
             () = wait_for_disconnect(stream, reader, &has_discarded_input) => {
-                self.report_disconnect(request_id);
+                self.report_disconnect(exchange, request_id);
                 None
             }
         }
     }
 
-    fn report_disconnect(&self, request: RequestId) {
+    fn begin_exchange(&self) -> ExchangeId {
+        let number = self.exchange_count.get();
+        self.exchange_count.set(number + 1);
+        ExchangeId(number)
+    }
+
+    fn report_disconnect(&self, exchange: ExchangeId, request: RequestId) {
         // The router outlives every connection but at the very end, when no answer is due any more.
-        let _ = self.router_tx.send(RouterEvent::ClientDisconnected { request });
+        let _ = self.router_tx.send(RouterEvent::ClientDisconnected { exchange, request });
     }
 }
 
--- a/crates/pondlb-server/src/transport/tests.rs
+++ b/crates/pondlb-server/src/transport/tests.rs
@@ -21,7 +21,7 @@
 use super::memory::MemoryLimit;
 use super::pool::UpstreamPool;
 use super::stream::{read_available, write_all};
-use crate::routing::{AttemptId, OutgoingAttempt, RouterEvent, Transport};
+use crate::routing::{AttemptId, ExchangeId, OutgoingAttempt, RouterEvent, Transport};
 
 const MAX_LIST_BYTES: usize = 1 << 20;
 const MS: Duration = Duration::from_millis(1);
@@ -278,7 +278,7 @@
     let mut transport = OutboundTransport { pool, clock, memory, router_tx, discovery_tx, probe: None };
     let head = Head { start_line: "POST / HTTP/1.1".into(), fields: Vec::new() };
     let _task = transport.send_attempt(OutgoingAttempt {
-        id: AttemptId { request: "a1".into(), number: 1 },
+        id: AttemptId { exchange: ExchangeId(0), request: "a1".into(), number: 1 },
         upstream: "s1".into(),
         address,
         message: Rc::new(Message { head, body: Vec::new() }),
--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -72,9 +72,11 @@
     IgnoreLoadProbes(&'static str),
 }
 
-/// Answers 200 with the body "hello".
-pub const ANSWER_HELLO: UpstreamBehavior =
-    UpstreamBehavior::Answer("HTTP/1.1 200 OK\r\nX-Answer: yes\r\nContent-Length: 5\r\n\r\nhello");
+/// A response with the body "hello".
+pub const HELLO_RESPONSE: &str = "HTTP/1.1 200 OK\r\nX-Answer: yes\r\nContent-Length: 5\r\n\r\nhello";
+
+/// Answers with [`HELLO_RESPONSE`].
+pub const ANSWER_HELLO: UpstreamBehavior = UpstreamBehavior::Answer(HELLO_RESPONSE);
 
 /// What a test upstream sees on its connections.
 #[derive(Debug)]
--- a/crates/pondlb-server/tests/races/mod.rs
+++ b/crates/pondlb-server/tests/races/mod.rs
@@ -165,6 +165,35 @@
     assert_eq!(sent.join().unwrap(), None);
 }
 
+/// Guards against the incident described in docs/incidents/copied-request-id.md: a client that sends the id of another
+/// client's open request and leaves at once takes that request's answer with it. While the process is stopped the copy and
+/// the end of its connection arrive, so that the process sees both together.
+#[test]
+fn a_client_that_copies_the_id_of_an_open_request_and_leaves_does_not_close_that_request() {
+    let upstream = Upstream::start(UpstreamBehavior::AnswerOnDemand);
+    let balancer = BalancerOptions::new(&[&upstream]).start();
+    for way in ["closes", "ends-its-side", "resets"] {
+        let mut client = balancer.connect();
+        client.send(&Client::request_text(way, "order", 1900));
+        while !matches!(upstream.next_event(), UpstreamEvent::Request(_)) {}
+        balancer.signal("STOP");
+        let mut copy = balancer.connect();
+        copy.send(&Client::request_text(way, "order", 1900));
+        match way {
+            "closes" => {}
+            "ends-its-side" => copy.stream.shutdown(Shutdown::Write).unwrap(),
+            _ => SockRef::from(&copy.stream).set_linger(Some(Duration::ZERO)).unwrap(),
+        }
+        let half_closed = (way == "ends-its-side").then_some(copy);
+        balancer.signal("CONT");
+        sleep(50 * MS);
+        upstream.answers.send(HELLO_RESPONSE).unwrap();
+        let answer = client.read().unwrap_or_else(|| panic!("{way}: the connection ends without an answer"));
+        assert_eq!(answer.status(), "200", "{way}");
+        drop(half_closed);
+    }
+}
+
 /// Guards against work for a client that pipelined many bytes and left: unread bytes must not hide the end of its
 /// connection.
 #[test]
