A keyed request is retried in the group to which its first attempt was sent

Cause: the group of an attempt that may have run was read again from its upstream's present entry, and the directory made up the last entry of a removed upstream with cell 0, capacity 0 and no start.

Change: an attempt keeps the zone and cell that its upstream had when it was sent, and a retry is held to them. The directory keeps whole entries, and the last one differs only in its stage. Why it works: nothing that the list says later can change where an attempt has been. Related: an attempt that is still connecting is withdrawn when its upstream is listed at another address, zone or cell; it was written to the old address, where another upstream may listen by now.

Tests, all red before the change: control::a_keyed_request_whose_upstream_was_removed_is_retried_in_the_same_pod (the other pod got "a1"), retry_of_a_keyed_request_stays_in_the_group_to_which_its_first_attempt_was_sent ("Zone, moves: from b0 to d1"), last_entry_of_a_removed_upstream_differs_from_the_one_before_only_in_its_stage ("cell: 0 ... capacity: 0.0" for 7 and 2.5), unwritten_attempt_is_withdrawn_when_its_upstream_moves_to_another_address_or_zone (t1 0 stays out).

The tests of pondlb, of the server's unit and control tests pass.

--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -12,24 +12,31 @@
 use super::labels::stage_label;
 use crate::protocol::discovery::UpstreamList;
 
-/// The address of each upstream. Translates lists of upstreams, in which zones and kinds have names, into entries for
+/// The listed upstreams and their addresses. Translates lists of upstreams, in which zones and kinds have names, into entries for
 /// the balancer, in which they have indexes.
 pub struct UpstreamDirectory {
     zones: NameIndexes,
     kinds: NameIndexes,
-    locations: BTreeMap<UpstreamId, Location>,
+    listings: BTreeMap<UpstreamId, Listing>,
     /// The Unix epoch on the balancer's clock, in tenths of a millisecond. Negative, since it is before that clock's
     /// start.
     unix_epoch: i64,
 }
 
-/// Where an upstream is.
-struct Location {
+/// An upstream that is listed.
+struct Listing {
     address: SocketAddr,
+    /// What the balancer was told of it last.
+    entry: UpstreamEntry,
+}
+
+/// Where an upstream is, by the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Location {
+    pub address: SocketAddr,
     /// Index of its zone.
     zone: u32,
-    /// Index of its machine kind.
-    kind: u32,
+    cell: u32,
 }
 
 /// The indexes that stand for names.
@@ -129,25 +136,32 @@
         UpstreamDirectory {
             zones: NameIndexes::new(names.zones),
             kinds: NameIndexes::new(names.kinds),
-            locations: BTreeMap::new(),
+            listings: BTreeMap::new(),
             unix_epoch,
         }
     }
 
-    /// The address of an upstream, if it is known.
-    pub fn address(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
-        self.locations.get(upstream).map(|location| location.address)
+    /// Where an upstream is, if it is listed.
+    pub fn location(&self, upstream: &UpstreamId) -> Option<Location> {
+        let Listing { address, entry } = self.listings.get(upstream)?;
+        Some(Location { address: *address, zone: entry.zone, cell: entry.cell })
+    }
+
+    /// Whether an upstream takes requests at this location.
+    pub fn is_live_at(&self, upstream: &UpstreamId, location: Location) -> bool {
+        let is_live = |listing: &Listing| listing.entry.stage == Stage::Live;
+        self.listings.get(upstream).is_some_and(is_live) && self.location(upstream) == Some(location)
     }
 
     /// Whether no upstream is known.
     pub fn is_empty(&self) -> bool {
-        self.locations.is_empty()
+        self.listings.is_empty()
     }
 
     /// How many upstreams and unconfigured names are known.
     pub fn counts(&self) -> DirectoryCounts {
         DirectoryCounts {
-            upstreams: self.locations.len(),
+            upstreams: self.listings.len(),
             unconfigured_zones: self.zones.unconfigured.len(),
             unconfigured_kinds: self.kinds.unconfigured.len(),
         }
@@ -170,9 +184,11 @@
     /// Removes the upstreams that a snapshot leaves out.
     fn remove_missing(&mut self, snapshot: &[Target]) {
         let listed: BTreeSet<&str> = snapshot.iter().map(|target| &*target.upstream).collect();
-        let missing = self.locations.keys().filter(|upstream| !listed.contains(&***upstream));
+        let missing = self.listings.keys().filter(|upstream| !listed.contains(&***upstream));
         let missing: Vec<UpstreamId> = missing.cloned().collect();
-        missing.into_iter().for_each(|upstream| self.set_location(upstream, None));
+        for upstream in missing {
+            self.set_listing(upstream, None);
+        }
     }
 
     fn apply_target(&mut self, target: Target) -> UpstreamEntry {
@@ -188,50 +204,42 @@
         let upstream: UpstreamId = target.upstream.into();
         let zone = self.zones.index_of(&target.zone);
         let kind = self.kinds.index_of(&target.kind);
-        let location = Location { address: target.address, zone, kind };
-        self.set_location(upstream.clone(), Some(location).filter(|_| target.stage != Stage::Gone));
-        UpstreamEntry {
-            upstream,
+        let entry = UpstreamEntry {
+            upstream: upstream.clone(),
             cell: target.cell,
             started_at: start_time(target.started_unix_ms, self.unix_epoch),
             capacity: target.capacity,
             zone,
             kind,
             stage: target.stage,
-        }
+        };
+        let listing = Listing { address: target.address, entry: entry.clone() };
+        self.set_listing(upstream, Some(listing).filter(|_| target.stage != Stage::Gone));
+        entry
     }
 
-    /// Sets the location of an upstream, or removes it if there is none.
-    fn set_location(&mut self, upstream: UpstreamId, location: Option<Location>) {
-        if let Some(Location { zone, kind, .. }) = location {
-            self.zones.add_use(zone);
-            self.kinds.add_use(kind);
+    /// Sets the listing of an upstream, or removes it if there is none. Returns the one before.
+    fn set_listing(&mut self, upstream: UpstreamId, listing: Option<Listing>) -> Option<Listing> {
+        if let Some(Listing { entry, .. }) = &listing {
+            self.zones.add_use(entry.zone);
+            self.kinds.add_use(entry.kind);
         }
-        let previous = match location {
-            Some(location) => self.locations.insert(upstream, location),
-            None => self.locations.remove(&upstream),
+        let previous = match listing {
+            Some(listing) => self.listings.insert(upstream, listing),
+            None => self.listings.remove(&upstream),
         };
-        if let Some(Location { zone, kind, .. }) = previous {
-            self.zones.remove_use(zone);
-            self.kinds.remove_use(kind);
+        if let Some(Listing { entry, .. }) = &previous {
+            self.zones.remove_use(entry.zone);
+            self.kinds.remove_use(entry.kind);
         }
+        previous
     }
 
     /// Removes an upstream. Returns its last entry, which says that it is gone, or none if it was not known.
     fn remove(&mut self, upstream: String) -> Option<UpstreamEntry> {
-        log::debug!("{upstream} is removed");
-        let upstream: UpstreamId = upstream.into();
-        let Location { zone, kind, .. } = *self.locations.get(&upstream)?;
-        self.set_location(upstream.clone(), None);
-        Some(UpstreamEntry {
-            upstream,
-            cell: 0,
-            started_at: None,
-            capacity: 0.0,
-            zone,
-            kind,
-            stage: Stage::Gone,
-        })
+        let Listing { entry, .. } = self.set_listing(upstream.into(), None)?;
+        log::debug!("{} is removed from zone {} and cell {}", entry.upstream, entry.zone, entry.cell);
+        Some(UpstreamEntry { stage: Stage::Gone, ..entry })
     }
 }
 
--- a/crates/pondlb-server/src/routing/router.rs
+++ b/crates/pondlb-server/src/routing/router.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 
 use pondlb::{
-    Action, Arrival, Balancer, ConfigChange, Event, ListUpdate, Load, Outcome, RequestId, Stage, TenthMillis,
+    Action, Arrival, Balancer, ConfigChange, Event, ListUpdate, Load, Outcome, RequestId, TenthMillis,
     UpstreamId,
 };
 use pondlb_http::Message;
 use tokio::sync::oneshot;
 
+use super::directory::Location;
 use super::labels::{give_up_reason_label, outcome_label};
 use super::metrics::increment;
 use super::recent_ids::RecentRequestIds;
@@ -43,6 +44,8 @@
 struct OpenAttempt<H> {
     started_at: TenthMillis,
     upstream: UpstreamId,
+    /// Where the upstream was when the attempt was sent.
+    location: Location,
     handle: H,
 }
 
@@ -136,7 +139,7 @@
         }
         let closed = mem::take(&mut self.closed_exchanges);
         if !closed.is_empty() {
-            self.withdraw_unwritten(now, |exchange, _| closed.contains(&exchange));
+            self.withdraw_unwritten(now, |_, id, _| closed.contains(&id.exchange));
         }
         if self.shutdown_deadline.is_some_and(|at| at <= now) {
             let overdue: Vec<AttemptId> = self.open_attempts.keys().cloned().collect();
@@ -281,10 +284,9 @@
     fn apply_list(&mut self, now: TenthMillis, list: UpstreamList) {
         let is_snapshot = list.is_snapshot;
         let entries = self.directory.apply_list(list);
-        // Nothing is started any more at an upstream that is draining or gone, or that a snapshot leaves out.
-        self.withdraw_unwritten(now, |_, upstream| {
-            let entry = entries.iter().find(|entry| entry.upstream == *upstream);
-            entry.map_or(is_snapshot, |entry| entry.stage != Stage::Live)
+        // Nothing is started any more at an upstream that is draining, gone or elsewhere.
+        self.withdraw_unwritten(now, |directory, _, attempt| {
+            !directory.is_live_at(&attempt.upstream, attempt.location)
         });
         let update = if is_snapshot { ListUpdate::Snapshot } else { ListUpdate::Changes };
         self.events.push(Event::ListUpdate(update(entries)));
@@ -298,9 +300,13 @@
     /// Ends those of the chosen attempts that have not been written yet. One that is still connecting might be written
     /// long after the reason for it is gone. Since it has not run, it is withdrawn even where attempts that have begun
     /// may not be cancelled.
-    fn withdraw_unwritten(&mut self, now: TenthMillis, is_chosen: impl Fn(ExchangeId, &UpstreamId) -> bool) {
+    fn withdraw_unwritten(
+        &mut self,
+        now: TenthMillis,
+        is_chosen: impl Fn(&UpstreamDirectory, &AttemptId, &OpenAttempt<T::Handle>) -> bool,
+    ) {
         let chosen: Vec<AttemptId> = (self.open_attempts.iter())
-            .filter(|(id, attempt)| !attempt.handle.is_written() && is_chosen(id.exchange, &attempt.upstream))
+            .filter(|(id, attempt)| !attempt.handle.is_written() && is_chosen(&self.directory, id, attempt))
             .map(|(id, _)| id.clone())
             .collect();
         chosen.into_iter().for_each(|id| self.end_attempt(now, id, Outcome::Moot.into()));
@@ -309,7 +315,7 @@
     /// Ends an attempt and closes its connection. An attempt that is cancelled may have ended at the same moment; only
     /// the first of the two ends counts.
     fn end_attempt(&mut self, now: TenthMillis, id: AttemptId, result: AttemptResult) {
-        let Some(OpenAttempt { started_at, upstream, handle }) = self.open_attempts.remove(&id) else {
+        let Some(OpenAttempt { started_at, upstream, handle, .. }) = self.open_attempts.remove(&id) else {
             return;
         };
         if let Some(request) = self.requests.get_mut(&id.request) {
@@ -381,8 +387,8 @@
             Action::CloseIdleConnections { upstream } => self.transport.close_idle_connections(&upstream),
             Action::SetTimer { token, after } => self.timer = Some(Timer { fires_at: now + after, token }),
             Action::Log { text } => log::info!("{text}"),
-            Action::Probe { upstream } => match self.directory.address(&upstream) {
-                Some(address) => self.transport.probe(upstream, address),
+            Action::Probe { upstream } => match self.directory.location(&upstream) {
+                Some(Location { address, .. }) => self.transport.probe(upstream, address),
                 None => {
                     let (outcome, load) = (Outcome::Moot, Load::default());
                     self.events.push(Event::ProbeEnded { upstream, outcome, duration: 0, load });
@@ -403,11 +409,11 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let attempt = AttemptId { exchange: request.exchange, request: id, number: request.attempt_count };
         request.attempt_count += 1;
-        let outcome = match self.directory.address(&upstream) {
+        let outcome = match self.directory.location(&upstream) {
             // Nothing is sent after the final answer or the deadline, even if the balancer asks for it.
             _ if request.is_answered() || now >= request.deadline => Outcome::Moot,
             None => Outcome::ConnectFailed,
-            Some(address) => {
+            Some(location) => {
                 log::debug!("{attempt} is posted to {upstream}");
                 request.open_attempts += 1;
                 self.metrics.attempts += 1;
@@ -416,12 +422,13 @@
                 let handle = self.transport.send_attempt(OutgoingAttempt {
                     id: attempt.clone(),
                     upstream: upstream.clone(),
-                    address,
+                    address: location.address,
                     message: request.message.clone(),
                     deadline,
                     start_before,
                 });
-                self.open_attempts.insert(attempt, OpenAttempt { started_at: now, upstream, handle });
+                let open = OpenAttempt { started_at: now, upstream, location, handle };
+                self.open_attempts.insert(attempt, open);
                 return;
             }
         };
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -558,6 +558,20 @@
     .assert_eq(&lines.collect::<String>());
 }
 
+/// Guards against the incident described in docs/incidents/removed-upstream-group.md: the last entry of an upstream that
+/// control servers remove must still say where it was.
+#[test]
+fn last_entry_of_a_removed_upstream_differs_from_the_one_before_only_in_its_stage() {
+    let mut directory = UpstreamDirectory::new(config().1, 0);
+    let mut added = list(false, &[("u1", 1, "b", "active", 600)]);
+    (added.targets[0].cell, added.targets[0].capacity) = (7, 2.5);
+    let mut removed = list(false, &[]);
+    removed.removed = vec!["u1".into(), "unknown".into()];
+    let added = format!("{:?}", directory.apply_list(added));
+    let removed = format!("{:?}", directory.apply_list(removed));
+    assert_eq!(removed, added.replace("Live", "Gone"));
+}
+
 #[test]
 fn all_upstreams_are_replaced_at_a_reused_address_while_an_attempt_is_open() {
     let mut test = TestRouter::new(&[("u1", 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
@@ -701,6 +715,36 @@
     "#]]);
 }
 
+/// Guards against an attempt that reaches another process than the one it was meant for, and takes effect in a group of
+/// upstreams that the balancer does not know of.
+#[test]
+fn unwritten_attempt_is_withdrawn_when_its_upstream_moves_to_another_address_or_zone() {
+    let mut test = TestRouter::new(&[(UNCONNECTED_UPSTREAM, 1, "a", "active", 0)]);
+    test.request_arrives(10, "t1", NON_IDEMPOTENT, 20_000);
+    test.list_arrives(20, false, &[("u2", 2, "a", "active", 0)]);
+    test.list_arrives(30, false, &[(UNCONNECTED_UPSTREAM, 3, "a", "active", 0)]);
+    test.list_arrives(40, true, &[(UNCONNECTED_UPSTREAM, 3, "a", "active", 0)]);
+    test.request_arrives(50, "t2", NON_IDEMPOTENT, 20_000);
+    test.list_arrives(60, true, &[(UNCONNECTED_UPSTREAM, 3, "b", "active", 0), ("u2", 2, "a", "active", 0)]);
+    test.assert_trace(expect![[r#"
+        10: t1 arrives
+          send t1 0 to unconnected at 127.0.0.1:1, deadline 19960
+        20: list received
+        30: list received
+          close t1 0
+          send t1 1 to u2 at 127.0.0.1:2, deadline 19960
+        40: list received
+        50: t2 arrives
+          send t2 0 to unconnected at 127.0.0.1:3, deadline 20000
+        60: list received
+          close t2 0
+          send t2 1 to u2 at 127.0.0.1:2, deadline 20000
+          close t1 1
+          close t2 1
+        unanswered: 2
+    "#]]);
+}
+
 /// Guards against a renamed enum variant that changes what operators read in the log and in the metrics line.
 #[test]
 fn labels_of_outcomes_reasons_and_stages_stay_the_same() {
--- a/crates/pondlb-server/tests/control/mod.rs
+++ b/crates/pondlb-server/tests/control/mod.rs
@@ -186,6 +186,42 @@
     assert_eq!((upstream.take_request_ids(), known.take_request_ids()), (expected, Vec::new()));
 }
 
+/// A change that adds an upstream's record in this pod.
+fn upstream_record_in_pod(address: SocketAddr, pod: u32) -> String {
+    upstream_record(address).replace("\"pod_group\":0", &format!("\"pod_group\":{pod}"))
+}
+
+/// Guards against the incident described in docs/incidents/removed-upstream-group.md: an upstream is taken off the list and
+/// resets the connection of a keyed request that it has begun. Another pod does not recognize the request's key and would
+/// run it a second time.
+#[test]
+fn a_keyed_request_whose_upstream_was_removed_is_retried_in_the_same_pod() {
+    let first = Upstream::start(UpstreamBehavior::AnswerOnDemand);
+    let (same_pod, other_pod) = (Upstream::start(ANSWER_HELLO), Upstream::start(ANSWER_HELLO));
+    let origin = ControlServer::origin();
+    assert_eq!(origin.commit(&[upstream_record_in_pod(first.address, 1)]), "200");
+    let options = options_following(&[&origin], &[]);
+    let keyed = r#""Schemes":[{"Name":"amend","Effect":"deduplicated","DedupScope":"cell","KeyTtlNs":1500000000,
+        "SlaTimeNs":1500000000,"ExpiryNs":2000000000,"Value":1.0},"#;
+    let balancer = options.start_with(&options.configuration().replace("\"Schemes\":[", keyed));
+    wait_until("the balancer is ready", || balancer.health_status() == "200");
+    let mut client = balancer.connect();
+    client.send(&Client::request_text("a1", "amend", 1900));
+    while !matches!(first.next_event(), UpstreamEvent::Request(_)) {}
+    let changes = [
+        upstream_removal(first.address),
+        upstream_record_in_pod(same_pod.address, 1),
+        upstream_record_in_pod(other_pod.address, 0),
+    ];
+    assert_eq!(origin.commit(&changes), "200");
+    wait_until("the changes are in force", || origin.followers()[0]["version"]["revision"] == 4);
+    // Without a sender of answers the upstream closes its connections.
+    drop(first.answers);
+    assert_eq!(client.read().expect("an answer").status(), "200");
+    assert_eq!(other_pod.take_request_ids(), Vec::<String>::new());
+    assert_eq!(same_pod.take_request_ids(), ["a1"]);
+}
+
 /// Guards against a balancer that applies the valid part of an answer with one invalid record, here the removal of its
 /// only upstream.
 #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,7 +20,7 @@
 pub use balancer::{Balancer, TrackedCounts};
 use estimate::{CostStats, DecayingLevel, MAX_COST, MAX_UNLOADED_PACE, Pace, ResponseTimes};
 use lease::ListLease;
-use queue::{Alarm, AlarmKind, Attempt, ProbeRound, Queue, Request, RequestNumber};
+use queue::{Alarm, AlarmKind, Attempt, DedupGroups, ProbeRound, Queue, Request, RequestNumber};
 use subset::Fleet;
 use upstream::{ANSWER_SCORE_FACTOR, EJECTION_SCORE, OUTLIER_HALF_LIFE, Upstream, UpstreamIndex, Zone};
 
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -5,10 +5,10 @@
 use nanorand::Rng;
 
 use super::{
-    Alarm, AlarmKind, Attempt, Dispatcher, EJECTION_SCORE, OUTLIER_HALF_LIFE, ProbeRound, RATE_HALF_LIFE,
-    RUNNING_MEAN_SAMPLES, Request, RequestNumber, UpstreamIndex, hash_u64,
+    Alarm, AlarmKind, Attempt, DedupGroups, Dispatcher, EJECTION_SCORE, OUTLIER_HALF_LIFE, ProbeRound,
+    RATE_HALF_LIFE, RUNNING_MEAN_SAMPLES, Request, RequestNumber, UpstreamIndex, hash_u64,
 };
-use crate::{Action, DedupScope, Effect, GiveUpReason, TenthMillis};
+use crate::{Action, Effect, GiveUpReason, TenthMillis};
 
 /// The number of waiting requests that are tried in their order, so that one which only some upstreams may
 /// take doesn't block all others.
@@ -210,12 +210,7 @@
         let upstream = &self.fleet.upstreams[index];
         let is_in_scope = || match (request.effect, request.first_possible_run()) {
             (Effect::Keyed { scope, .. }, Some(first)) => {
-                let first = &self.fleet.upstreams[first.upstream];
-                match scope {
-                    DedupScope::All => true,
-                    DedupScope::Zone => first.entry.zone == upstream.entry.zone,
-                    DedupScope::Cell => first.entry.cell == upstream.entry.cell,
-                }
+                first.groups.is_same(DedupGroups::of(&upstream.entry), scope)
             }
             _ => true,
         };
@@ -386,7 +381,14 @@
         let may_not_hedge = request.effect == Effect::Idempotent && !request.limits.hedging;
         let timeout = (may_not_hedge && !is_last && has_time_for_attempt).then_some(overdue_after);
         request.probes.upstreams.clear();
-        request.attempts.push(Attempt { upstream, sent_at: now, in_flight: true, may_have_run: false });
+        let groups = DedupGroups::of(entry);
+        request.attempts.push(Attempt {
+            upstream,
+            groups,
+            sent_at: now,
+            in_flight: true,
+            may_have_run: false,
+        });
         let (request, upstream_id) = (request.id.clone(), entry.upstream.clone());
         actions.push(Action::Attempt { request, upstream: upstream_id, timeout, start_before });
         let cost_if_cold = self.cost_if_cold(cost);
--- a/src/balance/queue.rs
+++ b/src/balance/queue.rs
@@ -6,7 +6,7 @@
 use nanorand::Rng;
 
 use super::{Dispatcher, RATE_HALF_LIFE, UpstreamIndex};
-use crate::{Action, AttemptLimits, DedupScope, Effect, GiveUpReason, RequestId, TenthMillis};
+use crate::{Action, AttemptLimits, DedupScope, Effect, GiveUpReason, RequestId, TenthMillis, UpstreamEntry};
 
 /// Requests are dropped when the cost of the waiting ones is more than the recent rate would serve in a
 /// quarter of the time left to the one of least value.
@@ -15,9 +15,34 @@
 /// A number that the balancer gives each request in the order of arrival.
 pub type RequestNumber = u64;
 
+/// The groups to which an upstream belongs. Upstreams of one group recognize repeats of each other's keyed requests.
+#[derive(Clone, Copy)]
+pub struct DedupGroups {
+    zone: u32,
+    cell: u32,
+}
+
+impl DedupGroups {
+    /// The groups of an upstream by its entry in the list.
+    pub fn of(entry: &UpstreamEntry) -> Self {
+        DedupGroups { zone: entry.zone, cell: entry.cell }
+    }
+
+    /// Whether the group of this scope is the same.
+    pub fn is_same(self, other: DedupGroups, scope: DedupScope) -> bool {
+        match scope {
+            DedupScope::All => true,
+            DedupScope::Zone => self.zone == other.zone,
+            DedupScope::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// An attempt of a request.
 pub struct Attempt {
     pub upstream: UpstreamIndex,
+    /// The groups of its upstream when it was sent. A later list may put the upstream into others.
+    pub groups: DedupGroups,
     /// When it was handed to the front end.
     pub sent_at: TenthMillis,
     /// Whether the attempt has no outcome yet.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -194,6 +194,71 @@
     }
 }
 
+/// The upstreams of the groups 0 and 1, each of which is a zone and a cell of its own.
+fn two_dedup_groups() -> Vec<UpstreamEntry> {
+    let upstream = |name, group| UpstreamEntry { cell: group, ..live_upstream(name, group) };
+    vec![upstream("a0", 0), upstream("b0", 0), upstream("c1", 1), upstream("d1", 1)]
+}
+
+/// Guards against the incident described in docs/incidents/removed-upstream-group.md: the list changes the entry of the
+/// upstream that may have run a keyed request, and the retry goes to a group that has not seen its key.
+#[test]
+fn retry_of_a_keyed_request_stays_in_the_group_to_which_its_first_attempt_was_sent() {
+    let changed = |name: &str, change: &dyn Fn(UpstreamEntry) -> UpstreamEntry| {
+        let entry = two_dedup_groups().into_iter().find(|entry| &*entry.upstream == name).unwrap();
+        list_changes([change(entry)])
+    };
+    let other_group =
+        |entry: UpstreamEntry| UpstreamEntry { cell: 1 - entry.cell, zone: 1 - entry.zone, ..entry };
+    for scope in [DedupScope::Zone, DedupScope::Cell] {
+        for way in [
+            "stays",
+            "moves",
+            "moves and drains",
+            "is gone elsewhere",
+            "is gone",
+            "is missing",
+            "is replaced",
+        ] {
+            for seed in 0..8 {
+                let mut config = default_config();
+                config.classes[KEYED as usize].effect = Effect::Keyed { scope, key_ttl: 300 * MS };
+                let mut balancer = TestBalancer::with_seed(config, seed);
+                balancer.handle_at(0, [list_snapshot(two_dedup_groups())]);
+                let first = balancer.attempted_upstream_at(0, request_arrived("t", KEYED));
+                let stage = |stage| move |entry| UpstreamEntry { stage, ..entry };
+                let events = match way {
+                    "stays" => vec![],
+                    "moves" => vec![changed(&first, &other_group)],
+                    "moves and drains" => {
+                        vec![changed(&first, &|entry| stage(Stage::Draining)(other_group(entry)))]
+                    }
+                    "is gone elsewhere" => {
+                        vec![changed(&first, &|entry| stage(Stage::Gone)(other_group(entry)))]
+                    }
+                    "is gone" => vec![changed(&first, &stage(Stage::Gone))],
+                    "is missing" => vec![list_snapshot(
+                        two_dedup_groups().into_iter().filter(|entry| *entry.upstream != *first),
+                    )],
+                    // The upstream comes back under its name as a new process in the other group.
+                    _ => vec![
+                        changed(&first, &stage(Stage::Gone)),
+                        changed(&first, &|entry| UpstreamEntry {
+                            started_at: Some(40 * MS),
+                            ..other_group(entry)
+                        }),
+                    ],
+                };
+                balancer.handle_at(50, events);
+                let failed = attempt_ended("t", 0, &first, Outcome::Reset, 100);
+                let second = balancer.attempted_upstream_at(100, failed);
+                let group_of = |name: &str| name[1..].to_string();
+                assert_eq!(group_of(&second), group_of(&first), "{scope:?}, {way}: from {first} to {second}");
+            }
+        }
+    }
+}
+
 /// Guards against a client that is kept waiting in vain: no upstream in the deduplication scope can take the retry, and
 /// the key expires while the request is held. Requests behind it must not be blocked either.
 #[test]
