A call to discovery that fails after a long wait renews no lease on the list

Cause: an error status that came later than 1.47 s was taken for proof that discovery answers nobody, and renewed the lease on the list. It is none: a call that has waited too long in a queue and one to a discovery that is down fail alike, and others may be answered meanwhile. A reset after 2 s was kept already.

Change: such a call confirms nothing, whatever its form. The lease is renewed only by an answer, by an address where nobody listens or to which no way leads, and by two calls in a row without a response. Waits between calls stay.

all_requests_are_served_while_discovery_is_down is replaced: it asked that late 503s keep the fleet sending for 15 s, which is what the rule forbids where they come from a crowd. In its place: the same 15 s with an address that refuses connections (an outage that can be told), all requests served; and with late 503s, served until the lease ends, not after it, and again within 4 s of the return. The model's outage has both kinds, too.

--- a/crates/pondlb-server/src/transport/discovery/call.rs
+++ b/crates/pondlb-server/src/transport/discovery/call.rs
@@ -99,10 +99,9 @@
     /// Classifies an error in the response to the call made at `called_at`.
     fn response_error(&self, error: ListError, called_at: Instant) -> CallError {
         match error {
-            // Discovery rejects calls from a full queue sooner than this. An error status that comes so late is a
-            // proxy's, which did not reach discovery.
+            // Discovery rejects calls from a full queue sooner than this.
             ListError::Status(reason) if called_at.elapsed() > self.queue_margin * 2 / 3 => {
-                CallError::Unreachable(reason)
+                CallError::Unavailable(reason)
             }
             ListError::Status(reason) | ListError::Invalid(reason) => CallError::Rejected(reason),
             ListError::TooLong { size_bytes, limit_bytes } => {
--- a/crates/pondlb-server/src/transport/discovery/confirmation.rs
+++ b/crates/pondlb-server/src/transport/discovery/confirmation.rs
@@ -39,9 +39,13 @@
             Err(CallError::TimedOut | CallError::ConnectTimedOut) => {
                 (self.unanswered_calls >= UNANSWERED_CALLS_THRESHOLD).then_some(called_at)
             }
-            Err(CallError::ConnectionBroken(_) | CallError::Rejected(_) | CallError::ListTooLong { .. }) => {
-                None
-            }
+            // Other balancers may be answered meanwhile.
+            Err(
+                CallError::Unavailable(_)
+                | CallError::ConnectionBroken(_)
+                | CallError::Rejected(_)
+                | CallError::ListTooLong { .. },
+            ) => None,
         }
     }
 }
--- a/crates/pondlb-server/src/transport/discovery/error.rs
+++ b/crates/pondlb-server/src/transport/discovery/error.rs
@@ -18,9 +18,11 @@
     TimedOut,
     /// The connection was not established in time.
     ConnectTimedOut,
-    /// Discovery can't be reached: nothing listens at its address, the network has no route to it, or a proxy in front
-    /// of it did not reach it.
+    /// Discovery can't be reached: nothing listens at its address, or the network has no route to it.
     Unreachable(String),
+    /// An error status came only after a long wait: a proxy did not reach discovery, or discovery has more calls in its
+    /// queue than it answers in time. The call does not show which, so other balancers may be answered meanwhile.
+    Unavailable(String),
     /// The connection broke, or this machine could not open one.
     ConnectionBroken(String),
     /// Discovery rejected the call, or responded with something that is not a valid list.
@@ -52,9 +54,10 @@
     pub fn to_router_event(&self) -> RouterEvent {
         match self {
             CallError::TimedOut => RouterEvent::WatchTimedOut,
-            CallError::ConnectTimedOut | CallError::Unreachable(_) | CallError::ConnectionBroken(_) => {
-                RouterEvent::DiscoveryUnreachable
-            }
+            CallError::ConnectTimedOut
+            | CallError::Unreachable(_)
+            | CallError::Unavailable(_)
+            | CallError::ConnectionBroken(_) => RouterEvent::DiscoveryUnreachable,
             CallError::Rejected(_) | CallError::ListTooLong { .. } => RouterEvent::ListRefused,
         }
     }
@@ -66,6 +69,7 @@
             CallError::TimedOut => write!(f, "the call timed out"),
             CallError::ConnectTimedOut => write!(f, "the connection timed out"),
             CallError::Unreachable(reason)
+            | CallError::Unavailable(reason)
             | CallError::ConnectionBroken(reason)
             | CallError::Rejected(reason) => write!(f, "{reason}"),
             CallError::ListTooLong { size_bytes, limit_bytes } => {
--- a/crates/pondlb-server/src/transport/tests.rs
+++ b/crates/pondlb-server/src/transport/tests.rs
@@ -69,7 +69,7 @@
 
     /// Adds the client's event for the call to the trace. After a failure it commands a new watch, as the balancer
     /// does.
-    async fn trace_event(&mut self) {
+    async fn trace_event(&mut self) -> String {
         let event = self.next_event().await;
         let (is_failure, description) = match &event {
             RouterEvent::ListReceived(list) => (false, format!("version {} received", list.version)),
@@ -82,6 +82,12 @@
         if is_failure {
             self.commands.send(DiscoveryCommand::WatchList { enabled: true }).unwrap();
         }
+        description
+    }
+
+    /// Whether the call whose event came last confirms the list.
+    fn confirms_list(&mut self) -> bool {
+        matches!(self.router_rx.try_recv(), Ok(RouterEvent::ListConfirmed { .. }))
     }
 }
 
@@ -165,7 +171,7 @@
         }
         reset(discovery.accept().await);
         discovery.trace_event().await;
-        // A rejection after more than two thirds of the queue margin comes from a proxy that did not reach discovery.
+        // An error status after more than two thirds of the queue margin: the call has waited for its turn in vain.
         let stream = discovery.accept().await;
         advance(180 * MS).await;
         write_all(&stream, status("503 Down").as_bytes()).await.unwrap();
@@ -186,6 +192,42 @@
     .assert_eq(&trace);
 }
 
+/// Guards against the incident described in docs/incidents/crowded-discovery.md: a call that fails while other balancers may
+/// be answered is taken for a confirmation of the list. Whether a failure comes at once or after a long wait must make no
+/// difference.
+#[test]
+fn only_answers_and_proofs_that_nobody_is_answered_confirm_the_list() {
+    let status = |line: &str| format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n");
+    let trace = run_on_paused_clock(async |discovery| {
+        for wait in [1, 100, 140, 180, 220].map(|ms| ms * MS) {
+            for response in [status("503 Busy"), status("500 Error"), String::new()] {
+                let stream = discovery.accept().await;
+                advance(wait).await;
+                if response.is_empty() {
+                    reset(stream);
+                } else {
+                    write_all(&stream, response.as_bytes()).await.unwrap();
+                }
+                let event = discovery.trace_event().await;
+                let is_confirmed = discovery.confirms_list();
+                assert!(!is_confirmed, "{response:?} after {wait:?}: {event}");
+            }
+        }
+        // A single call without a response may be the fault of its connection.
+        for is_confirmed in [false, true] {
+            let _unanswered = discovery.accept().await;
+            advance(FIRST_CALL_TIMEOUT + MS).await;
+            discovery.trace_event().await;
+            assert_eq!(discovery.confirms_list(), is_confirmed);
+        }
+        let stream = discovery.accept().await;
+        write_all(&stream, list_response(8, &["s1"]).as_bytes()).await.unwrap();
+        discovery.trace_event().await;
+        assert!(discovery.confirms_list());
+    });
+    assert_eq!(trace.lines().count(), 18);
+}
+
 /// Guards against a call that is reported as failed, and retried late, only because discovery had closed the connection
 /// that was kept for it.
 #[test]
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -1,6 +1,10 @@
 //! Integration tests of the balancer program: real processes on loopback sockets.
 
 mod control;
+#[path = "stale_list/crowd.rs"]
+mod crowd;
+#[path = "stale_list/discovery.rs"]
+mod discovery;
 mod helper;
 mod races;
 mod stale_list;
--- a/crates/pondlb-server/tests/soak/main.rs
+++ b/crates/pondlb-server/tests/soak/main.rs
@@ -4,6 +4,9 @@
 //!
 //! Runs seeds 1 to 8; `PONDLB_SOAK_SEEDS=1-50` selects others.
 
+#[path = "../stale_list/crowd.rs"]
+#[allow(dead_code)]
+mod crowd;
 #[path = "../stale_list/discovery.rs"]
 #[allow(dead_code)]
 mod discovery;
--- a/crates/pondlb-server/tests/stale_list/discovery.rs
+++ b/crates/pondlb-server/tests/stale_list/discovery.rs
@@ -6,11 +6,21 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::MS;
+use crate::crowd::{CallQueue, Crowd, MAX_QUEUE_WAIT};
 use crate::helper::*;
 
+/// How a call fails that has waited for too long, in a queue or for a discovery that is down.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    /// It is answered with 503.
+    Status503,
+    /// Its connection is reset.
+    Reset,
+}
+
 /// What happens to calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mode {
@@ -24,8 +34,12 @@
     SendsInvalidLists,
     /// They are read and never answered.
     Hangs,
-    /// They are answered with 503 after two seconds, as by a proxy whose discovery servers are all down.
-    Down,
+    /// They fail after [`MAX_QUEUE_WAIT`], as by a discovery that answers only others, or by a proxy whose discovery
+    /// servers are all down.
+    FailsLate(Ending),
+    /// First calls wait for their turn in the queue of [`FaultyDiscovery::admit_crowd`], and fail if they wait for too
+    /// long. A watch goes on without a queue.
+    Queues(Ending),
 }
 
 /// An upstream in the list.
@@ -47,6 +61,11 @@
     silence_count: u32,
     /// How many calls have been received.
     pub call_count: u64,
+    /// How many calls have waited in the queue for too long.
+    pub late_failures: u64,
+    queue: Option<Arc<CallQueue>>,
+    /// Whether the listener is to be closed at the next connection.
+    is_stopped: bool,
 }
 
 /// A test discovery server that injects faults. It serves each connection in a thread of its own.
@@ -62,12 +81,24 @@
         let address = listener.local_addr().unwrap();
         let listed = |upstream: &&Upstream| ListedUpstream { address: upstream.address, state: "active" };
         let upstreams = upstreams.iter().map(listed).collect();
-        let state = State { mode: Mode::Answers, version: 2, upstreams, silence_count: 0, call_count: 0 };
+        let state = State {
+            mode: Mode::Answers,
+            version: 2,
+            upstreams,
+            silence_count: 0,
+            call_count: 0,
+            late_failures: 0,
+            queue: None,
+            is_stopped: false,
+        };
         let state = Arc::new(Mutex::new(state));
         let shared_state = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let state = shared_state.clone();
+                if state.lock().unwrap().is_stopped {
+                    return;
+                }
                 thread::spawn(move || serve(stream, &state));
             }
         });
@@ -88,6 +119,25 @@
         self.state().mode = mode;
     }
 
+    /// Lets other balancers call, and first calls wait for their turn from now on.
+    pub fn admit_crowd(&self, crowd: Crowd, ending: Ending) {
+        let mut state = self.state();
+        state.queue = Some(CallQueue::start(crowd));
+        state.mode = Mode::Queues(ending);
+    }
+
+    /// Refuses connections from now on, as a machine on which no discovery server runs. Open connections are closed at
+    /// their next call. The returned socket keeps the address from being given to another listener.
+    pub fn stop(&self) -> Socket {
+        self.state().is_stopped = true;
+        // Wakes the thread that accepts connections.
+        drop(TcpStream::connect(self.address).unwrap());
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        wait_until("the listener is closed", || socket.bind(&self.address.into()).is_ok());
+        socket
+    }
+
     /// Lists an upstream as draining. Returns when the change was made.
     pub fn drain(&self, upstream: SocketAddr) -> Instant {
         let mut state = self.state();
@@ -103,26 +153,47 @@
     }
 }
 
+/// A watch goes on if its next call comes within this time after the last answer.
+const WATCH_CALL_WITHIN: Duration = Duration::from_millis(200);
+
 fn serve(mut stream: TcpStream, state: &Mutex<State>) {
     let silence_count_at_open = state.lock().unwrap().silence_count;
+    let mut answered_at = None;
     while let Some(call) = read_message(&mut stream) {
-        let mode = {
+        let (mode, queue) = {
             let mut state = state.lock().unwrap();
+            if state.is_stopped {
+                return;
+            }
             state.call_count += 1;
-            state.mode
+            (state.mode, state.queue.clone())
         };
-        let answer = match mode {
-            Mode::Answers => match wait_for_change(&call, silence_count_at_open, state) {
-                Some(answer) => answer,
-                None => return hang(&mut stream),
-            },
-            Mode::Refuses => REFUSED.into(),
-            Mode::Resets => return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
-            Mode::SendsInvalidLists => invalid_list(&state.lock().unwrap()),
-            Mode::Hangs => return hang(&mut stream),
-            Mode::Down => {
-                thread::sleep(2000 * MS);
-                REFUSED.into()
+        let continues_watch = answered_at.is_some_and(|at: Instant| at.elapsed() < WATCH_CALL_WITHIN);
+        let failure = match mode {
+            Mode::FailsLate(ending) => {
+                thread::sleep(MAX_QUEUE_WAIT);
+                Some(ending)
+            }
+            Mode::Queues(ending) if !continues_watch => {
+                let is_failed = queue.is_some_and(|queue| !queue.wait_for_turn());
+                state.lock().unwrap().late_failures += u64::from(is_failed);
+                is_failed.then_some(ending)
+            }
+            _ => None,
+        };
+        let answer = match (failure, mode) {
+            (Some(Ending::Reset), _) | (None, Mode::Resets) => {
+                return SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            (Some(Ending::Status503), _) | (None, Mode::Refuses) => REFUSED.into(),
+            (None, Mode::SendsInvalidLists) => invalid_list(&state.lock().unwrap()),
+            (None, Mode::Hangs) => return hang(&mut stream),
+            (None, Mode::Answers | Mode::FailsLate(_) | Mode::Queues(_)) => {
+                let Some(answer) = wait_for_change(&call, silence_count_at_open, state) else {
+                    return hang(&mut stream);
+                };
+                answered_at = Some(Instant::now());
+                answer
             }
         };
         if stream.write_all(answer.as_bytes()).is_err() {
--- a/crates/pondlb-server/tests/stale_list/mod.rs
+++ b/crates/pondlb-server/tests/stale_list/mod.rs
@@ -2,15 +2,13 @@
 //! docs/incidents/stale-list.md), with real processes and connections: nothing may be sent to an upstream that drained
 //! meanwhile, and an outage of discovery must not stop traffic.
 
-mod discovery;
-
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-use discovery::{FaultyDiscovery, Mode};
-
 use crate::MS;
+use crate::crowd::Crowd;
+use crate::discovery::{Ending, FaultyDiscovery, Mode};
 use crate::helper::*;
 
 /// How long after a change at discovery a balancer must act on it, if discovery can be reached.
@@ -113,6 +111,73 @@
     assert_nothing_is_sent_after_the_grace(Mode::SendsInvalidLists);
 }
 
+#[test]
+fn an_upstream_drained_while_calls_fail_with_503_after_a_long_wait_gets_nothing_after_the_grace() {
+    assert_nothing_is_sent_after_the_grace(Mode::FailsLate(Ending::Status503));
+}
+
+#[test]
+fn an_upstream_drained_while_calls_are_reset_after_a_long_wait_gets_nothing_after_the_grace() {
+    assert_nothing_is_sent_after_the_grace(Mode::FailsLate(Ending::Reset));
+}
+
+/// The balancers that compete with one for discovery's answers, from a fleet whose calls are all answered within the lease
+/// to those of which most are not.
+const CROWDS: [Crowd; 5] = [
+    Crowd { other_callers: 5, time_per_call: Duration::from_millis(500) },
+    Crowd { other_callers: 29, time_per_call: Duration::from_millis(400) },
+    Crowd { other_callers: 139, time_per_call: Duration::from_millis(190) },
+    Crowd { other_callers: 299, time_per_call: Duration::from_millis(60) },
+    Crowd { other_callers: 899, time_per_call: Duration::from_millis(30) },
+];
+
+/// After this time the calls of a crowd are spread over time.
+const CROWD_FORMATION_TIME: Duration = Duration::from_millis(4000);
+
+/// A watch is lost and an upstream drains, while discovery answers the calls of a crowd in turn; those that wait for
+/// too long fail. Returns how often the balancer's calls failed so.
+fn assert_nothing_is_sent_after_the_grace_in_a_crowd(crowd: Crowd, ending: Ending) -> u64 {
+    let upstream = Upstream::start(ANSWER_HELLO);
+    let discovery = FaultyDiscovery::start(&[&upstream]);
+    let mut options = BalancerOptions::new(&[&upstream]);
+    options.discovery = discovery.address;
+    let fleet_size = format!("\"Balancers\":{},", crowd.other_callers + 1);
+    let balancer = options.start_with(&options.configuration().replace("\"Balancers\":1,", &fleet_size));
+    discovery.wait_for_watch();
+    let (draining, mut drained_at) = (upstream.address, Instant::now());
+    let traffic = request_during(&balancer, upstream, || {
+        discovery.admit_crowd(crowd, ending);
+        sleep(CROWD_FORMATION_TIME);
+        discovery.silence_open_connections();
+        sleep(500 * MS);
+        drained_at = discovery.drain(draining);
+        sleep(MAX_LIST_DELAY + GRACE_AND_TOLERANCE + OBSERVATION_TIME);
+    });
+    let last_sent_after = traffic.last_arrival().saturating_duration_since(drained_at);
+    assert!(
+        last_sent_after <= MAX_LIST_DELAY + GRACE_AND_TOLERANCE,
+        "{crowd:?}, {ending:?}: sent {last_sent_after:?} after the drain"
+    );
+    discovery.state().late_failures
+}
+
+/// Guards against the incident described in docs/incidents/crowded-discovery.md: calls that wait for too long in the queue
+/// of a crowded discovery are taken for an outage, and requests go on to upstreams that drain.
+#[test]
+fn nothing_is_sent_after_the_grace_in_crowds_of_many_sizes() {
+    let late_failures: Vec<u64> = thread::scope(|scope| {
+        let cases = CROWDS.into_iter().flat_map(|crowd| {
+            [Ending::Status503, Ending::Reset].map(|ending| {
+                scope.spawn(move || assert_nothing_is_sent_after_the_grace_in_a_crowd(crowd, ending))
+            })
+        });
+        let cases: Vec<_> = cases.collect();
+        cases.into_iter().map(|case| case.join().unwrap()).collect()
+    });
+    let unanswered_cases = late_failures.iter().filter(|count| **count > 1).count();
+    assert!(unanswered_cases >= 4, "the crowds are too small: {late_failures:?}");
+}
+
 /// How long after SIGHUP a balancer must act on the list of a discovery at a new address.
 const MAX_LIST_DELAY_AFTER_MOVE: Duration = Duration::from_millis(4000);
 
@@ -166,9 +231,18 @@
 /// Long enough for the longest retry delay, two calls that hang and the grace.
 const OUTAGE_DURATION: Duration = Duration::from_secs(15);
 
+/// What happens to discovery in an outage that balancers can tell from a crowd.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    /// Nobody listens at its address.
+    Stopped,
+    /// It accepts calls and answers none.
+    Hangs,
+}
+
 /// Guards against a fleet that stops serving because discovery has failed. While discovery cannot be reached, balancers
 /// cannot learn of changes and go on with the list that they have.
-fn assert_all_is_served_through_an_outage(mode: Mode) {
+fn assert_all_is_served_through_an_outage(outage: Outage) {
     let upstream = Upstream::start(ANSWER_HELLO);
     let discovery = FaultyDiscovery::start(&[&upstream]);
     let mut options = BalancerOptions::new(&[&upstream]);
@@ -178,19 +252,65 @@
     let traffic = request_during(&balancer, upstream, || {
         sleep(500 * MS);
         discovery.silence_open_connections();
-        discovery.set_mode(mode);
+        let _address_reservation = match outage {
+            Outage::Stopped => Some(discovery.stop()),
+            Outage::Hangs => {
+                discovery.set_mode(Mode::Hangs);
+                None
+            }
+        };
         sleep(OUTAGE_DURATION);
     });
     let failed = traffic.statuses.iter().filter(|status| *status != "200").count();
-    assert_eq!(failed, 0, "{mode:?}: failed of {} requests", traffic.statuses.len());
+    assert_eq!(failed, 0, "{outage:?}: failed of {} requests", traffic.statuses.len());
 }
 
 #[test]
-fn all_requests_are_served_while_discovery_is_down() {
-    assert_all_is_served_through_an_outage(Mode::Down);
+fn all_requests_are_served_while_nobody_listens_at_the_address_of_discovery() {
+    assert_all_is_served_through_an_outage(Outage::Stopped);
 }
 
 #[test]
 fn all_requests_are_served_while_discovery_hangs() {
-    assert_all_is_served_through_an_outage(Mode::Hangs);
+    assert_all_is_served_through_an_outage(Outage::Hangs);
+}
+
+/// When a balancer must be serving again after discovery has come back: the longest wait between two calls, a call that
+/// was made before and fails, and a tolerance.
+const MAX_RECOVERY_TIME: Duration = Duration::from_millis(1500 + 2000 + 500);
+/// How long a list may be relied on at least after its last confirmation: 6.35 s, less the second after which a watch is
+/// answered and the delay of that answer.
+const MIN_LEASE: Duration = Duration::from_millis(6350 - 1000 - 250);
+
+/// Guards against a fleet that stops serving sooner than it has to, or longer than it has to, in an outage that can't be
+/// told from a crowd: calls fail with 503 after a long wait.
+#[test]
+fn requests_are_served_until_the_lease_ends_and_soon_after_an_outage_that_looks_like_a_crowd() {
+    let upstream = Upstream::start(ANSWER_HELLO);
+    let discovery = FaultyDiscovery::start(&[&upstream]);
+    let mut options = BalancerOptions::new(&[&upstream]);
+    options.discovery = discovery.address;
+    let balancer = options.start_with(&configuration(&options));
+    discovery.wait_for_watch();
+    let mut number = 0;
+    let mut is_served = || {
+        number += 1;
+        sleep(REQUEST_INTERVAL);
+        balancer.request(&format!("r{number}"), "browse").status() == "200"
+    };
+    discovery.silence_open_connections();
+    discovery.set_mode(Mode::FailsLate(Ending::Status503));
+    let outage_began = Instant::now();
+    while outage_began.elapsed() < MIN_LEASE {
+        assert!(is_served(), "rejected {:?} after the begin of the outage", outage_began.elapsed());
+    }
+    while outage_began.elapsed() < OUTAGE_DURATION {
+        is_served();
+    }
+    assert!(!is_served(), "nothing is sent on a list that may be stale");
+    discovery.set_mode(Mode::Answers);
+    let recovered = Instant::now();
+    while !is_served() {
+        assert!(recovered.elapsed() < MAX_RECOVERY_TIME, "still rejected after the outage");
+    }
 }
--- a/tests/list_calls.rs
+++ b/tests/list_calls.rs
@@ -20,14 +20,32 @@
 /// Interval of the requests that test whether a balancer sends anything.
 const TEST_REQUEST_INTERVAL_MS: u64 = 200;
 
+/// What happens to a call that would wait in the queue for longer than [`MAX_QUEUE_WAIT_MS`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum QueueLimit {
+    /// It is refused at once, which takes this service time.
+    RefusesAtOnce(TenthMillis),
+    /// It waits as long as it may and fails then, with an error status or a reset.
+    FailsLate,
+}
+
+/// How a call ends while the service is down.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outage {
+    /// Nobody listens at the address, which confirms the list.
+    RefusesConnections,
+    /// A proxy answers with an error status once the call has waited as long as it may.
+    FailsLate,
+}
+
 /// A simulated discovery service that answers calls one after the other.
 #[derive(Clone, Copy)]
 struct DiscoveryService {
     balancers: u32,
     /// Service time of an answered call.
     answer_time: TenthMillis,
-    /// Service time of a refused call.
-    refusal_time: TenthMillis,
+    queue_limit: QueueLimit,
+    outage: Outage,
     /// Until then no call is answered.
     outage_end_ms: u64,
 }
@@ -101,6 +119,11 @@
 }
 
 impl DiscoveryService {
+    /// A service that is up all the time.
+    fn without_outage(balancers: u32, answer_time: TenthMillis, queue_limit: QueueLimit) -> Self {
+        DiscoveryService { balancers, answer_time, queue_limit, outage: Outage::FailsLate, outage_end_ms: 0 }
+    }
+
     /// Simulates all balancers until they know of a change made at `change_ms`, or until `end_ms`. For each balancer,
     /// `first_reply` gives the time in milliseconds and the outcome of the call that it has open at the start, and the time
     /// for which that confirms the list.
@@ -169,14 +192,29 @@
     /// The outcome of a call that arrives now.
     fn reply(&self, now_ms: u64, service_free_at: &mut TenthMillis, balancer: usize) -> Reply {
         let now = now_ms * MS;
+        let late_failure = Reply {
+            at_ms: now_ms + MAX_QUEUE_WAIT_MS,
+            balancer,
+            update: ListUpdate::Unreachable,
+            confirmed_at: None,
+        };
         if now_ms < self.outage_end_ms {
-            let (at_ms, confirmed_at) = (now_ms + MAX_QUEUE_WAIT_MS, Some(now));
-            return Reply { at_ms, balancer, update: ListUpdate::Unreachable, confirmed_at };
+            return match self.outage {
+                Outage::RefusesConnections => {
+                    Reply { at_ms: now_ms, confirmed_at: Some(now), ..late_failure }
+                }
+                Outage::FailsLate => late_failure,
+            };
         }
         let start = (*service_free_at).max(now);
         if start > now + MAX_QUEUE_WAIT_MS * MS {
-            *service_free_at = start + self.refusal_time;
-            return Reply { at_ms: now_ms, balancer, update: ListUpdate::Refused, confirmed_at: None };
+            return match self.queue_limit {
+                QueueLimit::RefusesAtOnce(refusal_time) => {
+                    *service_free_at = start + refusal_time;
+                    Reply { at_ms: now_ms, update: ListUpdate::Refused, ..late_failure }
+                }
+                QueueLimit::FailsLate => late_failure,
+            };
         }
         *service_free_at = start + self.answer_time;
         let update = ListUpdate::Snapshot(mixed_upstreams(4).into());
@@ -205,8 +243,9 @@
     first_reply: impl Fn(u64) -> (u64, ListUpdate, TenthMillis),
 ) -> String {
     let reports = FLEETS.iter().map(|&(balancers, answer_time)| {
-        let refusal_time = refusal_time(answer_time);
-        let service = DiscoveryService { balancers, answer_time, refusal_time, outage_end_ms };
+        let queue_limit = QueueLimit::RefusesAtOnce(refusal_time(answer_time));
+        let outage = Outage::FailsLate;
+        let service = DiscoveryService { balancers, answer_time, queue_limit, outage, outage_end_ms };
         format!("{balancers}: {}\n", service.simulate(change_ms, change_ms + 10_000, &first_reply))
     });
     reports.collect()
@@ -256,7 +295,8 @@
     for (balancers, answer_time) in [(60, 950), (100, 1000), (300, 300), (1024, 100)] {
         // The usual time of a refusal, and the worst case.
         for refusal_time in [refusal_time(answer_time), answer_time] {
-            let service = DiscoveryService { balancers, answer_time, refusal_time, outage_end_ms: 0 };
+            let queue_limit = QueueLimit::RefusesAtOnce(refusal_time);
+            let service = DiscoveryService::without_outage(balancers, answer_time, queue_limit);
             let report = service.simulate(0, 150_000, |_| (1300, ListUpdate::WatchTimedOut, 0));
             trace += &format!("{balancers}, refusals of {} us: {report}\n", refusal_time * 100);
         }
@@ -274,19 +314,21 @@
     .assert_eq(&trace);
 }
 
-/// Guards against the incident described in docs/incidents/stale-list.md: an attempt that begins by a stale list, once a
-/// change has counted as announced for longer than the grace. Covers fleets of 1 to 900 balancers, calls of 1 to 100 ms
-/// that are answered or refused, and watches that go silent soon after a start or after a long quiet time.
+/// Guards against the incidents described in docs/incidents/stale-list.md and docs/incidents/crowded-discovery.md: an
+/// attempt that begins by a stale list, once a change has counted as announced for longer than the grace. Covers fleets of
+/// 1 to 900 balancers, calls of 1 to 190 ms that are answered, refused or fail after a long wait, and watches that go
+/// silent soon after a start or after a long quiet time.
 #[test]
 fn nothing_is_sent_on_a_stale_list_for_any_fleet_size_and_call_duration() {
-    for balancers in [1, 6, 30, 60, 91, 150, 206, 300, 900] {
-        for answer_time in [10, 250, 1000] {
-            for refusal_time in [refusal_time(answer_time), answer_time] {
+    for balancers in [1, 6, 30, 60, 91, 140, 150, 206, 300, 900] {
+        for answer_time in [10, 250, 1000, 1900] {
+            let refusals = [refusal_time(answer_time), answer_time].map(QueueLimit::RefusesAtOnce);
+            for queue_limit in refusals.into_iter().chain([QueueLimit::FailsLate]) {
                 for silent_ms in [0, 1500, 12_000] {
-                    let service = DiscoveryService { balancers, answer_time, refusal_time, outage_end_ms: 0 };
+                    let service = DiscoveryService::without_outage(balancers, answer_time, queue_limit);
                     let first_reply = |_| (silent_ms + 1300, ListUpdate::WatchTimedOut, silent_ms * MS);
                     let report = service.simulate(silent_ms, silent_ms + 9000, first_reply);
-                    let case = format!("{balancers}, {answer_time}, {refusal_time}, {silent_ms}");
+                    let case = format!("{balancers}, {answer_time}, {queue_limit:?}, {silent_ms}");
                     assert_eq!(report.sent_too_late, 0, "{case}");
                     let is_overloaded = answer_time * u64::from(balancers) > 90_000;
                     assert!(!is_overloaded || report.rejected > 0, "{case}: no lease expired");
@@ -296,12 +338,32 @@
     }
 }
 
+/// Guards against requests on a stale list when a crowd of callers follows an outage: the calls of both fail after a long
+/// wait, and nothing tells a balancer when the outage has ended and a change can have been announced.
+#[test]
+fn nothing_is_sent_on_a_stale_list_in_a_crowd_after_an_outage_that_looks_like_it() {
+    for balancers in [1, 6, 30, 91, 140, 300, 900] {
+        for answer_time in [10, 250, 1900] {
+            for outage_end_ms in [500, 4000, 8000] {
+                let queue_limit = QueueLimit::FailsLate;
+                let outage = Outage::FailsLate;
+                let service = DiscoveryService { balancers, answer_time, queue_limit, outage, outage_end_ms };
+                let first_reply = |index| (index * 37 % 500, ListUpdate::Unreachable, 0);
+                let report = service.simulate(outage_end_ms, outage_end_ms + 12_000, first_reply);
+                assert_eq!(report.sent_too_late, 0, "{balancers}, {answer_time}, {outage_end_ms}");
+            }
+        }
+    }
+}
+
 /// Guards against a fleet that stops sending requests during an outage in which no balancer can learn of a change.
 #[test]
 fn discovery_outage_of_any_length_does_not_stop_balancers() {
     for balancers in [1, 91, 300] {
+        let queue_limit = QueueLimit::RefusesAtOnce(10);
+        let outage = Outage::RefusesConnections;
         let service =
-            DiscoveryService { balancers, answer_time: 100, refusal_time: 10, outage_end_ms: 60_000 };
+            DiscoveryService { balancers, answer_time: 100, queue_limit, outage, outage_end_ms: 60_000 };
         let report = service.simulate(0, 59_000, |index| (index * 37 % 1000, ListUpdate::Unreachable, 0));
         assert_eq!(report.rejected, 0, "{balancers}");
         assert!(report.sent_too_late > 0, "no test request was sent");
@@ -444,12 +506,8 @@
 /// A hundred balancers, seven in ten of a fleet, restart at once; discovery takes 60 ms for each call.
 #[test]
 fn hundred_restarted_balancers_get_their_lists_from_a_discovery_that_refuses_calls() {
-    let service = DiscoveryService {
-        balancers: 100,
-        answer_time: 600,
-        refusal_time: refusal_time(600),
-        outage_end_ms: 0,
-    };
+    let queue_limit = QueueLimit::RefusesAtOnce(refusal_time(600));
+    let service = DiscoveryService::without_outage(100, 600, queue_limit);
     let report = service.simulate(0, 30_000, |_| (0, ListUpdate::Restored(mixed_upstreams(40).into()), 0));
     expect!["last updated after 6320 ms, 0 late, 13 refused, 0 sent late"].assert_eq(&report.to_string());
 }
