--- a/crates/pondlb-server/tests/helper/mod.rs
+++ b/crates/pondlb-server/tests/helper/mod.rs
@@ -16,8 +16,10 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// An HTTP request or answer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Message {
+    /// When its first byte was read.
+    pub received_at: Instant,
     /// The start line and the fields; lines end in LF.
     pub head: String,
     pub body: String,
@@ -40,14 +42,16 @@
 
 /// Reads one message, whose body has the length of its Content-Length field. `None` if the connection ends first.
 pub fn read_message(stream: &mut TcpStream) -> Option<Message> {
-    let mut head = Vec::new();
     let mut byte = [0];
+    stream.read_exact(&mut byte).ok()?;
+    let received_at = Instant::now();
+    let mut head = byte.to_vec();
     while !head.ends_with(b"\r\n\r\n") {
         stream.read_exact(&mut byte).ok()?;
         head.push(byte[0]);
     }
-    let mut message =
-        Message { head: String::from_utf8(head).unwrap().replace('\r', ""), ..Default::default() };
+    let head = String::from_utf8(head).unwrap().replace('\r', "");
+    let mut message = Message { received_at, head, body: String::new() };
     let length = message.field("Content-Length").map_or(0, |length| length.parse().unwrap());
     let mut body = vec![0; length];
     stream.read_exact(&mut body).ok()?;
--- a/crates/pondlb-server/tests/soak/ledger.rs
+++ b/crates/pondlb-server/tests/soak/ledger.rs
@@ -38,6 +38,7 @@
 pub struct Execution {
     pub id: String,
     pub upstream: SocketAddr,
+    /// When its first byte was read.
     pub received_at: Instant,
     /// The deadline that the balancer sent, as the time from `received_at`.
     pub deadline: Option<Duration>,
--- a/crates/pondlb-server/tests/soak/run.rs
+++ b/crates/pondlb-server/tests/soak/run.rs
@@ -145,11 +145,11 @@
 fn record_executions(upstream: Upstream, ledger: &Ledger, is_over: &AtomicBool) {
     while !is_over.load(Ordering::Relaxed) {
         let Ok(UpstreamEvent::Request(request)) = upstream.events.recv_timeout(20 * MS) else { continue };
-        let received_at = Instant::now();
         let id = request.field("Req-Id").unwrap_or_default().to_string();
         let deadline_us = request.field("Req-Deadline").and_then(|text| text.strip_suffix('u')?.parse().ok());
         let deadline = deadline_us.map(Duration::from_micros);
-        let execution = Execution { id, upstream: upstream.address, received_at, deadline };
+        let execution =
+            Execution { id, upstream: upstream.address, received_at: request.received_at, deadline };
         ledger.executions.lock().unwrap().push(execution);
     }
 }
