--- a/crates/pondlb-server/tests/stale_list/mod.rs
+++ b/crates/pondlb-server/tests/stale_list/mod.rs
@@ -60,8 +60,8 @@
         let observer = scope.spawn(move || {
             let mut arrivals = Vec::new();
             while !is_over_ref.load(Ordering::Relaxed) {
-                if let Ok(UpstreamEvent::Request(_)) = upstream.events.recv_timeout(20 * MS) {
-                    arrivals.push(Instant::now());
+                if let Ok(UpstreamEvent::Request(request)) = upstream.events.recv_timeout(20 * MS) {
+                    arrivals.push(request.received_at);
                 }
             }
             arrivals
