--- a/crates/pondlb-server/tests/stale_list/crowd.rs
+++ b/crates/pondlb-server/tests/stale_list/crowd.rs
@@ -65,7 +65,8 @@
     Duration::from_millis(rng.generate_range(100..1500))
 }
 
-/// Answers one call after the other, the oldest first.
+/// Answers one call after the other, the oldest first. A call of the test's balancers is answered only while no other
+/// waits, so that the result does not depend on whose turn comes by chance.
 fn answer_in_turn(crowd: Crowd, queue: &Weak<CallQueue>) {
     let mut rng = WyRand::new_seed(7);
     let start = Instant::now();
@@ -83,16 +84,11 @@
             .min_by_key(|(since, _)| *since);
         let mut waiting = queue.waiting.lock().unwrap();
         waiting.retain(|call| now - call.called_at < MAX_QUEUE_WAIT);
-        let oldest_own = (0..waiting.len()).min_by_key(|index| waiting[*index].called_at);
-        let is_own_first = match (&oldest_other, oldest_own) {
-            (Some((since, _)), Some(index)) => waiting[index].called_at < *since,
-            _ => oldest_own.is_some(),
-        };
-        if let Some(index) = oldest_own.filter(|_| is_own_first) {
-            // The call has failed at this moment if nobody waits for its turn.
-            let _ = waiting.remove(index).turn.send(());
-        } else if let Some((_, other)) = oldest_other {
+        if let Some((_, other)) = oldest_other {
             *other = OtherCaller::CallsAt(now + draw_wait(&mut rng));
+        } else if !waiting.is_empty() {
+            // The call has failed at this moment if nobody waits for its turn.
+            let _ = waiting.remove(0).turn.send(());
         } else {
             drop(waiting);
             thread::sleep(IDLE_INTERVAL);
--- a/crates/pondlb-server/tests/stale_list/mod.rs
+++ b/crates/pondlb-server/tests/stale_list/mod.rs
@@ -174,8 +174,8 @@
         let cases: Vec<_> = cases.collect();
         cases.into_iter().map(|case| case.join().unwrap()).collect()
     });
-    let unanswered_cases = late_failures.iter().filter(|count| **count > 1).count();
-    assert!(unanswered_cases >= 4, "the crowds are too small: {late_failures:?}");
+    // With both endings, all crowds but the smallest one keep the balancer's calls waiting in vain.
+    assert!(late_failures[2..].iter().all(|count| *count > 0), "the crowds are too small: {late_failures:?}");
 }
 
 /// How long after SIGHUP a balancer must act on the list of a discovery at a new address.
