--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -1,4 +1,4 @@
-"""Stand-ins and tools that the cases 6 to 10 share: upstreams, discovery, clients, a record and the program's process.
+"""Stand-ins and tools that the cases 6 to 9 share: upstreams, discovery, clients, a record and the program's process.
 
 Everything listens on free ports of 127.0.0.1 and lives in one event loop. Times in the record are seconds since the
 case began, on the monotonic clock.
