Empty lines ahead of a request prolong no client's wait

Cause: the wait for a request belonged to one read. An empty line ended it, and the next read began another, with 2 s anew and at the end of the eviction queue. So no connection grew old enough (250 ms) to be evicted. Evidence: on the same crowd with a line every 400 ms delays nobody; the log has no failed accept; the lines are 4 KB/s.

Change: a wait lasts from the last answer to the first byte of a request, whatever empty lines come. More than 16 of them are refused. An evicted connection that never sent a request is closed without lingering: with 700 clients that stay after their end, 16 places in 0.2 s were too few. The interim response 100 has the time limit of its request.

--- a/crates/pondlb-http/src/reader.rs
+++ b/crates/pondlb-http/src/reader.rs
@@ -27,6 +27,8 @@
     /// Number of buffered bytes already searched for the end of the head. Without it, the head of a slow sender would
     /// be searched from its start each time a few bytes arrive.
     searched_bytes: usize,
+    /// Empty lines received since the last message.
+    empty_lines: u32,
     /// The message whose body is incomplete.
     pending: Option<PendingMessage>,
     max_body_bytes: usize,
@@ -45,6 +47,9 @@
     }
 }
 
+/// How many empty lines may precede a message. RFC 9112, section 2.2, asks servers to ignore at least one; a sender of
+/// many has no message to send.
+const MAX_EMPTY_LINES: u32 = 16;
 /// Length of the CR LF CR LF behind the last field of a head, in bytes.
 const HEAD_END_BYTES: usize = 4;
 /// Capacity of the receive buffer, in bytes: a head of the maximum length with its end.
@@ -64,6 +69,7 @@
         MessageReader {
             buffer: Buffer::new(BUFFER_BYTES),
             searched_bytes: 0,
+            empty_lines: 0,
             pending: None,
             max_body_bytes,
             framing,
@@ -86,6 +92,11 @@
         self.pending.is_none() && self.buffer.filled().is_empty()
     }
 
+    /// Returns whether a further message has begun. Empty lines ahead of a message are no part of it.
+    pub fn has_begun_message(&self) -> bool {
+        self.pending.is_some() || !matches!(self.buffer.filled(), b"" | b"\r")
+    }
+
     /// Returns the head of the message whose body is incomplete, if any.
     pub fn pending_head_mut(&mut self) -> Option<&mut Head> {
         self.pending.as_mut().map(|pending| &mut pending.head)
@@ -122,6 +133,10 @@
         while self.buffer.filled().starts_with(b"\r\n") {
             self.buffer.consume(2);
             self.searched_bytes = 0;
+            self.empty_lines += 1;
+            if self.empty_lines > MAX_EMPTY_LINES {
+                return Err(MessageError::Malformed("too many empty lines"));
+            }
         }
         let filled = self.buffer.filled();
         // Another protocol, which need not contain the end of a head: rejected without waiting for one.
@@ -139,6 +154,7 @@
                 let head = Head::parse(head)?;
                 self.buffer.consume(position + 1);
                 self.searched_bytes = 0;
+                self.empty_lines = 0;
                 return Ok(Some(head));
             }
         }
--- a/crates/pondlb-http/tests/reader.rs
+++ b/crates/pondlb-http/tests/reader.rs
@@ -70,6 +70,25 @@
     .assert_eq(&parse_in_all_segment_sizes(request_framing, bytes));
 }
 
+/// Guards against a peer that sends empty lines without end, and against empty lines that are taken for the begin of a
+/// message.
+#[test]
+fn few_empty_lines_ahead_of_each_message_are_ignored_and_many_are_rejected() {
+    let request = "GET /a HTTP/1.1\r\n\r\n";
+    for (empty_lines, is_rejected) in [(1, false), (16, false), (17, true), (5000, true)] {
+        let bytes = format!("{}{request}", "\r\n".repeat(empty_lines)).repeat(2);
+        let trace = parse_in_all_segment_sizes(request_framing, &bytes);
+        assert_eq!(trace == "too many empty lines\n", is_rejected, "{empty_lines}: {trace}");
+    }
+    let mut reader = MessageReader::new(request_framing);
+    for (bytes, has_begun) in [("\r", false), ("\n", false), ("\r\n\r", false), ("\nG", true)] {
+        reader.spare_capacity_mut()[..bytes.len()].copy_from_slice(bytes.as_bytes());
+        reader.mark_filled(bytes.len());
+        assert!(reader.next_message().unwrap().is_none());
+        assert_eq!(reader.has_begun_message(), has_begun, "{bytes:?}");
+    }
+}
+
 #[test]
 fn responses_end_by_length_chunked_coding_or_connection_close() {
     let bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n\
--- a/crates/pondlb-server/src/protocol/client.rs
+++ b/crates/pondlb-server/src/protocol/client.rs
@@ -60,9 +60,9 @@
         &mut self.reader
     }
 
-    /// Whether no part of a further request has been received.
+    /// Whether no part of a further request has been received. Empty lines ahead of a request are no part of it.
     pub fn is_idle(&self) -> bool {
-        self.reader.is_idle()
+        !self.reader.has_begun_message()
     }
 
     /// Whether the client waits for [`CONTINUE_RESPONSE`] before it sends the body. Returns true once for a request,
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::connection_table::{ConnectionSlot, ConnectionTable, EvictionGuard};
 use super::phase::Phase;
@@ -74,6 +74,58 @@
     Disconnected,
 }
 
+/// What of a request is awaited.
+#[derive(Clone, Copy, PartialEq)]
+enum Awaited {
+    /// Its first byte. Empty lines ahead of the request don't count, so that they prolong no wait.
+    Begin,
+    /// Its last byte.
+    Rest,
+}
+
+/// A wait for a request, and what ends it.
+struct RequestWait<'a> {
+    awaited: Awaited,
+    deadline: Instant,
+    eviction: EvictionGuard<'a>,
+    /// Nothing more is read: the deadline has passed, the connection is needed for another client, or the program ends.
+    is_over: bool,
+}
+
+impl<'a> RequestWait<'a> {
+    /// Begins to wait for the next request of a connection. `is_used` says whether it has sent a request before.
+    fn for_begin(slot: &'a ConnectionSlot, is_used: bool) -> Self {
+        let (limit, eviction) = match is_used {
+            true => (IDLE_TIMEOUT, slot.mark_idle()),
+            false => (FIRST_REQUEST_TIMEOUT, slot.mark_unused()),
+        };
+        RequestWait { awaited: Awaited::Begin, deadline: Instant::now() + limit, eviction, is_over: false }
+    }
+
+    /// Begins to wait for the rest of a request.
+    fn for_rest(slot: &'a ConnectionSlot) -> Self {
+        let (deadline, eviction) = (Instant::now() + REQUEST_READ_TIMEOUT, slot.mark_receiving());
+        RequestWait { awaited: Awaited::Rest, deadline, eviction, is_over: false }
+    }
+
+    /// Returns when the wait is over.
+    async fn over(&self, phase: &mut watch::Receiver<Phase>) {
+        tokio::select! {
+            _ = phase.wait_for(|phase| *phase >= Phase::Closing), if self.awaited == Awaited::Begin => {}
+            () = self.eviction.evicted() => {}
+            () = sleep_until(self.deadline) => {}
+        }
+    }
+
+    /// What comes next on the connection when the wait is over and no request is complete.
+    fn end(&self) -> NextStep {
+        match self.awaited {
+            Awaited::Begin => NextStep::CloseIdle,
+            Awaited::Rest => NextStep::RejectSlow,
+        }
+    }
+}
+
 /// An answer as it is written to the client.
 struct EncodedAnswer {
     bytes: Vec<u8>,
@@ -102,7 +154,6 @@
         let mut is_used = false;
         loop {
             let step = self.next_step(&stream, &mut reader, &slot, is_used).await;
-            is_used = true;
             let EncodedAnswer { bytes, is_last } = match step {
                 NextStep::Serve(request) => match self.serve_request(&stream, &mut reader, request).await {
                     Some(answer) => answer,
@@ -117,9 +168,12 @@
                     let answer = Answer::Rejected { retry_after: self.overload_retry_after.get() };
                     EncodedAnswer { bytes: encode_answer(&answer, true), is_last: true }
                 }
-                NextStep::CloseIdle => return close_gracefully(&stream, slot).await,
+                NextStep::CloseIdle if is_used => return close_gracefully(&stream, slot).await,
+                // There is no earlier answer that the client could lose, and others may wait for this place.
+                NextStep::CloseIdle => return,
                 NextStep::Disconnected => return,
             };
+            is_used = true;
             let written = timeout(ANSWER_WRITE_TIMEOUT, write_all(&stream, &bytes)).await;
             if !matches!(written, Ok(Ok(()))) {
                 return;
@@ -140,9 +194,14 @@
         is_used: bool,
     ) -> NextStep {
         let mut phase = self.phase.clone();
-        let mut receiving = None;
+        let mut wait: Option<RequestWait> = None;
         loop {
-            match reader.next_request(&self.classes.borrow()) {
+            let request = reader.next_request(&self.classes.borrow());
+            if !reader.is_idle() || matches!(request, Ok(Some(_))) {
+                // The connection is no longer idle.
+                wait.take_if(|wait| wait.awaited == Awaited::Begin);
+            }
+            match request {
                 Ok(Some(_)) if self.connections.must_reject_request() => return NextStep::RejectOverload,
                 Ok(Some(request)) if !request.is_health_check() && slot.is_excess() => {
                     return NextStep::RejectOverload;
@@ -156,37 +215,32 @@
             if !reader.is_idle() && (slot.is_excess() || self.connections.must_reject_request()) {
                 return NextStep::RejectOverload;
             }
-            if reader.take_expect_continue() && write_all(stream, CONTINUE_RESPONSE).await.is_err() {
-                return NextStep::Disconnected;
+            let wait = wait.get_or_insert_with(|| match reader.is_idle() {
+                true => RequestWait::for_begin(slot, is_used),
+                false => RequestWait::for_rest(slot),
+            });
+            if wait.is_over {
+                return wait.end();
             }
-            let read = if reader.is_idle() {
-                let eviction = if is_used { slot.mark_idle() } else { slot.mark_unused() };
-                let idle_timeout = if is_used { IDLE_TIMEOUT } else { FIRST_REQUEST_TIMEOUT };
-                tokio::select! {
-                    biased;
-                    read = read_into(stream, reader.message_reader()) => read,
-                    () = idle_end(&mut phase, &eviction, idle_timeout) => {
-                        // A request that has arrived meanwhile is served; the client would have to send it again
+            if reader.take_expect_continue() {
+                let written = timeout_at(wait.deadline, write_all(stream, CONTINUE_RESPONSE)).await;
+                if !matches!(written, Ok(Ok(()))) {
+                    return NextStep::Disconnected;
+                }
+            }
+            let read = tokio::select! {
+                biased;
+                read = read_into(stream, reader.message_reader()) => read,
+                () = wait.over(&mut phase) => {
+                    wait.is_over = true;
+                    match receive_state(stream) {
+                        // What has arrived meanwhile is read: a client would have to send a whole request again
                         // otherwise.
-                        match receive_state(stream) {
-                            ReceiveState::HasData => {}
-                            ReceiveState::Empty => return NextStep::CloseIdle,
-                            ReceiveState::Closed => return NextStep::Disconnected,
-                        }
-                        // The runtime does not know of the input yet, and learns of it only when this task yields.
-                        yield_now().await;
-                        continue;
+                        ReceiveState::HasData => read_into(stream, reader.message_reader()).await,
+                        ReceiveState::Empty => return wait.end(),
+                        ReceiveState::Closed => return NextStep::Disconnected,
                     }
                 }
-            } else {
-                let (deadline, eviction) = receiving
-                    .get_or_insert_with(|| (Instant::now() + REQUEST_READ_TIMEOUT, slot.mark_receiving()));
-                tokio::select! {
-                    biased;
-                    read = read_into(stream, reader.message_reader()) => read,
-                    () = eviction.evicted() => return NextStep::RejectSlow,
-                    () = sleep_until(*deadline) => return NextStep::RejectSlow,
-                }
             };
             if !matches!(read, Ok(1..)) {
                 return NextStep::Disconnected;
@@ -243,16 +297,6 @@
     }
 }
 
-/// Returns when an idle connection is to be closed: for the program's end, for another connection, or because it has
-/// been idle for too long.
-async fn idle_end(phase: &mut watch::Receiver<Phase>, eviction: &EvictionGuard<'_>, idle_timeout: Duration) {
-    tokio::select! {
-        _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {}
-        () = eviction.evicted() => {}
-        () = sleep(idle_timeout) => {}
-    }
-}
-
 /// Returns when the client closes its side of the connection. Requests that it pipelines meanwhile are kept as far as
 /// the read buffer reaches. Beyond that, input is read and discarded, since a close is seen only after everything sent
 /// before it; then no pipelined request is served.
--- a/crates/pondlb-server/tests/service.rs
+++ b/crates/pondlb-server/tests/service.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the balancer program: real processes on loopback sockets.
 
+mod bad_clients;
 mod control;
 #[path = "stale_list/crowd.rs"]
 mod crowd;
