An id that guards an effect is forgotten for neither copies nor floods

With 8,192 new ids in between the copy ran at once.

Cause: ids were remembered for 5 s from their arrival, and all in one table of 8,192, which requests without any effect could use up. Evidence: the regression tests on get 200 after 5.008 s, and at once after 12,000 new ids.

Change: an id is remembered from its request's end, for 60 s and 60 s more after each copy. Ids of requests that may have run and may not be repeated have a table of their own, bounded by an eighth of the memory limit; where it is full such requests are rejected.

Tests: recent_id_is_refused_until_its_retention_is_over gives way to copied_id_is_refused_for_as_long_as_copies_arrive_and_the_retention_after_the_last, which asks for more: 60 s in place of 5, and copies that prolong. In the test of cancelled attempts the second request comes 60 s later, since its id is taken for longer.

--- a/crates/pondlb-server/src/program/service.rs
+++ b/crates/pondlb-server/src/program/service.rs
@@ -21,7 +21,7 @@
 use crate::protocol::client::ClassIndexes;
 use crate::protocol::control::setting_change;
 use crate::protocol::discovery::UpstreamList;
-use crate::routing::{Metrics, Router, RouterEvent, UpstreamDirectory};
+use crate::routing::{Metrics, RequestIds, Router, RouterEvent, UpstreamDirectory};
 use crate::transport::{
     Backoff, CallTimeouts, Clock, ConnectionTable, ControlFollower, DiscoveryCommand, Frontend, ListLimit,
     OutboundTransport, Phase, SettingsUpdate, UpstreamPool, accept_connections, follow_control_servers,
@@ -208,7 +208,8 @@
             discovery_tx: discovery_tx.clone(),
             probe: setup.probe,
         };
-        let mut router = Router::new(balancer, directory, transport, DEADLINE_MARGIN);
+        let request_ids = RequestIds::new(setup.budget.max_request_ids);
+        let mut router = Router::new(balancer, directory, transport, request_ids, DEADLINE_MARGIN);
         if setup.control.is_some() {
             router.await_first_snapshot();
         }
--- a/crates/pondlb-server/src/program/setup.rs
+++ b/crates/pondlb-server/src/program/setup.rs
@@ -14,6 +14,7 @@
 use serde_json::value::RawValue;
 
 use crate::protocol::discovery::UpstreamList;
+use crate::routing::RequestIds;
 use crate::transport::{ControlServers, MemoryLimit, ProbeSettings};
 
 /// The checked configuration.
@@ -70,11 +71,13 @@
     pub memory: MemoryLimit,
     /// The longest list that is accepted, in bytes as discovery sends it.
     pub max_list_bytes: usize,
+    /// How many ids are remembered of requests that may have run and must not run again.
+    pub max_request_ids: usize,
 }
 
 impl fmt::Display for Budget {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Budget { client_connections, upstream_connections, memory, max_list_bytes } = self;
+        let Budget { client_connections, upstream_connections, memory, max_list_bytes, .. } = self;
         write!(
             f,
             "at most {client_connections} client connections, {upstream_connections} upstream connections, \
@@ -187,6 +190,8 @@
 /// A list may be at least this long however low the memory limit is. The list of a thousand upstreams takes a quarter
 /// of it, or two thirds with the longest names and indented.
 const MIN_LIST_LIMIT_BYTES: u64 = 1 << 20;
+/// The ids of earlier requests may take the memory limit divided by this.
+const REQUEST_ID_MEMORY_DIVISOR: usize = 8;
 /// A configuration that leaves fewer connections to upstreams is rejected.
 const MIN_UPSTREAM_CONNECTIONS: usize = 8;
 /// A configuration whose memory limit does not hold this many of the largest requests is rejected.
@@ -291,7 +296,8 @@
         let client_connections = connections - upstream_connections;
         let max_list_bytes = (max_bytes / LIST_MEMORY_DIVISOR).max(MIN_LIST_LIMIT_BYTES) as usize;
         let memory = MemoryLimit { max_bytes: max_bytes as usize };
-        Ok(Budget { client_connections, upstream_connections, memory, max_list_bytes })
+        let max_request_ids = memory.max_bytes / REQUEST_ID_MEMORY_DIVISOR / RequestIds::BYTES_PER_ID;
+        Ok(Budget { client_connections, upstream_connections, memory, max_list_bytes, max_request_ids })
     }
 }
 
--- a/crates/pondlb-server/src/routing/mod.rs
+++ b/crates/pondlb-server/src/routing/mod.rs
@@ -6,7 +6,7 @@
 mod interface;
 mod labels;
 mod metrics;
-mod recent_ids;
+mod request_ids;
 mod router;
 #[cfg(test)]
 mod tests;
@@ -15,4 +15,5 @@
 pub use events::{AttemptId, AttemptResult, ExchangeId, RouterEvent};
 pub use interface::{AttemptHandle, OutgoingAttempt, Transport};
 pub use metrics::Metrics;
+pub use request_ids::RequestIds;
 pub use router::Router;
--- a/crates/pondlb-server/src/routing/router.rs
+++ b/crates/pondlb-server/src/routing/router.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 
 use pondlb::{
-    Action, Arrival, Balancer, ConfigChange, Event, ListUpdate, Load, Outcome, RequestId, TenthMillis,
-    UpstreamId,
+    Action, Arrival, Balancer, ConfigChange, Effect, Event, GiveUpReason, ListUpdate, Load, Outcome,
+    RequestId, TenthMillis, UpstreamId,
 };
 use pondlb_http::Message;
 use tokio::sync::oneshot;
@@ -14,10 +14,10 @@
 use super::directory::Location;
 use super::labels::{give_up_reason_label, outcome_label};
 use super::metrics::increment;
-use super::recent_ids::RecentRequestIds;
+use super::request_ids::Repeatability;
 use super::{
-    AttemptHandle, AttemptId, AttemptResult, ExchangeId, Metrics, OutgoingAttempt, RouterEvent, Transport,
-    UpstreamDirectory,
+    AttemptHandle, AttemptId, AttemptResult, ExchangeId, Metrics, OutgoingAttempt, RequestIds, RouterEvent,
+    Transport, UpstreamDirectory,
 };
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
@@ -32,12 +32,24 @@
     /// Attempts started so far.
     attempt_count: u32,
     open_attempts: u32,
+    /// The effect of its class when it arrived.
+    effect: Effect,
+    /// Whether any ended attempt may have taken effect.
+    may_have_run: bool,
 }
 
 impl Request {
     fn is_answered(&self) -> bool {
         self.answer_sender.is_none()
     }
+
+    /// Whether a request with the same id may run, now that this one has ended.
+    fn repeatability(&self) -> Repeatability {
+        match self.may_have_run && self.effect != Effect::Idempotent {
+            true => Repeatability::Harmful,
+            false => Repeatability::Harmless,
+        }
+    }
 }
 
 /// An attempt from its start until its result is known.
@@ -61,7 +73,10 @@
     directory: UpstreamDirectory,
     transport: T,
     requests: BTreeMap<RequestId, Request>,
-    recent_ids: RecentRequestIds,
+    /// The ids of requests that have ended.
+    request_ids: RequestIds,
+    /// Whether the last request of a class that may not be repeated was rejected for want of room in `request_ids`.
+    lacks_room_for_ids: bool,
     open_attempts: BTreeMap<AttemptId, OpenAttempt<T::Handle>>,
     /// Requests that were answered, or whose client disconnected, since their unwritten attempts were last withdrawn.
     closed_exchanges: Vec<ExchangeId>,
@@ -81,10 +96,12 @@
 
 impl<T: Transport> Router<T> {
     /// Creates a router without upstreams. Each request must have its answer `deadline_margin` before its deadline.
+    /// `request_ids` remembers the ids of its requests.
     pub fn new(
         balancer: Balancer,
         directory: UpstreamDirectory,
         transport: T,
+        request_ids: RequestIds,
         deadline_margin: TenthMillis,
     ) -> Self {
         Router {
@@ -92,7 +109,8 @@
             directory,
             transport,
             requests: BTreeMap::new(),
-            recent_ids: RecentRequestIds::default(),
+            request_ids,
+            lacks_room_for_ids: false,
             open_attempts: BTreeMap::new(),
             closed_exchanges: Vec::new(),
             events: Vec::new(),
@@ -198,7 +216,7 @@
                 self.accept_request(now, exchange, arrival, message, answer_sender);
             }
             RouterEvent::ClientDisconnected { exchange, request } => {
-                self.handle_disconnect(exchange, request);
+                self.handle_disconnect(now, exchange, request);
             }
             RouterEvent::AttemptEnded { attempt, result } => self.end_attempt(now, attempt, result),
             RouterEvent::ProbeEnded { upstream, outcome, duration, load } => {
@@ -243,12 +261,20 @@
     ) {
         // Two open requests with one id would get each other's answers. The effect of a second one would not be
         // recognized as a repetition of the first one's.
-        if self.requests.contains_key(&arrival.request) || !self.recent_ids.insert(now, &arrival.request) {
+        if self.requests.contains_key(&arrival.request) || self.request_ids.is_copy(now, &arrival.request) {
             log::debug!("{} is refused: its id is that of another request", arrival.request);
             // The receiver is gone where the client has disconnected.
             let _ = answer_sender.send(Answer::DuplicateId);
             return;
         }
+        self.metrics.requests += 1;
+        let effect = self.balancer.effect(arrival.class);
+        if effect != Effect::Idempotent && !self.has_room_for_id(now) {
+            log::debug!("{} is rejected: its id could not be remembered", arrival.request);
+            increment(&mut self.metrics.rejected, GiveUpReason::Overload);
+            let _ = answer_sender.send(Answer::Rejected { retry_after: None });
+            return;
+        }
         let cost = arrival.cost.unwrap_or_default();
         log::debug!("{} arrives: scheme {} cost {cost}", arrival.request, arrival.class);
         arrival.time_left = arrival.time_left.saturating_sub(self.deadline_margin);
@@ -262,20 +288,33 @@
             deadline: now + arrival.time_left,
             attempt_count: 0,
             open_attempts: 0,
+            effect,
+            may_have_run: false,
         };
         self.requests.insert(arrival.request.clone(), request);
-        self.metrics.requests += 1;
         self.events.push(Event::RequestArrived(arrival));
     }
 
+    /// Whether the id of one more request that may not be repeated can be remembered.
+    fn has_room_for_id(&mut self, now: TenthMillis) -> bool {
+        let has_room = self.request_ids.has_room(now, self.requests.len());
+        if !has_room && !self.lacks_room_for_ids {
+            log::warn!(
+                "as many ids are remembered as the memory allows: requests that may not be repeated are rejected"
+            );
+        }
+        self.lacks_room_for_ids = !has_room;
+        has_room
+    }
+
     /// Closes the request of a client that has disconnected. The client may have sent the id of another client's open
     /// request, which stays open.
-    fn handle_disconnect(&mut self, exchange: ExchangeId, request: RequestId) {
+    fn handle_disconnect(&mut self, now: TenthMillis, exchange: ExchangeId, request: RequestId) {
         log::debug!("client of {request} disconnects");
         if self.requests.get(&request).is_none_or(|open| open.exchange != exchange) {
             return;
         }
-        if self.close_request(&request).is_some() {
+        if self.close_request(now, &request).is_some() {
             self.metrics.left += 1;
             self.events.push(Event::ClientDisconnected { request });
         }
@@ -318,18 +357,19 @@
         let Some(OpenAttempt { started_at, upstream, handle, .. }) = self.open_attempts.remove(&id) else {
             return;
         };
+        let AttemptResult { outcome, final_answer, load } = result;
         if let Some(request) = self.requests.get_mut(&id.request) {
             request.open_attempts -= 1;
+            request.may_have_run |= !outcome.never_ran();
         }
-        let AttemptResult { outcome, final_answer, load } = result;
         let duration = now - started_at;
         log::debug!("{id} ends at {upstream}: {} after {duration}{load}", outcome_label(outcome));
         increment(&mut self.metrics.outcomes, outcome);
         if let Some(answer) = final_answer {
-            self.metrics.served += u64::from(self.answer_request(&id.request, answer));
+            self.metrics.served += u64::from(self.answer_request(now, &id.request, answer));
         }
         let answered = self.requests.get(&id.request).is_none_or(Request::is_answered);
-        self.remove_if_done(&id.request);
+        self.remove_if_done(now, &id.request);
         self.events.push(Event::AttemptEnded {
             request: id.request,
             attempt: id.number,
@@ -375,12 +415,12 @@
             Action::Reject { request, retry_after, reason } => {
                 log::debug!("{request} is rejected: {}", give_up_reason_label(reason));
                 increment(&mut self.metrics.rejected, reason);
-                self.answer_request(&request, Answer::Rejected { retry_after });
+                self.answer_request(now, &request, Answer::Rejected { retry_after });
             }
             Action::Fail { request, reason } => {
                 log::debug!("{request} fails: {}", give_up_reason_label(reason));
                 increment(&mut self.metrics.failed, reason);
-                self.answer_request(&request, Answer::Failed);
+                self.answer_request(now, &request, Answer::Failed);
             }
             Action::WatchList { enabled } => self.transport.watch_list(enabled),
             Action::FetchList => self.transport.fetch_list(),
@@ -445,27 +485,31 @@
 
     /// Gives a request its final answer. Returns whether the client has got it: a request that is answered already or
     /// whose client has disconnected gets none.
-    fn answer_request(&mut self, id: &RequestId, answer: Answer) -> bool {
-        let Some(answer_sender) = self.close_request(id) else { return false };
+    fn answer_request(&mut self, now: TenthMillis, id: &RequestId, answer: Answer) -> bool {
+        let Some(answer_sender) = self.close_request(now, id) else { return false };
         log::debug!("{id} is answered: {}", answer.log_name());
         answer_sender.send(answer).is_ok()
     }
 
     /// Marks a request as answered. Returns the sender for its answer if it was not answered before.
-    fn close_request(&mut self, id: &RequestId) -> Option<oneshot::Sender<Answer>> {
+    fn close_request(&mut self, now: TenthMillis, id: &RequestId) -> Option<oneshot::Sender<Answer>> {
         let request = self.requests.get_mut(id)?;
         let answer_sender = request.answer_sender.take();
         if answer_sender.is_some() {
             self.closed_exchanges.push(request.exchange);
         }
-        self.remove_if_done(id);
+        self.remove_if_done(now, id);
         answer_sender
     }
 
-    /// Removes a request that is answered and has no open attempts.
-    fn remove_if_done(&mut self, id: &RequestId) {
-        if self.requests.get(id).is_some_and(|request| request.is_answered() && request.open_attempts == 0) {
-            self.requests.remove(id);
+    /// Removes a request that is answered and has no open attempts, and remembers its id.
+    fn remove_if_done(&mut self, now: TenthMillis, id: &RequestId) {
+        let is_done = |request: &Request| request.is_answered() && request.open_attempts == 0;
+        if !self.requests.get(id).is_some_and(is_done) {
+            return;
+        }
+        if let Some(request) = self.requests.remove(id) {
+            self.request_ids.insert(now, id, request.repeatability());
         }
     }
 }
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -17,8 +17,8 @@
 
 use super::labels::{give_up_reason_label, outcome_label, stage_label};
 use super::{
-    AttemptHandle, AttemptId, AttemptResult, ExchangeId, OutgoingAttempt, Router, RouterEvent, Transport,
-    UpstreamDirectory,
+    AttemptHandle, AttemptId, AttemptResult, ExchangeId, OutgoingAttempt, RequestIds, Router, RouterEvent,
+    Transport, UpstreamDirectory,
 };
 use crate::protocol::answer::Answer;
 use crate::protocol::discovery::UpstreamList;
@@ -125,11 +125,17 @@
 
 impl TestRouter {
     fn new(upstreams: &[ListedUpstream]) -> TestRouter {
+        TestRouter::with_max_ids(upstreams, 100_000)
+    }
+
+    /// A router that remembers so many ids of requests that must not be repeated.
+    fn with_max_ids(upstreams: &[ListedUpstream], max_ids: usize) -> TestRouter {
         let (config, names) = config();
         let trace = Trace::default();
         let directory = UpstreamDirectory::new(names, 0);
         let transport = RecordingTransport { trace: trace.clone() };
-        let mut router = Router::new(Balancer::new(config, 7), directory, transport, DEADLINE_MARGIN);
+        let (balancer, request_ids) = (Balancer::new(config, 7), RequestIds::new(max_ids));
+        let mut router = Router::new(balancer, directory, transport, request_ids, DEADLINE_MARGIN);
         router.restore_list(0, list(true, upstreams), None);
         TestRouter { router, trace, unanswered: Vec::new(), arrived: Vec::new() }
     }
@@ -185,6 +191,12 @@
         self.handle(now, RouterEvent::AttemptEnded { attempt, result });
     }
 
+    /// Ends the first attempt of the last request that arrived.
+    fn attempt_ends_of_last(&mut self, now: TenthMillis, outcome: Outcome) {
+        let request = self.arrived[self.arrived.len() - 1];
+        self.attempt_ends(now, request, 0, outcome);
+    }
+
     fn list_arrives(&mut self, now: TenthMillis, is_snapshot: bool, upstreams: &[ListedUpstream]) {
         self.handle(now, RouterEvent::ListReceived(list(is_snapshot, upstreams)));
     }
@@ -385,46 +397,135 @@
     let mut test = TestRouter::new(ONE);
     test.request_arrives(10, "t1", NON_IDEMPOTENT, 100_000);
     test.client_disconnects(60_000, "t1");
-    test.request_arrives(60_010, "t1", NON_IDEMPOTENT, 20_000);
-    test.attempt_ends(60_020, "t1", 0, Outcome::Ok);
-    test.client_disconnects(60_030, "t1");
+    test.request_arrives(660_010, "t1", NON_IDEMPOTENT, 20_000);
+    test.attempt_ends(660_020, "t1", 0, Outcome::Ok);
+    test.client_disconnects(660_030, "t1");
     test.assert_trace(expect![[r#"
         10: t1 arrives
           send t1 0 to u1 at 127.0.0.1:1, deadline 99960
         60000: client of t1 disconnects
           close t1 0
           watch list: true
-        60010: t1 arrives
-          send t1 0 to u1 at 127.0.0.1:1, deadline 79960
-        60020: t1 0 ends: Ok
-        60030: client of t1 disconnects
+        660010: t1 arrives
+          send t1 0 to u1 at 127.0.0.1:1, deadline 679960
+        660020: t1 0 ends: Ok
+        660030: client of t1 disconnects
           close t1 0
         unanswered: 1
     "#]]);
 }
 
-/// Guards against a client that copies the id of another client's request: its effect would happen twice.
+/// How long an id is remembered after its request has ended, in tenths of a millisecond.
+const ID_RETENTION: TenthMillis = 600_000;
+
+/// Guards against the incident described in docs/incidents/forgotten-request-id.md: a client that copies the id of another
+/// client's request again and again is refused for some seconds only, and the effect happens twice.
 #[test]
-fn recent_id_is_refused_until_its_retention_is_over() {
+fn copied_id_is_refused_for_as_long_as_copies_arrive_and_the_retention_after_the_last() {
     let mut test = TestRouter::new(ONE);
     test.request_arrives(10, "t1", NON_IDEMPOTENT, 20_000);
     test.attempt_ends(500, "t1", 0, Outcome::Ok);
     test.request_arrives(600, "t1", NON_IDEMPOTENT, 20_000);
-    test.request_arrives(50_010, "t1", NON_IDEMPOTENT, 20_000);
-    test.assert_trace(expect![[r#"
-        10: t1 arrives
-          send t1 0 to u1 at 127.0.0.1:1, deadline 19960
-        500: t1 0 ends: Ok
-          close t1 0
-          t1 is answered: Served "answer to t1 0"
-        600: t1 arrives
-          t1 is answered: DuplicateId
-        50010: t1 arrives
-          watch list: true
-          send t1 0 to u1 at 127.0.0.1:1, deadline 69960
-          close t1 0
-        unanswered: 1
-    "#]]);
+    for copy in 1..10 {
+        test.request_arrives(600 + copy * (ID_RETENTION - 1), "t1", NON_IDEMPOTENT, 20_000);
+    }
+    let copies = test.trace.borrow().matches("t1 is answered: DuplicateId").count();
+    assert_eq!(copies, 10, "{}", test.trace.borrow());
+    // The table is cleared in the course of one more retention.
+    test.request_arrives(600 + 12 * ID_RETENTION, "t1", NON_IDEMPOTENT, 20_000);
+    let sent = test.trace.borrow().matches("send t1 0").count();
+    assert_eq!(sent, 2, "{}", test.trace.borrow());
+}
+
+/// How a request that may have run has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum EffectEnd {
+    Answered,
+    Failed,
+    ClientDisconnected,
+}
+
+/// Requests with new ids that come in great number.
+#[derive(Clone, Copy, Debug)]
+enum IdFlood {
+    /// They are rejected, since they have no time left.
+    Rejected { class: u32 },
+    /// They are answered.
+    Served,
+}
+
+/// Guards against the incident described in docs/incidents/forgotten-request-id.md: a flood of new ids makes the router
+/// forget those of requests that may have run.
+#[test]
+fn no_flood_of_ids_makes_the_id_of_a_request_that_may_have_run_forgotten() {
+    let floods = [
+        IdFlood::Rejected { class: IDEMPOTENT },
+        IdFlood::Rejected { class: NON_IDEMPOTENT },
+        IdFlood::Served,
+    ];
+    for flood in floods {
+        for end in [EffectEnd::Answered, EffectEnd::Failed, EffectEnd::ClientDisconnected] {
+            let mut test = TestRouter::new(ONE);
+            test.request_arrives(10, "order", NON_IDEMPOTENT, 20_000);
+            match end {
+                EffectEnd::Answered => test.attempt_ends(500, "order", 0, Outcome::Ok),
+                EffectEnd::Failed => test.attempt_ends(500, "order", 0, Outcome::Reset),
+                EffectEnd::ClientDisconnected => test.client_disconnects(500, "order"),
+            }
+            for number in 0..10_000u64 {
+                let id: &'static str = Box::leak(format!("new{number}").into_boxed_str());
+                let now = 1000 + number;
+                match flood {
+                    IdFlood::Rejected { class } => test.request_arrives(now, id, class, 10),
+                    IdFlood::Served => {
+                        test.request_arrives(now, id, IDEMPOTENT, 20_000);
+                        test.attempt_ends_of_last(now, Outcome::Ok);
+                    }
+                }
+            }
+            test.trace.borrow_mut().clear();
+            test.request_arrives(30_000, "order", NON_IDEMPOTENT, 20_000);
+            let trace = test.trace.borrow().clone();
+            assert!(trace.contains("order is answered: DuplicateId"), "{flood:?}, {end:?}: {trace}");
+        }
+    }
+}
+
+/// Guards against ids that are forgotten, or memory that grows, where more requests have run than can be remembered: no
+/// further ones are accepted then, except those that may be repeated.
+#[test]
+fn requests_that_must_not_be_repeated_are_rejected_while_there_is_no_room_for_their_ids() {
+    let mut test = TestRouter::with_max_ids(TWO, 3);
+    for (now, id) in [(10, "t1"), (20, "t2")] {
+        test.request_arrives(now, id, NON_IDEMPOTENT, 20_000);
+        test.attempt_ends(now + 5, id, 0, Outcome::Ok);
+    }
+    // The third one is open, and needs the last place.
+    test.request_arrives(30, "t3", NON_IDEMPOTENT, 20_000);
+    test.request_arrives(40, "t4", NON_IDEMPOTENT, 20_000);
+    test.request_arrives(50, "t5", IDEMPOTENT, 20_000);
+    test.attempt_ends(60, "t5", 0, Outcome::Ok);
+    // It never ran, and leaves its place to the next.
+    test.attempt_ends(70, "t3", 0, Outcome::Full);
+    test.attempt_ends(80, "t3", 1, Outcome::Full);
+    test.run_until(20_000);
+    test.request_arrives(20_100, "t6", NON_IDEMPOTENT, 20_000);
+    test.attempt_ends(20_110, "t6", 0, Outcome::Ok);
+    test.request_arrives(20_120, "t1", NON_IDEMPOTENT, 20_000);
+    test.request_arrives(20_130, "t7", NON_IDEMPOTENT, 20_000);
+    let answers: Vec<String> = (test.trace.borrow().lines())
+        .filter_map(|line| line.trim().split_once(" is answered: "))
+        .map(|(id, answer)| format!("{id} {}", answer.split([' ', '{']).next().unwrap_or_default()))
+        .collect();
+    assert_eq!(
+        answers.join(", "),
+        "t1 Served, t2 Served, t4 Rejected, t5 Served, t3 Rejected, t6 Served, t1 DuplicateId, t7 Rejected"
+    );
+    expect!["requests=7 served=4 left=0 rejected.Overload=3 attempts=6 ended.Ok=4 ended.Full=2 lists=0 calls_refused=0 calls_unreached=0 calls_silent=0"]
+        .assert_eq(&test.router.metrics().to_string());
+    // Once the retention of the first ids is over, there is room again.
+    test.request_arrives(30 + ID_RETENTION, "t8", NON_IDEMPOTENT, 20_000);
+    assert!(test.trace.borrow().contains("send t8 0"), "{}", test.trace.borrow());
 }
 
 #[test]
--- a/crates/pondlb-server/tests/bad_clients/mod.rs
+++ b/crates/pondlb-server/tests/bad_clients/mod.rs
@@ -140,3 +140,47 @@
         }
     }
 }
+
+/// How often an upstream has got the request with this id.
+fn count_runs(upstream: &Upstream, id: &str) -> usize {
+    upstream.take_request_ids().iter().filter(|run| *run == id).count()
+}
+
+/// Guards against the incident described in docs/incidents/forgotten-request-id.md: a client that sends the id of another
+/// client's order again as soon as it is turned away gets through after some seconds, and the order runs twice.
+#[test]
+fn an_order_whose_id_is_sent_again_and_again_runs_once() {
+    let upstream = Upstream::start(ANSWER_HELLO);
+    let balancer = BalancerOptions::new(&[&upstream]).start();
+    assert_eq!(balancer.request("order1", "order").status(), "200");
+    let started = Instant::now();
+    while started.elapsed() < 6500 * MS {
+        assert_eq!(balancer.request("order1", "order").status(), "409", "after {:?}", started.elapsed());
+        sleep(20 * MS);
+    }
+    assert_eq!(count_runs(&upstream, "order1"), 1);
+}
+
+/// Guards against the incident described in docs/incidents/forgotten-request-id.md: clients that send ever new ids make
+/// the balancer forget that of an order, which runs again when it is copied.
+#[test]
+fn an_order_that_is_sent_again_after_a_flood_of_new_ids_runs_once() {
+    const FLOOD_CLIENTS: usize = 6;
+    const REQUESTS_PER_CLIENT: usize = 2000;
+    let upstream = Upstream::start(ANSWER_HELLO);
+    let balancer = BalancerOptions::new(&[&upstream]).start();
+    assert_eq!(balancer.request("order1", "order").status(), "200");
+    thread::scope(|scope| {
+        for client_number in 0..FLOOD_CLIENTS {
+            let mut client = balancer.connect();
+            scope.spawn(move || {
+                for number in 0..REQUESTS_PER_CLIENT {
+                    client.send(&Client::request_text(&format!("f{client_number}-{number}"), "browse", 1));
+                    assert_eq!(client.read().unwrap().status(), "503");
+                }
+            });
+        }
+    });
+    assert_eq!(balancer.request("order1", "order").status(), "409");
+    assert_eq!(count_runs(&upstream, "order1"), 1);
+}
--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -10,7 +10,8 @@
 use super::discovery::ListCalls;
 use super::{Dispatcher, Fleet, QuotaBucket, SECOND, Upstream, UpstreamIndex};
 use crate::{
-    Action, BalancerConfig, ConfigChange, Event, ListUpdate, Stage, TenthMillis, UpstreamEntry, UpstreamId,
+    Action, BalancerConfig, ConfigChange, Effect, Event, ListUpdate, Stage, TenthMillis, UpstreamEntry,
+    UpstreamId,
 };
 
 /// With more zones or kinds than this, those without an upstream are forgotten.
@@ -98,6 +99,13 @@
         self.is_list_stale
     }
 
+    /// The effect of the requests of a class that arrive now. A class that does not exist is taken for one that
+    /// must not be repeated.
+    pub fn effect(&self, class: u32) -> Effect {
+        let classes = &self.dispatcher.config.classes;
+        classes.get(class as usize).map_or(Effect::NonIdempotent, |class| class.effect)
+    }
+
     /// Logs when the lease on the list expires, and when it is renewed after that.
     fn log_lease(&mut self, now: TenthMillis, actions: &mut Vec<Action>) {
         let is_list_stale = self.dispatcher.lease.has_expired(now, &self.dispatcher.config);
