A peer that sends at full speed no longer holds up everything else

What callers saw: while three clients pipelined health checks or sent empty lines at full speed, 447 and 443 of 800 other requests were never answered.

Cause: a loop over a peer's bytes that has input at hand ended its turn only at the runtime's budget of 128 operations, and sockets and timers are polled once in 61 such turns.

Tried first: a yield before each read served requests that arrive at once in reverse; one after each read made thirty large requests at once use up the memory together. Tests that were there showed both.

Control servers have no test of this.

--- a/crates/pondlb-control-net/src/client/connection.rs
+++ b/crates/pondlb-control-net/src/client/connection.rs
@@ -6,6 +6,7 @@
 use pondlb_http::{Message, MessageReader, response_framing};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 use super::failure::RequestFailure;
@@ -92,6 +93,8 @@
                 }
                 return response_content(message, max_content_bytes);
             }
+            // Other tasks have their turn even if the server sends without a pause.
+            yield_now().await;
         }
     }
 }
--- a/crates/pondlb-control-net/src/server/connection.rs
+++ b/crates/pondlb-control-net/src/server/connection.rs
@@ -6,6 +6,7 @@
 use pondlb_http::{Head, Message, MessageError, MessageReader, request_framing};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use super::commit;
@@ -95,7 +96,11 @@
     connection.write_response(&response).await;
     if connection.stream.shutdown().await.is_ok() {
         let mut unread = [0; 1024];
-        let read_to_end = async { while matches!(connection.stream.read(&mut unread).await, Ok(1..)) {} };
+        let read_to_end = async {
+            while matches!(connection.stream.read(&mut unread).await, Ok(1..)) {
+                yield_now().await;
+            }
+        };
         let _ = timeout(LINGER_TIMEOUT, read_to_end).await;
     }
 }
@@ -112,7 +117,8 @@
         Connection { stream, reader: MessageReader::with_max_body(request_framing, max_body_bytes) }
     }
 
-    /// Reads until the next request is complete.
+    /// Reads until the next request is complete. Other connections have their turn after each read, even if this peer
+    /// sends without a pause.
     async fn read_request(&mut self) -> Incoming {
         let incoming = async {
             loop {
@@ -125,6 +131,7 @@
                     Ok(count @ 1..) => self.reader.mark_filled(count),
                     _ => return Incoming::Closed,
                 }
+                yield_now().await;
             }
         };
         timeout(REQUEST_READ_TIMEOUT, incoming).await.unwrap_or(Incoming::Closed)
@@ -138,10 +145,12 @@
         }
     }
 
-    /// Writes a response and returns whether the connection can be used for another request.
+    /// Writes a response and returns whether the connection can be used for another request. Other connections have their
+    /// turn before that, since the next request may be at hand already.
     async fn write_response(&mut self, response: &Response) -> bool {
         let bytes = response.encode();
         let result = timeout(RESPONSE_WRITE_TIMEOUT, self.stream.write_all(&bytes)).await;
+        yield_now().await;
         matches!(result, Ok(Ok(()))) && !response.closes_connection
     }
 }
--- a/crates/pondlb-server/src/transport/attempt.rs
+++ b/crates/pondlb-server/src/transport/attempt.rs
@@ -14,7 +14,7 @@
 use super::discovery::DiscoveryCommand;
 use super::memory::MemoryLimit;
 use super::pool::{ConnectError, PooledConnection, UpstreamPool};
-use super::stream::{read_into, write_all};
+use super::stream::{ReadTurn, read_into, write_all};
 use crate::protocol::upstream::{ResponseReader, UpstreamResponse, encode_attempt, encode_probe};
 use crate::routing::{AttemptHandle, AttemptId, AttemptResult, OutgoingAttempt, RouterEvent, Transport};
 
@@ -191,7 +191,7 @@
     connection: &PooledConnection,
     memory: MemoryLimit,
 ) -> Result<UpstreamResponse, Outcome> {
-    let mut reader = ResponseReader::new();
+    let (mut reader, mut turn) = (ResponseReader::new(), ReadTurn::default());
     loop {
         let closed_outcome = |reader: &ResponseReader| {
             if reader.has_partial_response() { Outcome::Spoilt } else { Outcome::Reset }
@@ -211,5 +211,6 @@
                 return Err(Outcome::Spoilt);
             }
         }
+        turn.next_read().await;
     }
 }
--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -16,7 +16,9 @@
 
 use super::connection_table::{ConnectionSlot, ConnectionTable, EvictionGuard};
 use super::phase::Phase;
-use super::stream::{ReceiveState, read_available, read_into, receive_state, wait_until_closed, write_all};
+use super::stream::{
+    ReadTurn, ReceiveState, read_available, read_into, receive_state, wait_until_closed, write_all,
+};
 use crate::protocol::answer::Answer;
 use crate::protocol::client::{
     CONTINUE_RESPONSE, ClassIndexes, ClientRequest, RequestKind, RequestReader, encode_answer,
@@ -181,6 +183,8 @@
             if is_last {
                 return close_gracefully(&stream, slot).await;
             }
+            // Other connections have their turn before the next request of this client, which may be at hand already.
+            yield_now().await;
         }
     }
 
@@ -195,6 +199,7 @@
     ) -> NextStep {
         let mut phase = self.phase.clone();
         let mut wait: Option<RequestWait> = None;
+        let mut turn = ReadTurn::default();
         loop {
             let request = reader.next_request(&self.classes.borrow());
             if !reader.is_idle() || matches!(request, Ok(Some(_))) {
@@ -228,6 +233,7 @@
                     return NextStep::Disconnected;
                 }
             }
+            turn.next_read().await;
             let read = tokio::select! {
                 biased;
                 read = read_into(stream, reader.message_reader()) => read,
@@ -309,6 +315,7 @@
         if !matches!(read_into(stream, reader.message_reader()).await, Ok(1..)) {
             return;
         }
+        yield_now().await;
     }
     has_discarded_input.set(true);
     if !discard_input(stream, MAX_DISCARDED_BYTES).await {
@@ -324,7 +331,6 @@
         if remaining == 0 {
             return false;
         }
-        // Lets other tasks run even if this client sends without a pause.
         yield_now().await;
     }
     true
--- a/crates/pondlb-server/src/transport/discovery/call.rs
+++ b/crates/pondlb-server/src/transport/discovery/call.rs
@@ -9,7 +9,7 @@
 
 use super::error::CallError;
 use crate::protocol::discovery::{ChangesQuery, ListError, ListReader, UpstreamList, encode_list_request};
-use crate::transport::stream::{read_into, write_all};
+use crate::transport::stream::{ReadTurn, read_into, write_all};
 
 /// Asks for what has changed since a version, instead of the whole list.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -78,7 +78,7 @@
 pub async fn exchange(call: Rc<Call>, connection: TcpStream) -> Result<ReceivedList, CallError> {
     let written = write_all(&connection, &call.encode()).await;
     written.map_err(|error| CallError::from_io_error("the call", &error))?;
-    let mut reader = ListReader::new(call.max_list_bytes);
+    let (mut reader, mut turn) = (ListReader::new(call.max_list_bytes), ReadTurn::default());
     loop {
         let read = read_into(&connection, reader.message_reader()).await;
         let count = read.map_err(|error| CallError::from_io_error("the response", &error))?;
@@ -95,7 +95,7 @@
             None if is_closed => {
                 return Err(CallError::Rejected("connection closed within the response".into()));
             }
-            None => {}
+            None => turn.next_read().await,
         }
     }
 }
--- a/crates/pondlb-server/tests/bad_clients/mod.rs
+++ b/crates/pondlb-server/tests/bad_clients/mod.rs
@@ -2,7 +2,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -184,3 +184,147 @@
     assert_eq!(balancer.request("order1", "order").status(), "409");
     assert_eq!(count_runs(&upstream, "order1"), 1);
 }
+
+/// What clients send at full speed, on one connection after the other.
+#[derive(Clone, Copy, Debug)]
+struct Flood {
+    /// What each connection sends first, with a number of its own in place of `NUMBER`.
+    greeting: &'static str,
+    /// What it sends next, over and over again.
+    unit: &'static str,
+}
+
+/// A request that waits long for its upstream, so that what follows it is read while its answer is due.
+const SLOW_REQUEST: &str =
+    "GET /slow HTTP/1.1\r\nHost: b\r\nReq-Id: NUMBER\r\nReq-Kind: order\r\nReq-Deadline: 60000m\r\n\r\n";
+/// The head of a request with a chunked body.
+const CHUNKED_HEAD: &str = "POST / HTTP/1.1\r\nHost: b\r\nReq-Id: NUMBER\r\nReq-Kind: browse\r\nReq-Deadline: 1000m\r\n\
+    Transfer-Encoding: chunked\r\n\r\n";
+
+const FLOODS: [Flood; 8] = [
+    Flood { greeting: "", unit: HEALTH_CHECK },
+    Flood { greeting: "", unit: "\r\n" },
+    Flood { greeting: HEALTH_CHECK, unit: "\r\n" },
+    Flood { greeting: "", unit: "this is no request\r\n\r\n" },
+    Flood { greeting: "", unit: "GET / HTTP/1.1\r\nHost: b\r\n\r\n" },
+    Flood { greeting: "GET / HTTP/1.1\r\n", unit: "a:b\r\n" },
+    Flood { greeting: CHUNKED_HEAD, unit: "1\r\nx\r\n" },
+    Flood { greeting: SLOW_REQUEST, unit: "GET / HTTP/1.1\r\n" },
+];
+const FLOOD_CLIENTS: usize = 3;
+const FLOOD_DURATION: Duration = Duration::from_millis(3000);
+/// How much a client of a flood writes at once.
+const FLOOD_BLOCK_BYTES: usize = 32 * 1024;
+
+/// Sends without a pause, and reads what comes, until `is_over`. A connection that ends is replaced by another.
+fn send_flood(balancer: &Balancer, flood: Flood, is_over: &AtomicBool) {
+    static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+    let block = flood.unit.repeat(FLOOD_BLOCK_BYTES / flood.unit.len());
+    while !is_over.load(Ordering::Relaxed) {
+        let mut stream = balancer.connect().stream;
+        stream.set_write_timeout(Some(100 * MS)).unwrap();
+        let mut received = stream.try_clone().unwrap();
+        thread::scope(|scope| {
+            scope.spawn(move || {
+                let mut buffer = vec![0; 1 << 18];
+                while matches!(received.read(&mut buffer), Ok(1..)) {}
+            });
+            let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+            let greeting = flood.greeting.replace("NUMBER", &format!("flood{number}"));
+            let _ = stream.write_all(greeting.as_bytes());
+            while !is_over.load(Ordering::Relaxed) {
+                match stream.write(block.as_bytes()) {
+                    Ok(1..) => {}
+                    // The balancer does not read for now.
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    _ => break,
+                }
+            }
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        });
+    }
+}
+
+/// Guards against the incident described in docs/incidents/floods.md: as long as a client sends at full speed on one
+/// connection, the balancer reads from and answers hardly any other, and no timer fires.
+#[test]
+fn floods_on_a_few_connections_delay_no_other_client() {
+    for flood in FLOODS {
+        let case = format!("{flood:?}");
+        let (upstream, silent) = (Upstream::start(ANSWER_HELLO), Upstream::start(UpstreamBehavior::Silent));
+        let mut options = BalancerOptions::new(&[&upstream]);
+        if flood.greeting == SLOW_REQUEST {
+            options.known.push(silent.address);
+        }
+        let balancer = options.start();
+        let is_over = AtomicBool::new(false);
+        let statuses = thread::scope(|scope| {
+            for _ in 0..FLOOD_CLIENTS {
+                scope.spawn(|| send_flood(&balancer, flood, &is_over));
+            }
+            let usual = scope.spawn(|| request_until(&balancer, &case, &is_over));
+            sleep(FLOOD_DURATION);
+            is_over.store(true, Ordering::Relaxed);
+            usual.join().unwrap()
+        });
+        let served = statuses.iter().filter(|status| *status == "200").count();
+        assert!(served * 2 > statuses.len(), "{case}: served {served} of {}", statuses.len());
+    }
+}
+
+/// Tells the other threads of a test to end, also when the test fails.
+struct EndOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Guards against the incident described in docs/incidents/floods.md on the upstreams' side: one that sends interim
+/// responses without end at full speed holds up everything else, and its attempt is not given up when its time is over.
+#[test]
+fn an_upstream_that_sends_interim_responses_without_end_delays_nothing_else() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut options = BalancerOptions::new(&[]);
+    options.known.push(listener.local_addr().unwrap());
+    let balancer = options.start();
+    let is_over = AtomicBool::new(false);
+    let (answer_time, slowest_health_check) = thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut stream = accept(&listener);
+            stream.set_write_timeout(Some(100 * MS)).unwrap();
+            let block = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1000);
+            let mut unsent = block.as_bytes();
+            while !is_over.load(Ordering::Relaxed) {
+                match stream.write(unsent) {
+                    Ok(count @ 1..) => unsent = &unsent[count..],
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    _ => return,
+                }
+                if unsent.is_empty() {
+                    unsent = block.as_bytes();
+                }
+            }
+        });
+        let _end = EndOnDrop(&is_over);
+        let order = scope.spawn(|| {
+            let mut client = balancer.connect();
+            let started = Instant::now();
+            client.send(&Client::request_text("order1", "order", DEADLINE.as_millis() as u64));
+            client.read().map(|answer| (answer.status().to_string(), started.elapsed()))
+        });
+        let mut slowest = Duration::ZERO;
+        while !order.is_finished() {
+            let asked = Instant::now();
+            balancer.health_status();
+            slowest = slowest.max(asked.elapsed());
+            sleep(10 * MS);
+        }
+        (order.join().unwrap(), slowest)
+    });
+    let (status, answer_time) = answer_time.expect("the order is answered");
+    assert_eq!(status, "502");
+    assert!(answer_time < DEADLINE + MAX_LATENESS, "answered after {answer_time:?}");
+    assert!(slowest_health_check < MAX_LATENESS, "health was told after {slowest_health_check:?}");
+}
