An unwritten attempt is withdrawn when another process is at its upstream's address

What callers could see: an upstream crashes and comes up again at its address under its old id; an attempt that was still connecting to the former process was written to the new one, which is cold, although the list had told of it.

Cause: Location, by which unwritten attempts are withdrawn, had address, zone and cell, not the process.

Change: it has the start time too, and idle connections to an upstream are closed when its location or its process changes.

Measured: unwritten_attempt_is_withdrawn_when_another_process_is_listed_at_the_same_address is red without the start time in Location, and green now, with all tests of pondlb-server.

--- a/crates/pondlb-server/src/routing/directory.rs
+++ b/crates/pondlb-server/src/routing/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::btree_map::{self, BTreeMap};
 use std::fmt;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -18,6 +19,8 @@
     zones: NameIndexes,
     kinds: NameIndexes,
     listings: BTreeMap<UpstreamId, Listing>,
+    /// See [`Self::take_relocated`].
+    relocated: Vec<UpstreamId>,
     /// The Unix epoch on the balancer's clock, in tenths of a millisecond. Negative, since it is before that clock's
     /// start.
     unix_epoch: i64,
@@ -30,10 +33,12 @@
     entry: UpstreamEntry,
 }
 
-/// Where an upstream is, by the list.
+/// Which process an upstream is, and where, by the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Location {
     pub address: SocketAddr,
+    /// When the process was started; see [`UpstreamEntry::started_at`]. Its predecessor had the same address.
+    started_at: Option<TenthMillis>,
     /// Index of its zone.
     zone: u32,
     cell: u32,
@@ -137,6 +142,7 @@
             zones: NameIndexes::new(names.zones),
             kinds: NameIndexes::new(names.kinds),
             listings: BTreeMap::new(),
+            relocated: Vec::new(),
             unix_epoch,
         }
     }
@@ -144,7 +150,13 @@
     /// Where an upstream is, if it is listed.
     pub fn location(&self, upstream: &UpstreamId) -> Option<Location> {
         let Listing { address, entry } = self.listings.get(upstream)?;
-        Some(Location { address: *address, zone: entry.zone, cell: entry.cell })
+        let UpstreamEntry { started_at, zone, cell, .. } = *entry;
+        Some(Location { address: *address, started_at, zone, cell })
+    }
+
+    /// The upstreams that have another location since the last call, or are another process there.
+    pub fn take_relocated(&mut self) -> Vec<UpstreamId> {
+        mem::take(&mut self.relocated)
     }
 
     /// Whether an upstream takes requests at this location.
@@ -214,7 +226,11 @@
             stage: target.stage,
         };
         let listing = Listing { address: target.address, entry: entry.clone() };
-        self.set_listing(upstream, Some(listing).filter(|_| target.stage != Stage::Gone));
+        let previous_location = self.location(&upstream);
+        self.set_listing(upstream.clone(), Some(listing).filter(|_| target.stage != Stage::Gone));
+        if previous_location.is_some() && previous_location != self.location(&upstream) {
+            self.relocated.push(upstream);
+        }
         entry
     }
 
--- a/crates/pondlb-server/src/routing/router.rs
+++ b/crates/pondlb-server/src/routing/router.rs
@@ -323,7 +323,11 @@
     fn apply_list(&mut self, now: TenthMillis, list: UpstreamList) {
         let is_snapshot = list.is_snapshot;
         let entries = self.directory.apply_list(list);
-        // Nothing is started any more at an upstream that is draining, gone or elsewhere.
+        for upstream in self.directory.take_relocated() {
+            // They lead to the process that was there before.
+            self.transport.close_idle_connections(&upstream);
+        }
+        // Nothing is started any more at an upstream that is draining, gone, elsewhere or another process.
         self.withdraw_unwritten(now, |directory, _, attempt| {
             !directory.is_live_at(&attempt.upstream, attempt.location)
         });
--- a/crates/pondlb-server/src/routing/tests.rs
+++ b/crates/pondlb-server/src/routing/tests.rs
@@ -629,6 +629,7 @@
         12720: wakeup
           watch list: true
         40010: list received
+          close idle connections to u1
         40020: t1 arrives
           send t1 0 to u1 at 127.0.0.1:9, deadline 59970
         40030: list received
@@ -691,6 +692,8 @@
         30: t2 arrives
           t2 is answered: Rejected { retry_after: None }
         40: list received
+          close idle connections to u1
+          close idle connections to u2
         50: t3 arrives
           send t3 0 to u3 at 127.0.0.1:1, deadline 60000
         60: t1 0 ends: Ok
@@ -832,12 +835,14 @@
           send t1 0 to unconnected at 127.0.0.1:1, deadline 19960
         20: list received
         30: list received
+          close idle connections to unconnected
           close t1 0
           send t1 1 to u2 at 127.0.0.1:2, deadline 19960
         40: list received
         50: t2 arrives
           send t2 0 to unconnected at 127.0.0.1:3, deadline 20000
         60: list received
+          close idle connections to unconnected
           close t2 0
           send t2 1 to u2 at 127.0.0.1:2, deadline 20000
           close t1 1
@@ -846,6 +851,30 @@
     "#]]);
 }
 
+/// Guards against the incident described in docs/incidents/reused-address.md: an attempt that was chosen for a process that
+/// is gone is sent to the one that came up at its address, which is cold, and idle connections to the former are used.
+#[test]
+fn unwritten_attempt_is_withdrawn_when_another_process_is_listed_at_the_same_address() {
+    let mut test = TestRouter::new(&[(UNCONNECTED_UPSTREAM, 1, "a", "active", 0)]);
+    test.request_arrives(10, "t1", NON_IDEMPOTENT, 20_000);
+    test.list_arrives(20, false, &[("u2", 2, "a", "active", 0)]);
+    // The same process again, as part of a whole list.
+    test.list_arrives(30, true, &[(UNCONNECTED_UPSTREAM, 1, "a", "active", 0), ("u2", 2, "a", "active", 0)]);
+    test.list_arrives(40, false, &[(UNCONNECTED_UPSTREAM, 1, "a", "active", 6000)]);
+    test.assert_trace(expect![[r#"
+        10: t1 arrives
+          send t1 0 to unconnected at 127.0.0.1:1, deadline 19960
+        20: list received
+        30: list received
+        40: list received
+          close idle connections to unconnected
+          close t1 0
+          send t1 1 to u2 at 127.0.0.1:2, deadline 19960
+          close t1 1
+        unanswered: 1
+    "#]]);
+}
+
 /// Guards against a renamed enum variant that changes what operators read in the log and in the metrics line.
 #[test]
 fn labels_of_outcomes_reasons_and_stages_stay_the_same() {
