--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -176,6 +176,8 @@
                 return;
             }
             if is_last {
+                // What was received of a rejected request takes up memory that others need.
+                drop(reader);
                 return close_gracefully(&stream, slot).await;
             }
             // Other connections have their turn before the next request of this client, which may be at hand already.
--- a/crates/pondlb-server/tests/bad_clients/mod.rs
+++ b/crates/pondlb-server/tests/bad_clients/mod.rs
@@ -328,3 +328,49 @@
     assert!(answer_time < DEADLINE + MAX_LATENESS, "answered after {answer_time:?}");
     assert!(slowest_health_check < MAX_LATENESS, "health was told after {slowest_health_check:?}");
 }
+
+/// The memory limit of a balancer in a crowd, in MB.
+const SMALL_MEMORY_MB: u64 = 32;
+/// How long clients hold what they have sent of their requests.
+const HOLD_DURATION: Duration = Duration::from_millis(2000);
+
+/// Guards against a process that is killed for its memory: hundreds of clients at once send heads of very many short
+/// fields, which take much more memory than bytes, or stop in the middle of a request.
+#[test]
+fn crowds_with_incomplete_requests_stay_within_the_memory_limit() {
+    let head = "POST /x HTTP/1.1\r\nHost: b\r\nReq-Id: NUMBER\r\nReq-Kind: order\r\nReq-Deadline: 2000m\r\n\
+        Content-Length: 65000\r\n";
+    let short_fields = "a:b\r\n".repeat(3200);
+    let half_body = "z".repeat(30_000);
+    let crowds = [
+        format!("{head}{short_fields}\r\n{half_body}"),
+        format!("{head}{short_fields}"),
+        format!("{head}\r\n{}", "z".repeat(64_990)),
+    ];
+    for incomplete_request in crowds {
+        let upstream = Upstream::start(ANSWER_HELLO);
+        let mut options = BalancerOptions::new(&[&upstream]);
+        options.memory_mb = SMALL_MEMORY_MB;
+        let balancer = options.start();
+        let mut clients: Vec<Client> = Vec::new();
+        for round in 0..2 {
+            for number in 0..600 {
+                let mut client = balancer.connect();
+                client.stream.set_write_timeout(Some(100 * MS)).unwrap();
+                let request = incomplete_request.replace("NUMBER", &format!("{round}-{number}"));
+                // The balancer may reject the request before it has read all of it.
+                let _ = client.stream.write_all(request.as_bytes());
+                clients.push(client);
+            }
+            sleep(HOLD_DURATION);
+            clients.clear();
+        }
+        assert_eq!(balancer.request("usual", "order").status(), "200");
+        let peak_kib = balancer.peak_resident_kib();
+        assert!(
+            peak_kib < SMALL_MEMORY_MB * 1024,
+            "{peak_kib} KiB with requests of {} bytes",
+            incomplete_request.len()
+        );
+    }
+}
