--- a/crates/pondlb-server/src/transport/client.rs
+++ b/crates/pondlb-server/src/transport/client.rs
@@ -12,10 +12,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{timeout, timeout_at};
 
-use super::connection_table::{ConnectionSlot, ConnectionTable, EvictionGuard};
+use super::connection_table::{ConnectionSlot, ConnectionTable};
 use super::phase::Phase;
+use super::request_wait::{Awaited, RequestWait};
 use super::stream::{ReadTurn, ReceiveState, read_available, read_into, receive_state, write_all};
 use crate::protocol::answer::Answer;
 use crate::protocol::client::{
@@ -24,13 +25,6 @@
 };
 use crate::routing::{ExchangeId, RouterEvent};
 
-/// A connection is closed when no further request has arrived for this time.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// A connection is closed when its first request has not begun by then. It is shorter than [`IDLE_TIMEOUT`] because
-/// hundreds of connections that send nothing would fill the connection table.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// A request must be complete this long after its first byte, or slow clients would pin memory.
-const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The client must have accepted an answer within this time, or slow clients would pin memory.
 const ANSWER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a connection is read after its write side was shut down. Closing it over unread bytes would reset it, and
@@ -71,52 +65,10 @@
     Disconnected,
 }
 
-/// What of a request is awaited.
-#[derive(Clone, Copy, PartialEq)]
-enum Awaited {
-    /// Its first byte. Empty lines ahead of the request don't count, so that they prolong no wait.
-    Begin,
-    /// Its last byte.
-    Rest,
-}
-
-/// A wait for a request, and what ends it.
-struct RequestWait<'a> {
-    awaited: Awaited,
-    deadline: Instant,
-    eviction: EvictionGuard<'a>,
-    /// Nothing more is read: the deadline has passed, the connection is needed for another client, or the program ends.
-    is_over: bool,
-}
-
-impl<'a> RequestWait<'a> {
-    /// Begins to wait for the next request of a connection. `is_used` says whether it has sent a request before.
-    fn for_begin(slot: &'a ConnectionSlot, is_used: bool) -> Self {
-        let (limit, eviction) = match is_used {
-            true => (IDLE_TIMEOUT, slot.mark_idle()),
-            false => (FIRST_REQUEST_TIMEOUT, slot.mark_unused()),
-        };
-        RequestWait { awaited: Awaited::Begin, deadline: Instant::now() + limit, eviction, is_over: false }
-    }
-
-    /// Begins to wait for the rest of a request.
-    fn for_rest(slot: &'a ConnectionSlot) -> Self {
-        let (deadline, eviction) = (Instant::now() + REQUEST_READ_TIMEOUT, slot.mark_receiving());
-        RequestWait { awaited: Awaited::Rest, deadline, eviction, is_over: false }
-    }
-
-    /// Returns when the wait is over.
-    async fn over(&self, phase: &mut watch::Receiver<Phase>) {
-        tokio::select! {
-            _ = phase.wait_for(|phase| *phase >= Phase::Closing), if self.awaited == Awaited::Begin => {}
-            () = self.eviction.evicted() => {}
-            () = sleep_until(self.deadline) => {}
-        }
-    }
-
-    /// What comes next on the connection when the wait is over and no request is complete.
-    fn end(&self) -> NextStep {
-        match self.awaited {
+impl NextStep {
+    /// What comes next when a wait for a request is over and none is complete.
+    fn after_wait(wait: &RequestWait) -> NextStep {
+        match wait.awaited() {
             Awaited::Begin => NextStep::CloseIdle,
             Awaited::Rest => NextStep::RejectSlow,
         }
@@ -198,59 +150,55 @@
         let mut wait: Option<RequestWait> = None;
         let mut turn = ReadTurn::default();
         loop {
-            let request = reader.next_request(&self.classes.borrow());
-            if !reader.is_idle() || matches!(request, Ok(Some(_))) {
-                // The connection is no longer idle.
-                wait.take_if(|wait| wait.awaited == Awaited::Begin);
-            }
-            match request {
-                Ok(Some(_)) if self.connections.must_reject_request() => return NextStep::RejectOverload,
-                Ok(Some(request)) if !request.is_health_check() && slot.is_excess() => {
-                    return NextStep::RejectOverload;
-                }
-                Ok(Some(request)) => return NextStep::Serve(request),
-                Ok(None) => {}
-                Err(error) => return NextStep::RejectMalformed(error),
-            }
-            // Rejects the request before its body is read: the bodies of hundreds of requests at once would not fit
-            // into memory.
-            if !reader.is_idle() && (slot.is_excess() || self.connections.must_reject_request()) {
-                return NextStep::RejectOverload;
+            if let Some(step) = self.step_after_input(reader, slot, &mut wait) {
+                return step;
             }
             let wait = wait.get_or_insert_with(|| match reader.is_idle() {
                 true => RequestWait::for_begin(slot, is_used),
                 false => RequestWait::for_rest(slot),
             });
-            if wait.is_over {
-                return wait.end();
+            if wait.is_over() {
+                return NextStep::after_wait(wait);
             }
             if reader.take_expect_continue() {
-                let written = timeout_at(wait.deadline, write_all(stream, CONTINUE_RESPONSE)).await;
+                let written = timeout_at(wait.deadline(), write_all(stream, CONTINUE_RESPONSE)).await;
                 if !matches!(written, Ok(Ok(()))) {
                     return NextStep::Disconnected;
                 }
             }
             turn.next_read().await;
-            let read = tokio::select! {
-                biased;
-                read = read_into(stream, reader.message_reader()) => read,
-                () = wait.over(&mut phase) => {
-                    wait.is_over = true;
-                    match receive_state(stream) {
-                        // What has arrived meanwhile is read: a client would have to send a whole request again
-                        // otherwise.
-                        ReceiveState::HasData => read_into(stream, reader.message_reader()).await,
-                        ReceiveState::Empty => return wait.end(),
-                        ReceiveState::Closed => return NextStep::Disconnected,
-                    }
-                }
-            };
-            if !matches!(read, Ok(1..)) {
-                return NextStep::Disconnected;
+            if let Some(step) = read_request_bytes(stream, reader, wait, &mut phase).await {
+                return step;
             }
         }
     }
 
+    /// What comes next after the input so far; `None` if more has to be read. From the first byte of a request on, the
+    /// connection counts as busy: a wait for that byte ends.
+    fn step_after_input(
+        &self,
+        reader: &mut RequestReader,
+        slot: &ConnectionSlot,
+        wait: &mut Option<RequestWait>,
+    ) -> Option<NextStep> {
+        let request = match reader.next_request(&self.classes.borrow()) {
+            Ok(request) => request,
+            Err(error) => return Some(NextStep::RejectMalformed(error)),
+        };
+        if request.is_none() && reader.is_idle() {
+            return None;
+        }
+        wait.take_if(|wait| wait.awaited() == Awaited::Begin);
+        // Health checks are answered by connections beyond the limit too.
+        let is_excess = !request.as_ref().is_some_and(ClientRequest::is_health_check) && slot.is_excess();
+        // A request is rejected before its body is read: the bodies of hundreds of requests at once would not fit into
+        // memory.
+        if is_excess || self.connections.must_reject_request() {
+            return Some(NextStep::RejectOverload);
+        }
+        request.map(NextStep::Serve)
+    }
+
     /// Returns the answer to a request; `None` when the client has disconnected.
     async fn serve_request(
         &self,
@@ -300,6 +248,26 @@
     }
 }
 
+/// Reads more of a request while it is awaited. Returns what comes next if nothing was read.
+async fn read_request_bytes(
+    stream: &TcpStream,
+    reader: &mut RequestReader,
+    wait: &mut RequestWait<'_>,
+    phase: &mut watch::Receiver<Phase>,
+) -> Option<NextStep> {
+    let read = tokio::select! {
+        biased;
+        read = read_into(stream, reader.message_reader()) => read,
+        () = wait.run_to_end(phase) => match receive_state(stream) {
+            // What has arrived meanwhile is read: a client would have to send a whole request again otherwise.
+            ReceiveState::HasData => read_into(stream, reader.message_reader()).await,
+            ReceiveState::Empty => return Some(NextStep::after_wait(wait)),
+            ReceiveState::Closed => return Some(NextStep::Disconnected),
+        }
+    };
+    (!matches!(read, Ok(1..))).then_some(NextStep::Disconnected)
+}
+
 /// Returns when the client closes its side of the connection. Requests that it pipelines meanwhile are kept as far as
 /// the read buffer reaches. Beyond that, input is read and discarded, since a close is seen only after everything sent
 /// before it; then no pipelined request is served.
--- a/crates/pondlb-server/src/transport/mod.rs
+++ b/crates/pondlb-server/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod phase;
 mod pool;
+mod request_wait;
 mod stream;
 #[cfg(test)]
 mod tests;
