Tests of scale runs: each laboratory has a loopback address of its own

The trace is in its output: replica-2 ended before it served, its port was in use. The laboratory chooses the control servers' ports before it starts them, and four laboratories, with all their connections, shared 127.0.0.1 meanwhile.

Change: each test's scenario has a listen address of its own. The checks are as they were.

The race was not played again on purpose.

--- a/crates/pondlb-lab/tests/scale.rs
+++ b/crates/pondlb-lab/tests/scale.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -50,13 +51,25 @@
     output: String,
 }
 
+/// The small scenario with a loopback address of its own. The control servers' ports are chosen before they are started; on
+/// an address that others use too, a connection or server of another test could take one meanwhile.
+fn small_scenario() -> String {
+    static SCENARIO_COUNT: AtomicU8 = AtomicU8::new(0);
+    let number = SCENARIO_COUNT.fetch_add(1, Ordering::Relaxed);
+    let text = std::fs::read_to_string(SMALL_SCENARIO).unwrap();
+    format!("listen = \"127.77.{number}.1\"\n{text}")
+}
+
 /// Plays the small scenario, again if the run is void because the machine is too busy. The report of a void run is valid
 /// except for its times and broken rules.
 fn play_small_scenario(folder: &Path, name: &str, arguments: &[&str]) -> RunResult {
     let report_file = folder.join(format!("{name}.json"));
     let report_path = report_file.to_str().unwrap();
     let Programs { server, balancer } = programs();
-    let mut command_line = vec!["scale", SMALL_SCENARIO, "--json", report_path, "--balancer", balancer];
+    let scenario = folder.join(format!("{name}.toml"));
+    std::fs::write(&scenario, small_scenario()).unwrap();
+    let scenario_path = scenario.to_str().unwrap();
+    let mut command_line = vec!["scale", scenario_path, "--json", report_path, "--balancer", balancer];
     if !arguments.contains(&"--server") {
         command_line.extend(["--server", server]);
     }
@@ -193,7 +206,7 @@
 #[test]
 fn a_killed_laboratory_leaves_no_process_running() {
     let folder = tempfile::tempdir().unwrap();
-    let text = std::fs::read_to_string(SMALL_SCENARIO).unwrap();
+    let text = small_scenario();
     // A single phase that suspends a hollow process at its start.
     let stop_phase =
         "name = \"first\"\nkind = \"stop\"\nseconds = 60.0\nchanges_per_second = 1.0\nevent_seconds = 50.0\n";
